--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Front door of the project; `make help` lists the targets.
+
+GOLANGCI_LINT_VERSION := v2.15.0
+GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+BIN := bin
+
+.PHONY: help build test unit lint fmt try bench capacity clean
+
+help:
+	@echo "make build     build bin/clementinepier and bin/standin"
+	@echo "make test      formatter, linter and all tests"
+	@echo "make try       whole system as separate processes on loopback, with failures"
+	@echo "make bench     seeded experiments on the decision code"
+	@echo "make capacity  slopes behind docs/CAPACITY.md"
+
+build:
+	go build -o $(BIN)/clementinepier .
+	go build -o $(BIN)/standin ./standin
+
+# lint includes the formatter check (gofumpt, gci).
+lint:
+	$(GOLANGCI_LINT) run ./...
+
+fmt:
+	$(GOLANGCI_LINT) fmt ./...
+
+# -p and -parallel are fixed so that the verdict does not depend on the machine's size.
+unit:
+	go test -p 4 -parallel 4 -count=1 ./...
+
+test: lint build unit
+
+try: build
+	bash scripts/try.sh
+
+bench:
+	go run ./bench
+
+capacity:
+	go run ./bench -capacity
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/deps_test.go
@@ -0,0 +1,6 @@
+package main
+
+import (
+	_ "github.com/matryer/is"
+	_ "pgregory.net/rapid"
+)
