--- /dev/null
+++ b/gang/step.go
@@ -0,0 +1,290 @@
+package gang
+
+import (
+	"time"
+
+	"clementinepier/job"
+	"clementinepier/worker"
+)
+
+// Step applies an event at the given time and returns the commands to issue now. The time must not go back.
+func (g *Gang) Step(now time.Time, e Event) []Command {
+	g.now, g.commands = now, nil
+	if g.began.IsZero() {
+		g.began, g.entered = now, now
+		for _, m := range g.members {
+			m.until, m.renewed = now.Add(g.options.Limits.StartWindow), now.Add(-g.options.Limits.Renewal)
+		}
+	}
+	g.apply(e)
+	g.expire()
+	for phase := Phase(""); phase != g.phase; {
+		phase = g.phase
+		g.advance()
+	}
+	return g.commands
+}
+
+// Wake returns when the attempt next needs a Tick; the zero time means never.
+func (g *Gang) Wake() time.Time {
+	if g.phase == PhaseEnded {
+		return time.Time{}
+	}
+	// A member that waits for something else, such as a fresh view, is looked at again after Retry.
+	again := g.now.Add(g.options.Limits.Retry)
+	wake := g.phaseEnd()
+	for _, m := range g.members {
+		at := m.retryAt
+		switch {
+		case m.call.number != 0:
+			at = m.call.sent.Add(g.timeout(m.call.kind))
+		case g.phase == PhaseRunning && m.state == stateRunning:
+			at = m.renewed.Add(g.options.Limits.Renewal)
+		case g.phase == PhaseRunning:
+			continue
+		}
+		if !at.After(g.now) {
+			at = again
+		}
+		if wake.IsZero() || at.Before(wake) {
+			wake = at
+		}
+	}
+	return wake
+}
+
+// phaseEnd returns the latest end of the current phase; the zero time means that it has none.
+func (g *Gang) phaseEnd() time.Time {
+	limits := g.options.Limits
+	switch g.phase {
+	case PhaseHolding, PhaseReady:
+		return g.began.Add(limits.Gather)
+	case PhaseStarting:
+		return g.entered.Add(limits.StartWindow)
+	case PhaseCheckpointing:
+		return g.entered.Add(limits.Checkpoint)
+	case PhaseEnding:
+		return g.entered.Add(limits.Lease + limits.CallTimeout)
+	case PhaseCollecting:
+		return g.entered.Add(limits.Collect)
+	}
+	return time.Time{}
+}
+
+func (g *Gang) apply(e Event) {
+	switch e := e.(type) {
+	case Reply:
+		g.reply(e)
+	case Claimed:
+		g.claimed = true
+	case WorkerLost:
+		g.workerLost(e.Worker)
+	case Cancel:
+		if g.phase != PhaseCollecting && g.phase != PhaseEnded {
+			g.end(e.Code, "cancelled")
+		}
+	case Preempt:
+		g.preempt()
+	case Changed:
+		g.changed(e.Status)
+	case Delivered:
+		g.delivered()
+	}
+}
+
+func (g *Gang) advance() {
+	switch g.phase {
+	case PhaseHolding, PhaseReady:
+		g.hold()
+	case PhaseStarting:
+		g.starting()
+	case PhaseRunning, PhaseCheckpointing:
+		g.running()
+	case PhaseEnding:
+		g.ending()
+	case PhaseCollecting:
+		g.collecting()
+	}
+}
+
+func (g *Gang) enter(p Phase) { g.phase, g.entered = p, g.now }
+
+func (g *Gang) issue(m *member, kind Kind, length time.Duration) *Command {
+	g.number++
+	spec := g.Spec(m.index)
+	g.commands = append(g.commands, Command{
+		Number: g.number, Kind: kind, Member: m.index, Worker: m.worker, ID: spec.ID, Nonce: spec.Nonce, Length: length,
+	})
+	c := call{number: g.number, kind: kind, sent: g.now}
+	if kind == KindCheckpoint {
+		m.checkpoint = c
+	} else {
+		m.call = c
+	}
+	return &g.commands[len(g.commands)-1]
+}
+
+// timeout returns how long a command may be unanswered in the current phase.
+func (g *Gang) timeout(kind Kind) time.Duration {
+	switch {
+	case kind == KindAnswer:
+		// An answer can be large, so it gets a third of the whole time, which leaves room for two retries.
+		return g.options.Limits.Collect / 3
+	case g.phase == PhaseHolding, g.phase == PhaseReady, g.phase == PhaseStarting:
+		return g.options.Limits.HoldTimeout
+	case kind == KindRenew && len(g.members) > 1:
+		// Leaves time for a second renewal before the gang must be ended.
+		return g.options.Limits.CallTimeout / 2
+	}
+	return g.options.Limits.CallTimeout
+}
+
+// expire gives up the commands that were unanswered for too long.
+func (g *Gang) expire() {
+	for _, m := range g.members {
+		if m.call.number != 0 && !g.now.Before(m.call.sent.Add(g.timeout(m.call.kind))) {
+			g.lost(m, m.call.kind)
+		}
+	}
+}
+
+// lost handles a command without a usable reply.
+func (g *Gang) lost(m *member, kind Kind) {
+	if kind == KindHold {
+		m.state = stateUnsure
+	}
+	m.call = call{}
+	m.retryAt = g.now.Add(g.options.Limits.Retry)
+}
+
+func (g *Gang) reply(r Reply) {
+	c := r.Command
+	if !g.names(c.ID) || c.Nonce != g.options.Spec.Nonce ||
+		(r.Status.Spec.Nonce != "" && (r.Status.Spec.Nonce != c.Nonce || r.Status.Spec.ID != c.ID)) {
+		g.ignored.Crossed++
+		return
+	}
+	m := g.byIndex[c.ID.Member]
+	if c.Kind == KindAcknowledge {
+		return
+	}
+	if c.Number != 0 && c.Number == m.checkpoint.number {
+		m.checkpoint, m.checkpointed, m.answered = call{}, true, c.Number
+		return
+	}
+	if c.Number == 0 || c.Number != m.call.number {
+		if c.Number == m.answered {
+			g.ignored.Duplicate++
+		} else {
+			g.ignored.Late++
+		}
+		return
+	}
+	m.answered = c.Number
+	if r.Err != nil {
+		g.lost(m, c.Kind)
+		if c.Kind == KindAnswer && worker.IsErrTaskNotExist(r.Err) {
+			m.workerLost = true
+		}
+		return
+	}
+	sent := m.call.sent
+	m.call = call{}
+	g.accept(m, c, r, sent)
+}
+
+// accept handles a usable reply to a command that was issued at the time sent.
+func (g *Gang) accept(m *member, c Command, r Reply, sent time.Time) {
+	switch c.Kind {
+	case KindHold:
+		g.holdReply(m, r.Refused, sent)
+	case KindStart:
+		g.startReply(m, r.Refused)
+	case KindRenew:
+		g.renewReply(m, c, r.Status, sent)
+	case KindStop, KindForbid:
+		g.endReply(m, c.Kind, r.Status)
+	case KindAnswer:
+		g.finish(ResultDone, job.CodeOK, "")
+		g.answer = r.Answer
+	}
+}
+
+func (g *Gang) holdReply(m *member, refused worker.Refusal, sent time.Time) {
+	switch {
+	case refused == worker.RefusedNone:
+		m.state, m.renewed, m.until = stateHeld, sent, sent.Add(g.options.Limits.HoldLength)
+	case refused == worker.RefusedKnown && m.holds > 1:
+		// An earlier hold whose reply was lost may have been admitted; a renewal tells.
+		m.state = stateUnsure
+	default:
+		g.refuse(m, refused)
+	}
+}
+
+func (g *Gang) refuse(m *member, refused worker.Refusal) {
+	m.state = stateRefused
+	if g.detail == "" {
+		g.detail = "worker " + m.worker + " refused: " + string(refused)
+	}
+}
+
+func (g *Gang) startReply(m *member, refused worker.Refusal) {
+	if m.state != stateStarting {
+		return
+	}
+	if refused == worker.RefusedNone || refused == worker.RefusedAlreadyActive {
+		m.state = stateRunning
+		return
+	}
+	g.refuse(m, refused)
+}
+
+func (g *Gang) renewReply(m *member, c Command, s worker.Status, sent time.Time) {
+	if g.startIssued {
+		g.report(m, s)
+		if s.State == worker.StateRunning {
+			m.renewed, m.until, m.leased = sent, sent.Add(c.Length), true
+		}
+		return
+	}
+	switch {
+	case s.State == worker.StateHeld:
+		m.state, m.renewed, m.until = stateHeld, sent, sent.Add(c.Length)
+	case s.State == worker.StateUnknown && m.state == stateUnsure:
+		m.state = stateIdle
+	default:
+		g.refuse(m, worker.Refusal(s.State))
+	}
+}
+
+// changed applies a worker event.
+func (g *Gang) changed(s worker.Status) {
+	if !g.names(s.Spec.ID) || s.Spec.Nonce != g.options.Spec.Nonce {
+		g.ignored.Crossed++
+		return
+	}
+	m := g.byIndex[s.Spec.ID.Member]
+	switch {
+	case g.phase == PhaseEnded:
+		g.ignored.Late++
+	case g.startIssued:
+		if s.State != worker.StateHeld {
+			g.report(m, s)
+		}
+	case s.State != worker.StateHeld:
+		g.refuse(m, worker.Refusal(s.State))
+	}
+}
+
+func (g *Gang) workerLost(name string) {
+	for _, m := range g.members {
+		if m.worker != name {
+			continue
+		}
+		m.workerLost = true
+		if !g.startIssued {
+			g.refuse(m, "worker lost")
+		}
+	}
+}
