--- /dev/null
+++ b/quota/splitter.go
@@ -0,0 +1,187 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Key names one limit.
+type Key struct {
+	Organisation string `json:"organisation"`
+	Service      string `json:"service"`
+}
+
+// Limit is what an organisation may use of a service in the whole system. A part that is 0 does not limit.
+type Limit struct {
+	RequestsPerSecond float64
+	Running           int
+}
+
+// Report is the demand of one VM, sent in its heartbeats.
+type Report struct {
+	VM      string         `json:"vm"`
+	Demands map[Key]Demand `json:"demands"`
+}
+
+// DefaultStaleAfter is four heartbeats of 500 ms.
+const DefaultStaleAfter = 2 * time.Second
+
+// smoothing is the weight of the latest interval in the reported rate.
+const smoothing = 0.5
+
+// Splitter holds one VM's shares and what it uses of them. Its exported field is set before the first call.
+type Splitter struct {
+	// StaleAfter is the age at which the report of a registered VM no longer counts. The VM then falls back to an
+	// equal part of every limit.
+	StaleAfter time.Duration
+
+	self       string
+	limits     map[Key]Limit
+	registered []string
+	reports    map[string]heard
+	usage      map[Key]*usage
+	// reported is when Demand was last called.
+	reported time.Time
+	// shares are cached until an input changes; stale is whether they are the equal parts.
+	shares map[Key]Share
+	stale  bool
+}
+
+type heard struct {
+	at     time.Time
+	report Report
+}
+
+type usage struct {
+	limiter *rate.Limiter
+	asked   int
+	rate    float64
+	running int
+	waiting int
+}
+
+// New returns the splitter of the named VM.
+func New(self string) *Splitter {
+	return &Splitter{
+		StaleAfter: DefaultStaleAfter, self: self, limits: map[Key]Limit{}, registered: []string{self},
+		reports: map[string]heard{}, usage: map[Key]*usage{},
+	}
+}
+
+// SetLimits replaces the limits.
+func (s *Splitter) SetLimits(limits map[Key]Limit) {
+	s.limits, s.shares = limits, nil
+}
+
+// SetRegistered replaces the names of the registered VMs. This VM always counts as one of them.
+func (s *Splitter) SetRegistered(names []string) {
+	set := append([]string{s.self}, names...)
+	slices.Sort(set)
+	s.registered, s.shares = slices.Compact(set), nil
+}
+
+// Heard records the report of another VM.
+func (s *Splitter) Heard(now time.Time, r Report) {
+	if r.VM != s.self {
+		s.reports[r.VM], s.shares = heard{at: now, report: r}, nil
+	}
+}
+
+// Demand returns this VM's report for the time since the last one. It is called once per heartbeat interval, and all
+// other VMs are sent the same report.
+func (s *Splitter) Demand(now time.Time) Report {
+	r := Report{VM: s.self, Demands: map[Key]Demand{}}
+	elapsed := now.Sub(s.reported).Seconds()
+	for key, u := range s.usage {
+		if !s.reported.IsZero() && elapsed > 0 {
+			u.rate += smoothing * (float64(u.asked)/elapsed - u.rate)
+			u.asked = 0
+		}
+		r.Demands[key] = Demand{Rate: u.rate, Running: u.running, Waiting: u.waiting}
+	}
+	s.reported = now
+	s.reports[s.self], s.shares = heard{at: now, report: r}, nil
+	return r
+}
+
+// Share returns this VM's part of a limit.
+func (s *Splitter) Share(now time.Time, key Key) Share {
+	if stale := s.lacksReports(now); s.shares == nil || stale != s.stale {
+		s.shares, s.stale = map[Key]Share{}, stale
+	}
+	if share, ok := s.shares[key]; ok {
+		return share
+	}
+	demands := make([]Demand, len(s.registered))
+	if !s.stale {
+		for i, name := range s.registered {
+			demands[i] = s.reports[name].report.Demands[key]
+		}
+	}
+	share := split(s.limits[key], demands)[slices.Index(s.registered, s.self)]
+	s.shares[key] = share
+	return share
+}
+
+// lacksReports reports whether a registered VM has not been heard for too long.
+func (s *Splitter) lacksReports(now time.Time) bool {
+	for _, name := range s.registered {
+		if h, ok := s.reports[name]; name != s.self && (!ok || now.Sub(h.at) > s.StaleAfter) {
+			return true
+		}
+	}
+	return false
+}
+
+// Take reports whether a request is within the rate, and counts it. The burst is what the share earns in one second,
+// at least one request.
+func (s *Splitter) Take(now time.Time, key Key) bool {
+	u := s.use(key)
+	u.asked++
+	share := s.Share(now, key).Rate
+	if share < 0 {
+		u.limiter = nil
+		return true
+	}
+	burst := max(1, int(math.Floor(share)))
+	if u.limiter == nil {
+		u.limiter = rate.NewLimiter(rate.Limit(share), burst)
+	}
+	if u.limiter.Limit() != rate.Limit(share) {
+		u.limiter.SetLimitAt(now, rate.Limit(share))
+		u.limiter.SetBurstAt(now, burst)
+	}
+	return share > 0 && u.limiter.AllowN(now, 1)
+}
+
+// Acquire reports whether one more request may run, and counts it until Release.
+func (s *Splitter) Acquire(now time.Time, key Key) bool {
+	u := s.use(key)
+	if share := s.Share(now, key).Running; share >= 0 && u.running >= share {
+		return false
+	}
+	u.running++
+	return true
+}
+
+// Release ends the count of a running request.
+func (s *Splitter) Release(key Key) {
+	if u := s.use(key); u.running > 0 {
+		u.running--
+	}
+}
+
+// SetWaiting records how many requests wait for the running limit.
+func (s *Splitter) SetWaiting(key Key, n int) { s.use(key).waiting = n }
+
+func (s *Splitter) use(key Key) *usage {
+	u := s.usage[key]
+	if u == nil {
+		u = &usage{}
+		s.usage[key] = u
+	}
+	return u
+}
