--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -197,10 +197,10 @@
 	return existing(err)
 }
 
-// Advance claims the attempt after fromAttempt, whose record must have state StateNotRun. Its results are those of
-// Claim.
+// Advance claims an attempt after fromAttempt, whose record must have state StateNotRun. Attempts that were held and
+// not claimed may be left out: next.Attempt is fromAttempt + 1 unless it is set higher. The results are those of Claim.
 func (l *Ledger) Advance(ctx context.Context, key job.Key, fromAttempt int, next Record) (*Record, error) {
-	next.Key, next.Attempt, next.State, next.At = key, fromAttempt+1, StateClaimed, l.now()
+	next.Key, next.Attempt, next.State, next.At = key, max(next.Attempt, fromAttempt+1), StateClaimed, l.now()
 	err := l.do(ctx, key, func(current *Record) (*Record, error) {
 		switch {
 		case current == nil:
--- a/gang/message.go
+++ b/gang/message.go
@@ -34,7 +34,8 @@
 	Nonce  string
 	// Length is the lease that a hold, a renewal or a start asks for.
 	Length time.Duration
-	// NotAfter is when a start must no longer be sent; a caller that is too late replies with an error instead.
+	// NotAfter is when the command must no longer be sent; a caller that is too late replies with an error instead. A
+	// renewal that an owner sends after a pause would otherwise prolong the lease of a gang that has lost a member.
 	NotAfter time.Time
 	// Reason is set for stops.
 	Reason string
--- a/gang/phases.go
+++ b/gang/phases.go
@@ -63,7 +63,15 @@
 	g.enter(PhaseStarting)
 	for _, m := range g.members {
 		m.state = stateStarting
-		g.issue(m, KindStart, g.options.Limits.StartWindow).NotAfter = m.until
+		g.start(m)
+	}
+}
+
+// start issues a start that is sent only while the hold is certain to be live.
+func (g *Gang) start(m *member) {
+	c := g.issue(m, KindStart, g.options.Limits.StartWindow)
+	if m.until.Before(c.NotAfter) {
+		c.NotAfter = m.until
 	}
 }
 
@@ -88,7 +96,7 @@
 	fresh, _ := g.options.MayStart(g.now)
 	for _, m := range g.members {
 		if fresh && m.state == stateStarting && m.free(g.now) && g.options.HoldLive(g.now, m.until) {
-			g.issue(m, KindStart, g.options.Limits.StartWindow).NotAfter = m.until
+			g.start(m)
 		}
 	}
 }
--- a/gang/step.go
+++ b/gang/step.go
@@ -114,6 +114,7 @@
 	spec := g.Spec(m.index)
 	g.commands = append(g.commands, Command{
 		Number: g.number, Kind: kind, Member: m.index, Worker: m.worker, ID: spec.ID, Nonce: spec.Nonce, Length: length,
+		NotAfter: g.now.Add(g.timeout(kind)),
 	})
 	c := call{number: g.number, kind: kind, sent: g.now}
 	if kind == KindCheckpoint {
