--- a/claim/book_test.go
+++ b/claim/book_test.go
@@ -319,6 +319,16 @@
 	}
 }
 
+// Guards against the fault that TestBooks found: a claim and its settling in one write, so that the claim was confirmed
+// by a version in which it was settled already.
+func TestClaimAndSettleTogether(t *testing.T) {
+	r := newBookRun(t, 1)
+	r.claim(0, 0, 1)
+	r.settle(0, 0, 1, StateNotRun)
+	r.settleAll()
+	is.New(t).Equal(r.store.writes, 2)
+}
+
 // fixedClock only tells the time.
 type fixedClock struct {
 	clockwork.Clock
--- a/claim/settler.go
+++ b/claim/settler.go
@@ -43,7 +43,7 @@
 	Workers func(name string) (*worker.Client, bool)
 	// Parallel bounds the calls in flight; a value below 2 makes them one by one.
 	Parallel int
-	// CallTimeout bounds one call of a worker.
+	// CallTimeout bounds one call of a worker; 0 leaves that to the client.
 	CallTimeout time.Duration
 	// Fence makes every worker of the attempt refuse its tasks and reports whether all confirmed that none started.
 	// Nil means forbid calls.
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -153,6 +153,7 @@
 	code   job.Code
 	detail string
 	answer []byte
+	blamed []string
 }
 
 // New returns an attempt in PhaseHolding; the first Step returns the hold commands.
@@ -199,6 +200,9 @@
 // Answer returns the answer of member 0 if the result is ResultDone.
 func (g *Gang) Answer() []byte { return g.answer }
 
+// Blamed returns the workers whose members failed, lapsed, refused a start or did not answer, and so ended the attempt.
+func (g *Gang) Blamed() []string { return g.blamed }
+
 // Ignored returns the counts of events that had no effect.
 func (g *Gang) Ignored() Ignored { return g.ignored }
 
--- a/gang/gang_test.go
+++ b/gang/gang_test.go
@@ -226,6 +226,9 @@
 			is.Equal(r.g.Phase(), PhaseEnded)
 			is.Equal(r.sent[KindStart], c.starts)
 			is.Equal(r.sent[KindStop], c.stops)
+			if c.name == "member fails" || c.name == "member lapses" || c.name == "one start refused, none ran" {
+				is.Equal(len(r.g.Blamed()), 1) // not the members that were stopped because of it
+			}
 			is.Equal(string(r.g.Answer()) == "answer", c.result == ResultDone)
 		})
 	}
--- a/gang/phases.go
+++ b/gang/phases.go
@@ -1,6 +1,8 @@
 package gang
 
 import (
+	"slices"
+
 	"clementinepier/job"
 	"clementinepier/worker"
 )
@@ -90,6 +92,11 @@
 		return
 	}
 	if !g.now.Before(g.entered.Add(g.options.Limits.StartWindow)) {
+		for _, m := range g.members {
+			if !m.confirmed() {
+				g.blame(m)
+			}
+		}
 		g.end(job.CodeWorkerLost, "not every member confirmed its start in time")
 		return
 	}
@@ -101,17 +108,27 @@
 	}
 }
 
+// blame records the worker of a member that ended the attempt.
+func (g *Gang) blame(m *member) {
+	if !slices.Contains(g.blamed, m.worker) {
+		g.blamed = append(g.blamed, m.worker)
+	}
+}
+
 // endsOthers ends the attempt if a member ended badly or its worker is lost.
 func (g *Gang) endsOthers() bool {
 	for _, m := range g.members {
 		switch {
 		case m.state == stateFailed:
+			g.blame(m)
 			g.end(job.CodeTaskFailed, g.detail)
 		case m.state == stateAdopted, m.state == stateRefused && g.phase == PhaseRunning:
 			g.end(job.CodeOwnerLost, "the previous owner did not start every member")
 		case m.badly():
+			g.blame(m)
 			g.end(job.CodeWorkerLost, "a member ended or was refused on worker "+m.worker)
 		case m.workerLost && (m.state != stateDone || m.index == 0):
+			g.blame(m)
 			g.end(job.CodeWorkerLost, "lost worker "+m.worker)
 		default:
 			continue
@@ -139,6 +156,7 @@
 		// A gang must not run long without a member, so the member is lost before its lease lapses.
 		late := len(g.members) > 1 && m.leased && !g.now.Before(m.renewed.Add(limits.Renewal+limits.CallTimeout))
 		if lapsed || late {
+			g.blame(m)
 			g.end(job.CodeWorkerLost, "lease on worker "+m.worker+" could not be renewed")
 			return
 		}
