Add links between entry VMs, metrics and tracing

Links are one WebSocket per direction with CBOR frames; both sides prove that they know the peer secret. A call that ends without a reply says whether it may have reached the peer, because only a call that surely did not may be reported as not run.

--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,82 @@
+// Package metrics holds the counters and gauges that an entry VM publishes through expvar.
+package metrics
+
+import (
+	"expvar"
+	"time"
+)
+
+// Name is the published name of a counter or gauge.
+type Name string
+
+// The counters and gauges. Counters only grow within one process; gauges are marked as such.
+const (
+	RequestsReceived   Name = "requests-received"
+	RequestsDone       Name = "requests-done"
+	RequestsNotRun     Name = "requests-not-run"
+	RequestsUnknown    Name = "requests-unknown"
+	RequestsAttached   Name = "requests-attached"
+	RequestsForwarded  Name = "requests-forwarded"
+	RequestsRerouted   Name = "requests-rerouted"
+	RequestsCancelled  Name = "requests-cancelled"
+	RequestsAdopted    Name = "requests-adopted"
+	RequestsQueued     Name = "requests-queued-gauge"
+	AttemptsStarted    Name = "attempts-started"
+	AttemptsRetried    Name = "attempts-retried"
+	AttemptsPreempted  Name = "attempts-preempted"
+	HoldsRefused       Name = "holds-refused"
+	StartsHeldBack     Name = "starts-held-back-view-not-fresh"
+	ClaimsMade         Name = "claims-made"
+	ClaimsExisting     Name = "claims-existing"
+	ClaimsFailed       Name = "claims-failed"
+	WorkerCallsFailed  Name = "worker-calls-failed"
+	WorkerCalls        Name = "worker-calls"
+	RepliesIgnored     Name = "worker-replies-ignored"
+	WorkersQuarantined Name = "workers-quarantined"
+	RacksOwned         Name = "racks-owned-gauge"
+	RacksGained        Name = "racks-gained"
+	RacksLost          Name = "racks-lost"
+	HeartbeatsSent     Name = "heartbeats-sent"
+	HeartbeatsFailed   Name = "heartbeats-failed"
+	HeartbeatBytes     Name = "heartbeat-bytes"
+	StoreReads         Name = "store-reads"
+	StoreWrites        Name = "store-writes"
+	StoreErrors        Name = "store-errors"
+	ConfigApplied      Name = "config-documents-applied"
+	ConfigRejected     Name = "config-parts-rejected"
+	ConfigRevision     Name = "config-revision-gauge"
+	ViewFresh          Name = "view-fresh-gauge"
+	PostsDropped       Name = "board-posts-dropped"
+	ReclaimsRequested  Name = "reclaims-requested"
+	JournalAdopted     Name = "journal-records-adopted"
+)
+
+// Set is one process's counters. The zero value is ready for use.
+type Set struct {
+	values expvar.Map
+}
+
+// Publish makes the set visible under /debug/vars. It may be called once per process.
+func (s *Set) Publish() { expvar.Publish("clementinepier", &s.values) }
+
+// Add increases a counter.
+func (s *Set) Add(name Name, n int64) { s.values.Add(string(name), n) }
+
+// SetGauge replaces a gauge's value.
+func (s *Set) SetGauge(name Name, value int64) {
+	v := new(expvar.Int)
+	v.Set(value)
+	s.values.Set(string(name), v)
+}
+
+// SetDuration replaces a gauge's value with a duration in milliseconds.
+func (s *Set) SetDuration(name Name, d time.Duration) { s.SetGauge(name, d.Milliseconds()) }
+
+// Get returns the current value; a name never used is 0.
+func (s *Set) Get(name Name) int64 {
+	v, ok := s.values.Get(string(name)).(*expvar.Int)
+	if !ok {
+		return 0
+	}
+	return v.Value()
+}
--- /dev/null
+++ b/peer/errors.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"clementinepier/job"
+)
+
+// ErrPeerUnavailable means that a call brought no reply.
+type ErrPeerUnavailable struct {
+	VM   string
+	Kind Kind
+	// Delivered is false only when the call certainly did not reach the peer.
+	Delivered bool
+	Cause     error
+}
+
+// Error implements error.
+func (e *ErrPeerUnavailable) Error() string {
+	return fmt.Sprintf("entry VM %s: %s: %v", e.VM, e.Kind, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ErrPeerUnavailable) Unwrap() error { return e.Cause }
+
+// IsErrPeerUnavailable reports whether err is or wraps an *ErrPeerUnavailable.
+func IsErrPeerUnavailable(err error) bool {
+	var target *ErrPeerUnavailable
+	return errors.As(err, &target)
+}
+
+// WasDelivered reports whether the call that failed with err may have reached the peer.
+func WasDelivered(err error) bool {
+	var target *ErrPeerUnavailable
+	if errors.As(err, &target) {
+		return target.Delivered
+	}
+	return true
+}
+
+// ErrRefused is a peer's reply that it did not carry out the call.
+type ErrRefused struct {
+	Code   job.Code
+	Detail string
+}
+
+// Error implements error.
+func (e *ErrRefused) Error() string { return fmt.Sprintf("%s: %s", e.Code, e.Detail) }
+
+// IsErrRefused reports whether err is or wraps an *ErrRefused.
+func IsErrRefused(err error) bool {
+	var target *ErrRefused
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/peer/frame.go
@@ -0,0 +1,80 @@
+// Package peer carries authenticated calls between entry VMs, as CBOR frames over WebSocket.
+package peer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"clementinepier/job"
+)
+
+// maxFrameSize bounds one frame in bytes: a payload of 1 MB, or a configuration document, with room for the rest.
+const maxFrameSize = 4 << 20
+
+// Kind names a call.
+type Kind string
+
+// The kinds of call between entry VMs.
+const (
+	KindHeartbeat Kind = "heartbeat"
+	KindConfig    Kind = "config"
+	KindRun       Kind = "run"
+	KindCancel    Kind = "cancel"
+	KindFind      Kind = "find"
+)
+
+// frame is the unit on the wire. A reply has Reply set and the ID of its call.
+type frame struct {
+	ID    uint64          `cbor:"1,keyasint"`
+	Kind  Kind            `cbor:"2,keyasint,omitempty"`
+	Reply bool            `cbor:"3,keyasint,omitempty"`
+	Trace string          `cbor:"4,keyasint,omitempty"`
+	Body  cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+	// Code and Detail are set on a reply whose call was refused.
+	Code   job.Code `cbor:"6,keyasint,omitempty"`
+	Detail string   `cbor:"7,keyasint,omitempty"`
+}
+
+// Identity names an entry VM process.
+type Identity struct {
+	VM            string `cbor:"1,keyasint"`
+	FailureDomain string `cbor:"2,keyasint"`
+	// BootID differs between two processes with the same VM name.
+	BootID string `cbor:"3,keyasint"`
+}
+
+// conn serialises writes to one WebSocket connection.
+type conn struct {
+	ws *websocket.Conn
+	mu sync.Mutex
+}
+
+func newConn(ws *websocket.Conn) *conn {
+	ws.SetReadLimit(maxFrameSize)
+	return &conn{ws: ws}
+}
+
+func (c *conn) write(ctx context.Context, v any) error {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode frame")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (c *conn) read(ctx context.Context, v any) error {
+	kind, data, err := c.ws.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if kind != websocket.MessageBinary {
+		return errors.New("text message where CBOR was expected")
+	}
+	return errors.Wrap(cbor.Unmarshal(data, v), "decode frame")
+}
--- /dev/null
+++ b/peer/handshake.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	handshakeTimeout = 2 * time.Second
+	nonceSize        = 16
+
+	// The roles are part of each proof, so that a proof sent by one side cannot be reflected by the other.
+	roleDialer   = "clementinepier-peer-dialer"
+	roleListener = "clementinepier-peer-listener"
+)
+
+// hello is the first message of each side.
+type hello struct {
+	Identity Identity `cbor:"1,keyasint"`
+	Nonce    []byte   `cbor:"2,keyasint"`
+	// Proof is empty in the dialer's hello and set in the listener's.
+	Proof []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// proof shows knowledge of the secret for one pair of nonces and identities.
+func proof(secret []byte, role string, dialer, listener hello) []byte {
+	mac := hmac.New(sha256.New, secret)
+	for _, part := range [][]byte{
+		[]byte(role),
+		dialer.Nonce, []byte(dialer.Identity.VM), []byte(dialer.Identity.FailureDomain), []byte(dialer.Identity.BootID),
+		listener.Nonce, []byte(listener.Identity.VM), []byte(listener.Identity.FailureDomain), []byte(listener.Identity.BootID),
+	} {
+		sum := sha256.Sum256(part)
+		_, _ = mac.Write(sum[:])
+	}
+	return mac.Sum(nil)
+}
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceSize)
+	_, _ = rand.Read(nonce)
+	return nonce
+}
+
+// dialHandshake authenticates the listener and proves this side; it returns the listener's identity.
+func dialHandshake(ctx context.Context, c *conn, self Identity, secret []byte) (Identity, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	mine := hello{Identity: self, Nonce: newNonce()}
+	if err := c.write(ctx, mine); err != nil {
+		return Identity{}, errors.Wrap(err, "send hello")
+	}
+	var theirs hello
+	if err := c.read(ctx, &theirs); err != nil {
+		return Identity{}, errors.Wrap(err, "receive hello")
+	}
+	if !hmac.Equal(theirs.Proof, proof(secret, roleListener, mine, theirs)) {
+		return Identity{}, errors.New("the listener does not know the peer secret")
+	}
+	answer := hello{Identity: self, Proof: proof(secret, roleDialer, mine, theirs)}
+	return theirs.Identity, errors.Wrap(c.write(ctx, answer), "send proof")
+}
+
+// acceptHandshake is the listener's side of dialHandshake.
+func acceptHandshake(ctx context.Context, c *conn, self Identity, secret []byte) (Identity, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	var theirs hello
+	if err := c.read(ctx, &theirs); err != nil {
+		return Identity{}, errors.Wrap(err, "receive hello")
+	}
+	if len(theirs.Nonce) != nonceSize {
+		return Identity{}, errors.New("hello without a nonce")
+	}
+	mine := hello{Identity: self, Nonce: newNonce()}
+	mine.Proof = proof(secret, roleListener, theirs, mine)
+	if err := c.write(ctx, mine); err != nil {
+		return Identity{}, errors.Wrap(err, "send hello")
+	}
+	var answer hello
+	if err := c.read(ctx, &answer); err != nil {
+		return Identity{}, errors.Wrap(err, "receive proof")
+	}
+	if !hmac.Equal(answer.Proof, proof(secret, roleDialer, theirs, mine)) {
+		return Identity{}, errors.New("the dialer does not know the peer secret")
+	}
+	return theirs.Identity, nil
+}
--- /dev/null
+++ b/peer/hub_test.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"clementinepier/job"
+)
+
+// newHub returns a running hub that serves on loopback; its echo handler answers with the body it got.
+func newHub(t *testing.T, vm, secret string, handlers map[Kind]Handler) (*Hub, string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Hub{
+		Self:     Identity{VM: vm, FailureDomain: "tunis-a", BootID: vm + "-1"},
+		Secret:   []byte(secret),
+		Clock:    clockwork.NewRealClock(),
+		Handlers: handlers,
+		MaxCalls: 16,
+	}
+	done, err := h.Run(ctx)
+	is.New(t).NoErr(err)
+	mux := http.NewServeMux()
+	mux.Handle(Path, h)
+	server := httptest.NewServer(mux)
+	t.Cleanup(func() { cancel(); _ = <-done; server.Close() })
+	return h, strings.TrimPrefix(server.URL, "http://")
+}
+
+// awaitCall repeats a call until the link is up, for at most a few seconds.
+func awaitCall(ctx context.Context, h *Hub, vm string, kind Kind, body, reply any) error {
+	var err error
+	for range 100 {
+		if err = h.Call(ctx, vm, kind, body, reply); err == nil || WasDelivered(err) {
+			return err
+		}
+		<-h.Clock.After(20 * time.Millisecond)
+	}
+	return err
+}
+
+func echo(_ context.Context, _ Identity, body []byte) (any, error) {
+	var text string
+	err := cbor.Unmarshal(body, &text)
+	return text, err
+}
+
+// Guards against replies that reach another call when many calls share one link.
+func TestCallsOnOneLinkKeepTheirReplies(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	a, _ := newHub(t, "a", "secret", nil)
+	b, address := newHub(t, "b", "secret", map[Kind]Handler{KindRun: echo})
+	a.SetPeers(map[string]string{"b": address})
+	var first string
+	is.NoErr(awaitCall(ctx, a, "b", KindRun, "first", &first))
+	results := make(chan bool, 10)
+	for _, text := range strings.Split("abcdefghij", "") {
+		go func() {
+			var got string
+			err := a.Call(ctx, "b", KindRun, text, &got)
+			results <- err == nil && got == text
+		}()
+	}
+	for range 10 {
+		is.True(<-results)
+	}
+	is.Equal(int(b.Counters.CallsServed.Value()), 11)
+}
+
+// Guards against an entry VM that is served without the shared secret.
+func TestWrongSecretIsRefused(t *testing.T) {
+	is := is.New(t)
+	a, _ := newHub(t, "a", "guess", nil)
+	b, address := newHub(t, "b", "secret", map[Kind]Handler{KindRun: echo})
+	a.SetPeers(map[string]string{"b": address})
+	for a.Counters.HandshakesFailed.Value() == 0 {
+		<-a.Clock.After(10 * time.Millisecond)
+	}
+	err := a.Call(context.Background(), "b", KindRun, "x", new(string))
+	is.True(IsErrPeerUnavailable(err))
+	is.True(!WasDelivered(err))
+	is.Equal(int(b.Counters.CallsServed.Value()), 0)
+}
+
+// Guards against a broken connection that is reported as a call that never reached the peer.
+func TestConnectionLostDuringCallCountsAsDelivered(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{})
+	wait := func(ctx context.Context, _ Identity, _ []byte) (any, error) {
+		close(arrived)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	a, _ := newHub(t, "a", "secret", nil)
+	_, address := newHub(t, "b", "secret", map[Kind]Handler{KindRun: wait, KindFind: echo})
+	a.SetPeers(map[string]string{"b": address})
+	is.NoErr(awaitCall(context.Background(), a, "b", KindFind, "up", new(string)))
+	result := make(chan error, 1)
+	go func() { result <- a.Call(context.Background(), "b", KindRun, "x", new(string)) }()
+	<-arrived
+	a.SetPeers(nil)
+	err := <-result
+	is.True(IsErrPeerUnavailable(err))
+	is.True(WasDelivered(err))
+}
+
+// Guards against late and duplicate replies that are taken for the reply to another call.
+func TestReplyWithoutWaitingCallIsDropped(t *testing.T) {
+	is := is.New(t)
+	h := &Hub{}
+	l := newLink(h, "b", "")
+	l.conn = &conn{}
+	_, id, waiting := l.register()
+	l.deliver(frame{ID: id, Reply: true, Body: []byte{1}})
+	l.deliver(frame{ID: id, Reply: true, Body: []byte{2}})
+	l.deliver(frame{ID: id + 7, Reply: true, Body: []byte{3}})
+	is.Equal((<-waiting).frame.Body, cbor.RawMessage{1})
+	is.Equal(int(h.Counters.RepliesDropped.Value()), 2)
+}
+
+// Guards against a refusal that loses its stable code on the way.
+func TestRefusalKeepsItsCode(t *testing.T) {
+	is := is.New(t)
+	refuse := func(context.Context, Identity, []byte) (any, error) {
+		return nil, &ErrRefused{Code: job.CodeStopping, Detail: "draining"}
+	}
+	a, _ := newHub(t, "a", "secret", nil)
+	_, address := newHub(t, "b", "secret", map[Kind]Handler{KindRun: refuse})
+	a.SetPeers(map[string]string{"b": address})
+	err := awaitCall(context.Background(), a, "b", KindRun, "x", new(string))
+	is.True(IsErrRefused(err))
+	is.Equal(err.(*ErrRefused).Code, job.CodeStopping) //nolint:errorlint // the concrete type is the point
+}
