--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -31,7 +31,11 @@
 	mux := http.NewServeMux()
 	mux.Handle(Path, h)
 	server := httptest.NewServer(mux)
-	t.Cleanup(func() { cancel(); _ = <-done; server.Close() })
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-done)
+		server.Close()
+	})
 	return h, strings.TrimPrefix(server.URL, "http://")
 }
 
