--- /dev/null
+++ b/bundle/errors.go
@@ -0,0 +1,115 @@
+package bundle
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrBundleInvalid means that a bundle's source cannot be used; it lists every fault found.
+type ErrBundleInvalid struct{ Faults []Fault }
+
+// Error implements error.
+func (e *ErrBundleInvalid) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return "bundle is invalid: " + strings.Join(lines, "; ")
+}
+
+// IsErrBundleInvalid reports whether err is or wraps an *ErrBundleInvalid.
+func IsErrBundleInvalid(err error) bool {
+	var target *ErrBundleInvalid
+	return errors.As(err, &target)
+}
+
+// ErrSignatureInvalid means that a signature does not match what it should sign.
+type ErrSignatureInvalid struct {
+	Key  KeyID
+	Role Role
+}
+
+// Error implements error.
+func (e *ErrSignatureInvalid) Error() string {
+	return fmt.Sprintf("signature of the %s with key %q does not match", e.Role, e.Key)
+}
+
+// IsErrSignatureInvalid reports whether err is or wraps an *ErrSignatureInvalid.
+func IsErrSignatureInvalid(err error) bool {
+	var target *ErrSignatureInvalid
+	return errors.As(err, &target)
+}
+
+// ErrKeyNotTrusted means that a key may not sign in the role it was used for.
+type ErrKeyNotTrusted struct {
+	Key    KeyID
+	Role   Role
+	Reason string
+}
+
+// Error implements error.
+func (e *ErrKeyNotTrusted) Error() string {
+	return fmt.Sprintf("key %q is not trusted as %s: %s", e.Key, e.Role, e.Reason)
+}
+
+// IsErrKeyNotTrusted reports whether err is or wraps an *ErrKeyNotTrusted.
+func IsErrKeyNotTrusted(err error) bool {
+	var target *ErrKeyNotTrusted
+	return errors.As(err, &target)
+}
+
+// ErrSameSigner means that author and reviewer signed with the same key.
+type ErrSameSigner struct{ Key KeyID }
+
+// Error implements error.
+func (e *ErrSameSigner) Error() string {
+	return fmt.Sprintf("author and reviewer both signed with key %q; two different keys are needed", e.Key)
+}
+
+// IsErrSameSigner reports whether err is or wraps an *ErrSameSigner.
+func IsErrSameSigner(err error) bool {
+	var target *ErrSameSigner
+	return errors.As(err, &target)
+}
+
+// ErrOrderInvalid means that an order has a field that cannot be used.
+type ErrOrderInvalid struct{ Reason string }
+
+// Error implements error.
+func (e *ErrOrderInvalid) Error() string { return "order is invalid: " + e.Reason }
+
+// IsErrOrderInvalid reports whether err is or wraps an *ErrOrderInvalid.
+func IsErrOrderInvalid(err error) bool {
+	var target *ErrOrderInvalid
+	return errors.As(err, &target)
+}
+
+// ErrKeyInvalid means that a key or a key file cannot be used. It never holds key material.
+type ErrKeyInvalid struct {
+	// Source is the path of the file or the place of an inline key.
+	Source string
+	Reason string
+}
+
+// Error implements error.
+func (e *ErrKeyInvalid) Error() string { return fmt.Sprintf("key %s: %s", e.Source, e.Reason) }
+
+// IsErrKeyInvalid reports whether err is or wraps an *ErrKeyInvalid.
+func IsErrKeyInvalid(err error) bool {
+	var target *ErrKeyInvalid
+	return errors.As(err, &target)
+}
+
+// ErrSignedFileInvalid means that a signed bundle cannot be decoded.
+type ErrSignedFileInvalid struct{ Reason string }
+
+// Error implements error.
+func (e *ErrSignedFileInvalid) Error() string { return "signed bundle cannot be read: " + e.Reason }
+
+// IsErrSignedFileInvalid reports whether err is or wraps an *ErrSignedFileInvalid.
+func IsErrSignedFileInvalid(err error) bool {
+	var target *ErrSignedFileInvalid
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/bundle/keyring.go
@@ -0,0 +1,107 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// TrustedKey is a public key that may sign. Settings hold it inline, public key files hold it as a whole file.
+type TrustedKey struct {
+	// ID may be empty; a given one must be the id of the public key.
+	ID KeyID `toml:"id,omitempty"`
+	// PublicKey is the ed25519 public key in standard base64.
+	PublicKey string `toml:"public-key"`
+	// Roles are the roles the key may sign in; none means all.
+	Roles []Role `toml:"roles,omitempty"`
+	// NotAfter is when the key stops signing new changes; the zero time means never.
+	NotAfter time.Time `toml:"not-after,omitempty"`
+}
+
+// Keyring holds the public keys that an entry VM trusts. It is immutable.
+type Keyring struct{ keys map[KeyID]ringKey }
+
+type ringKey struct {
+	public   ed25519.PublicKey
+	roles    []Role
+	notAfter time.Time
+}
+
+// NewKeyring returns a keyring of the keys given, or an *ErrKeyInvalid for the first key that cannot be used.
+func NewKeyring(trusted []TrustedKey) (*Keyring, error) {
+	k := &Keyring{keys: make(map[KeyID]ringKey, len(trusted))}
+	for i, t := range trusted {
+		public, err := t.Check()
+		if err != nil {
+			return nil, &ErrKeyInvalid{Source: fmt.Sprintf("%d of the keyring", i+1), Reason: err.Error()}
+		}
+		id := KeyIDOf(public)
+		if _, twice := k.keys[id]; twice {
+			return nil, &ErrKeyInvalid{Source: string(id), Reason: "is in the keyring more than once"}
+		}
+		k.keys[id] = ringKey{public: public, roles: slices.Clone(t.Roles), notAfter: t.NotAfter}
+	}
+	return k, nil
+}
+
+// IDs returns the ids of the keys in ascending order.
+func (k *Keyring) IDs() []KeyID {
+	ids := make([]KeyID, 0, len(k.keys))
+	for id := range k.keys {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Verify checks both signatures of a bundle and then the bundle itself. It does not look at not-after times: a bundle
+// that is in force stays valid after one of its keys has passed that time, or a restarted entry VM would refuse it.
+func (k *Keyring) Verify(s Signed) (*Bundle, error) { return k.verify(s, time.Time{}) }
+
+// VerifyNew is Verify for a bundle that is about to be accepted: keys past their not-after time are refused.
+func (k *Keyring) VerifyNew(now time.Time, s Signed) (*Bundle, error) { return k.verify(s, now) }
+
+// VerifyOrder checks the order and its signature. It does not look at not-after times, for the same reason as Verify.
+func (k *Keyring) VerifyOrder(o SignedOrder) error { return k.verifyOrder(o, time.Time{}) }
+
+// VerifyNewOrder is VerifyOrder for an order that is about to be accepted: keys past their not-after time are refused.
+func (k *Keyring) VerifyNewOrder(now time.Time, o SignedOrder) error { return k.verifyOrder(o, now) }
+
+func (k *Keyring) verify(s Signed, now time.Time) (*Bundle, error) {
+	if err := k.check(RoleAuthor, s.Author, bundleBytes(prefixAuthor, s.Source), now); err != nil {
+		return nil, err
+	}
+	if err := k.check(RoleReviewer, s.Reviewer, bundleBytes(prefixReviewer, s.Source), now); err != nil {
+		return nil, err
+	}
+	// Ids are derived from the public keys, so different ids are different keys.
+	if s.Author.Key == s.Reviewer.Key {
+		return nil, &ErrSameSigner{Key: s.Author.Key}
+	}
+	return ParseAndCheck(s.Source)
+}
+
+func (k *Keyring) verifyOrder(o SignedOrder, now time.Time) error {
+	if err := k.check(RoleOperator, o.Signature, o.Order.signedBytes(), now); err != nil {
+		return err
+	}
+	return o.Order.Check()
+}
+
+// check verifies one signature. The zero time skips the check of not-after.
+func (k *Keyring) check(role Role, s Signature, message []byte, now time.Time) error {
+	key, known := k.keys[s.Key]
+	switch {
+	case !known:
+		return &ErrKeyNotTrusted{Key: s.Key, Role: role, Reason: "the key is not among the trusted keys"}
+	case len(key.roles) > 0 && !slices.Contains(key.roles, role):
+		return &ErrKeyNotTrusted{Key: s.Key, Role: role, Reason: "the key is trusted for other roles only"}
+	case !now.IsZero() && !key.notAfter.IsZero() && now.After(key.notAfter):
+		reason := "the key signs no new changes since " + key.notAfter.UTC().Format(time.RFC3339)
+		return &ErrKeyNotTrusted{Key: s.Key, Role: role, Reason: reason}
+	case !ed25519.Verify(key.public, message, s.Value):
+		return &ErrSignatureInvalid{Key: s.Key, Role: role}
+	}
+	return nil
+}
--- a/job/request.go
+++ b/job/request.go
@@ -41,11 +41,11 @@
 // Shape is the capacity a request needs. All tasks of one request run in one rack.
 type Shape struct {
 	// Tasks is the number of gang members, at least 1.
-	Tasks int `json:"tasks"`
+	Tasks int `json:"tasks" toml:"tasks"`
 	// Accelerators is the number of accelerators of each task; 0 is allowed.
-	Accelerators int `json:"accelerators"`
+	Accelerators int `json:"accelerators" toml:"accelerators"`
 	// Slots is the number of worker slots of each task, at least 1.
-	Slots int `json:"slots"`
+	Slots int `json:"slots" toml:"slots"`
 }
 
 // TotalAccelerators returns the accelerators of all tasks together.
