--- /dev/null
+++ b/standin/platform/handler.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"clementinepier/job"
+	"clementinepier/jsonhttp"
+	"clementinepier/platform"
+	"clementinepier/standin/fault"
+)
+
+type empty struct{}
+
+// Handler serves the calls under /v1/ and the admin calls under /admin/. Admin calls meet no faults.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	p.handleReads(mux)
+	p.handleWrites(mux)
+	p.handleAdmin(mux)
+	return mux
+}
+
+// detach lets a call take effect after its caller gave up, as a slow service does.
+func detach(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
+
+func (p *Platform) handleReads(mux *http.ServeMux) {
+	type keyed struct {
+		Key string `json:"key"`
+	}
+	jsonhttp.Handle(mux, "/v1/get", func(ctx context.Context, in keyed) (platform.Entry, error) {
+		entry, err := p.get(detach(ctx), in.Key)
+		return entry, httpError(err)
+	})
+	type prefixed struct {
+		Prefix string `json:"prefix"`
+	}
+	jsonhttp.Handle(mux, "/v1/list", func(ctx context.Context, in prefixed) (any, error) {
+		entries, err := p.list(detach(ctx), in.Prefix)
+		return map[string]any{"entries": entries}, httpError(err)
+	})
+	type watched struct {
+		Key   string       `json:"key"`
+		After uint64       `json:"after"`
+		Wait  job.Duration `json:"wait"`
+	}
+	jsonhttp.Handle(mux, "/v1/watch", func(ctx context.Context, in watched) (platform.Entry, error) {
+		entry, err := p.watch(ctx, in.Key, in.After, in.Wait.Std())
+		return entry, httpError(err)
+	})
+	jsonhttp.Handle(mux, "/v1/vms", func(ctx context.Context, _ empty) (any, error) {
+		vms, err := p.listVMs(detach(ctx))
+		return map[string]any{"vms": vms}, httpError(err)
+	})
+}
+
+func (p *Platform) handleWrites(mux *http.ServeMux) {
+	type write struct {
+		Key     string `json:"key"`
+		Value   []byte `json:"value"`
+		Version uint64 `json:"version"`
+		Lease   uint64 `json:"lease"`
+	}
+	jsonhttp.Handle(mux, "/v1/compare-and-swap", func(ctx context.Context, in write) (any, error) {
+		version, err := p.CompareAndSwapLeased(detach(ctx), in.Key, in.Value, in.Version, in.Lease)
+		return map[string]any{"version": version}, httpError(err)
+	})
+	jsonhttp.Handle(mux, "/v1/delete", func(ctx context.Context, in write) (empty, error) {
+		return empty{}, httpError(p.remove(detach(ctx), in.Key, in.Version))
+	})
+	type leased struct {
+		Lease  uint64       `json:"lease"`
+		Length job.Duration `json:"length"`
+	}
+	jsonhttp.Handle(mux, "/v1/grant", func(ctx context.Context, in leased) (any, error) {
+		lease, err := p.Grant(detach(ctx), in.Length.Std())
+		return map[string]any{"lease": lease}, httpError(err)
+	})
+	jsonhttp.Handle(mux, "/v1/renew", func(ctx context.Context, in leased) (empty, error) {
+		return empty{}, httpError(p.Renew(detach(ctx), in.Lease, in.Length.Std()))
+	})
+}
+
+func (p *Platform) handleAdmin(mux *http.ServeMux) {
+	jsonhttp.Handle(mux, "/admin/faults", func(_ context.Context, in fault.Faults) (empty, error) {
+		p.SetFaults(in)
+		return empty{}, nil
+	})
+	jsonhttp.Handle(mux, "/admin/calls", func(context.Context, empty) (map[string]uint64, error) {
+		return p.Calls(), nil
+	})
+	type lag struct {
+		Lag job.Duration `json:"lag"`
+	}
+	jsonhttp.Handle(mux, "/admin/lag", func(_ context.Context, in lag) (empty, error) {
+		p.SetLag(in.Lag.Std())
+		return empty{}, nil
+	})
+	jsonhttp.Handle(mux, "/admin/vms/add", func(_ context.Context, in platform.VM) (empty, error) {
+		if in.Name == "" || in.Address == "" {
+			return empty{}, errors.New("a VM needs a name and an address")
+		}
+		p.AddVM(in)
+		return empty{}, nil
+	})
+	type named struct {
+		Name    string `json:"name"`
+		Leaving bool   `json:"leaving"`
+	}
+	jsonhttp.Handle(mux, "/admin/vms/remove", func(_ context.Context, in named) (empty, error) {
+		p.RemoveVM(in.Name)
+		return empty{}, nil
+	})
+	jsonhttp.Handle(mux, "/admin/vms/leaving", func(_ context.Context, in named) (empty, error) {
+		if !p.MarkLeaving(in.Name, in.Leaving) {
+			return empty{}, &jsonhttp.ErrStatus{Status: http.StatusNotFound, Body: []byte("no VM named " + in.Name)}
+		}
+		return empty{}, nil
+	})
+}
+
+func httpError(err error) error {
+	var differs *platform.ErrVersionDiffers
+	var lease *ErrLeaseNotExist
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &differs):
+		body, _ := json.Marshal(map[string]uint64{"have": differs.Have})
+		return &jsonhttp.ErrStatus{Status: http.StatusConflict, Body: body}
+	case errors.As(err, &lease):
+		return &jsonhttp.ErrStatus{Status: http.StatusNotFound, Body: []byte(err.Error())}
+	case platform.IsErrValueTooLarge(err):
+		return &jsonhttp.ErrStatus{Status: http.StatusRequestEntityTooLarge, Body: []byte(err.Error())}
+	}
+	return jsonhttp.ErrAbort
+}
--- /dev/null
+++ b/standin/platform/vms.go
@@ -0,0 +1,68 @@
+package platform
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"clementinepier/platform"
+)
+
+// SetLag changes how long a change of the VM list stays invisible.
+func (p *Platform) SetLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = lag
+}
+
+// AddVM puts a VM on the list; one of the same name is replaced.
+func (p *Platform) AddVM(vm platform.VM) {
+	p.changeVMs(func() { p.vms[vm.Name] = vm })
+}
+
+// RemoveVM takes a VM off the list.
+func (p *Platform) RemoveVM(name string) {
+	p.changeVMs(func() { delete(p.vms, name) })
+}
+
+// MarkLeaving sets the leaving mark of a VM and reports whether the VM is on the list.
+func (p *Platform) MarkLeaving(name string, leaving bool) bool {
+	var found bool
+	p.changeVMs(func() {
+		vm, ok := p.vms[name]
+		if found = ok; ok {
+			vm.Leaving = leaving
+			p.vms[name] = vm
+		}
+	})
+	return found
+}
+
+func (p *Platform) changeVMs(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+	vms := make([]platform.VM, 0, len(p.vms))
+	for _, vm := range p.vms {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
+	p.history = append(p.history, snapshot{at: p.clock.Now(), vms: vms})
+}
+
+func (p *Platform) listVMs(ctx context.Context) ([]platform.VM, error) {
+	var vms []platform.VM
+	err := p.do(ctx, "vms", func() {
+		visible := p.clock.Now().Add(-p.lag)
+		for len(p.history) > 1 && !p.history[1].at.After(visible) {
+			p.history = p.history[1:]
+		}
+		if len(p.history) > 0 && !p.history[0].at.After(visible) {
+			vms = append(vms, p.history[0].vms...)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return vms, nil
+}
--- a/worker/errors.go
+++ b/worker/errors.go
@@ -40,3 +40,18 @@
 	var target *ErrTaskNotExist
 	return errors.As(err, &target)
 }
+
+// ErrAnswerDamaged means that an answer is truncated, altered or that of another task. It comes as the cause of an *ErrCall.
+type ErrAnswerDamaged struct {
+	ID     string
+	Reason string
+}
+
+// Error implements error.
+func (e *ErrAnswerDamaged) Error() string { return "answer of task " + e.ID + ": " + e.Reason }
+
+// IsErrAnswerDamaged reports whether err is or wraps an *ErrAnswerDamaged.
+func IsErrAnswerDamaged(err error) bool {
+	var target *ErrAnswerDamaged
+	return errors.As(err, &target)
+}
