--- a/standin/commands.go
+++ b/standin/commands.go
@@ -89,7 +89,7 @@
 }
 
 type callCommand struct {
-	Address string `arg:"--address,required" help:"address of the stand-in"`
+	Address string `arg:"positional,required" help:"address of the stand-in"`
 	Path    string `arg:"positional,required" help:"path of the call, such as /admin/faults"`
 	Body    string `arg:"positional" default:"{}" help:"body in JSON"`
 }
