--- /dev/null
+++ b/config/accept.go
@@ -0,0 +1,163 @@
+package config
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+
+	"clementinepier/bundle"
+)
+
+// MaxChangeID is the longest change id, in bytes. It bounds the document together with RecentChanges.
+const MaxChangeID = 128
+
+// Change is a new signed bundle or a new signed order. Exactly one of the two is set.
+type Change struct {
+	ID     string
+	Bundle *bundle.Signed
+	// Order carries its change id under the signature; it must equal ID.
+	Order *bundle.SignedOrder
+}
+
+// Accept returns the document that follows current when the change is made, and the change's result. The caller writes
+// the document with a compare-and-swap against the version that current was read at. A change id that was accepted
+// before returns current and the first result. Accept returns
+//   - an *ErrRevisionConflict when the change's number is not exactly one above the current one,
+//   - an *ErrNotYetInForce when the set of failure domains may not change yet,
+//   - an *ErrDomainNotExist for an order on an unknown failure domain,
+//   - an *ErrChange for a change that is malformed, badly signed or reuses the id of a different change,
+//   - the error of Join when current itself has an invalid part.
+//
+// Signatures are checked here; the caller runs Bundle.Check before.
+func Accept(k *bundle.Keyring, current Document, c Change) (Document, Accepted, error) {
+	return accept(verifier{bundle: k.Verify, order: k.VerifyOrder}, current, c)
+}
+
+func accept(k verifier, current Document, c Change) (Document, Accepted, error) {
+	view, err := join(k, nil, current)
+	if err != nil {
+		return Document{}, Accepted{}, err
+	}
+	if err := checkChange(c); err != nil {
+		return Document{}, Accepted{}, err
+	}
+	digest := changeDigest(c)
+	for _, a := range current.Recent {
+		if a.ChangeID != c.ID {
+			continue
+		}
+		if !slices.Equal(a.Digest, digest) {
+			return Document{}, Accepted{}, &ErrChange{ChangeID: c.ID, Reason: "the id belongs to a different accepted change"}
+		}
+		return current.Clone(), a, nil
+	}
+	next := current.Clone()
+	if c.Order != nil {
+		err = acceptOrder(k, view, &next, c)
+	} else {
+		err = acceptBundle(k, view, &next, c)
+	}
+	if err != nil {
+		return Document{}, Accepted{}, err
+	}
+	accepted := Accepted{ChangeID: c.ID, Number: view.revision.Bundle + 1, Revision: view.revision.Sum() + 1, Digest: digest}
+	if c.Order != nil {
+		accepted.FailureDomain, accepted.Number = c.Order.Order.FailureDomain, c.Order.Order.Sequence
+	}
+	next.ChangeID = c.ID
+	next.Recent = append(next.Recent, accepted)
+	if extra := len(next.Recent) - RecentChanges; extra > 0 {
+		next.Recent = slices.Delete(next.Recent, 0, extra)
+	}
+	return next, accepted, nil
+}
+
+func checkChange(c Change) error {
+	reason := ""
+	switch {
+	case c.ID == "" || len(c.ID) > MaxChangeID:
+		reason = fmt.Sprintf("the id must have 1 to %d bytes", MaxChangeID)
+	case (c.Bundle == nil) == (c.Order == nil):
+		reason = "exactly one of bundle and order must be set"
+	case c.Order != nil && c.Order.Order.ChangeID != c.ID:
+		reason = fmt.Sprintf("the order was signed for change %q", c.Order.Order.ChangeID)
+	}
+	if reason == "" {
+		return nil
+	}
+	return &ErrChange{ChangeID: c.ID, Reason: reason}
+}
+
+func acceptOrder(k verifier, view *View, next *Document, c Change) error {
+	o := c.Order.Order
+	if err := checkOrder(k, o.FailureDomain, *c.Order); err != nil {
+		return &ErrChange{ChangeID: c.ID, Reason: "the order is invalid", Cause: err}
+	}
+	if !slices.Contains(view.FailureDomains(), o.FailureDomain) {
+		return &ErrDomainNotExist{FailureDomain: o.FailureDomain}
+	}
+	if have := view.revision.Orders[o.FailureDomain]; o.Sequence != have+1 {
+		return newConflict(next, view, o.FailureDomain, o.Sequence, have)
+	}
+	if next.Orders == nil {
+		next.Orders = map[string]bundle.SignedOrder{}
+	}
+	next.Orders[o.FailureDomain] = cloneOrder(*c.Order)
+	return nil
+}
+
+func acceptBundle(k verifier, view *View, next *Document, c Change) error {
+	b, err := k.bundle(*c.Bundle)
+	if err != nil {
+		return &ErrChange{ChangeID: c.ID, Reason: "the bundle is invalid", Cause: err}
+	}
+	have := view.revision.Bundle
+	if b.Revision != have+1 {
+		return newConflict(next, view, "", b.Revision, have)
+	}
+	if before := view.FailureDomains(); have > 0 && !slices.Equal(before, domainNames(b)) {
+		if len(next.PreviousDomains) > 0 {
+			return &ErrNotYetInForce{Bundle: have}
+		}
+		next.PreviousDomains = before
+	}
+	next.Bundle = cloneSigned(*c.Bundle)
+	return nil
+}
+
+// Settle returns the document to write, at the same revision, once a change with the current failure domains is
+// acknowledged. Rollouts then no longer need a majority of the earlier set. It reports whether d needed that.
+func Settle(d Document) (Document, bool) {
+	if len(d.PreviousDomains) == 0 {
+		return d, false
+	}
+	settled := d.Clone()
+	settled.PreviousDomains = nil
+	return settled, true
+}
+
+// newConflict names the change that took the number, or else the latest change of the same part.
+func newConflict(d *Document, view *View, domain string, number, have uint64) *ErrRevisionConflict {
+	winner := Accepted{FailureDomain: domain, Number: have, Revision: view.revision.Sum()}
+	for _, a := range d.Recent {
+		if a.FailureDomain != domain || (a.Number != number && a.Number != have) {
+			continue
+		}
+		winner = a
+		if a.Number == number {
+			break
+		}
+	}
+	return &ErrRevisionConflict{FailureDomain: domain, Number: number, Winner: winner}
+}
+
+func changeDigest(c Change) []byte {
+	hash := sha256.New()
+	// A retry may be signed again, so the signatures are left out. Writing to a hash cannot fail.
+	if c.Order != nil {
+		_ = encoding.NewEncoder(hash).Encode(c.Order.Order)
+	} else {
+		_ = encoding.NewEncoder(hash).Encode(c.Bundle.Source)
+	}
+	return hash.Sum(nil)
+}
--- /dev/null
+++ b/config/document.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"clementinepier/bundle"
+	"clementinepier/platform"
+)
+
+// RecentChanges is how many accepted change ids a document keeps, so that a late retry is recognised.
+const RecentChanges = 64
+
+// Document is the value of the store key config/head and the body of the config message.
+type Document struct {
+	Bundle bundle.Signed `cbor:"bundle"`
+	// Orders has the latest order per failure domain.
+	Orders map[string]bundle.SignedOrder `cbor:"orders,omitempty"`
+	// ChangeID is the id of the last accepted change.
+	ChangeID string `cbor:"change-id"`
+	// Recent has the last accepted changes, oldest first, at most RecentChanges.
+	Recent []Accepted `cbor:"recent,omitempty"`
+	// PreviousDomains are the failure domains before the last bundle that changed their set, and are empty once that
+	// bundle is acknowledged. Until then a VM with the earlier bundle may still count a majority of the earlier set.
+	PreviousDomains []string `cbor:"previous-domains,omitempty"`
+}
+
+// Accepted is the result of an accepted change.
+type Accepted struct {
+	ChangeID string `cbor:"change-id" json:"change-id"`
+	// FailureDomain is the domain of an order, or empty for a bundle.
+	FailureDomain string `cbor:"failure-domain,omitempty" json:"failure-domain,omitempty"`
+	// Number is the bundle revision or the order's sequence.
+	Number uint64 `cbor:"number" json:"number"`
+	// Revision is the sum that operators see.
+	Revision uint64 `cbor:"revision" json:"revision"`
+	// Digest is the SHA-256 of the signed bundle or order.
+	Digest []byte `cbor:"digest" json:"-"`
+}
+
+// Clone returns a copy that shares nothing with d.
+func (d Document) Clone() Document {
+	c := d
+	c.Bundle = cloneSigned(d.Bundle)
+	c.Orders = maps.Clone(d.Orders)
+	for domain, o := range c.Orders {
+		c.Orders[domain] = cloneOrder(o)
+	}
+	c.Recent = slices.Clone(d.Recent)
+	for i := range c.Recent {
+		c.Recent[i].Digest = bytes.Clone(c.Recent[i].Digest)
+	}
+	c.PreviousDomains = slices.Clone(d.PreviousDomains)
+	return c
+}
+
+func cloneSigned(s bundle.Signed) bundle.Signed {
+	s.Source = bytes.Clone(s.Source)
+	s.Author.Value = bytes.Clone(s.Author.Value)
+	s.Reviewer.Value = bytes.Clone(s.Reviewer.Value)
+	return s
+}
+
+func cloneOrder(o bundle.SignedOrder) bundle.SignedOrder {
+	o.Signature.Value = bytes.Clone(o.Signature.Value)
+	return o
+}
+
+// Encode returns the document as deterministic CBOR. It returns an *ErrDocument if the store could not hold the result.
+func Encode(d Document) ([]byte, error) {
+	data, err := encoding.Marshal(d)
+	if err == nil && len(data) > platform.MaxValueSize {
+		err = errors.Errorf("%d bytes, the store holds %d", len(data), platform.MaxValueSize)
+	}
+	if err != nil {
+		return nil, &ErrDocument{Cause: err}
+	}
+	return data, nil
+}
+
+// Decode returns the document in data. It returns an *ErrDocument for truncated, malformed or oversized data.
+// Signatures are checked by Join.
+func Decode(data []byte) (Document, error) {
+	if len(data) > platform.MaxValueSize {
+		return Document{}, &ErrDocument{Cause: errors.Errorf("%d bytes", len(data))}
+	}
+	var d Document
+	if err := decoding.Unmarshal(data, &d); err != nil {
+		return Document{}, &ErrDocument{Cause: err}
+	}
+	return d, nil
+}
+
+var encoding, decoding = codec()
+
+// codec returns the CBOR modes. Their options are constant, so an error is a fault in the code.
+func codec() (cbor.EncMode, cbor.DecMode) {
+	enc, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	dec, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+}
--- /dev/null
+++ b/config/errors.go
@@ -0,0 +1,186 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ErrDocument means that bytes are not a whole, well-formed document.
+type ErrDocument struct{ Cause error }
+
+// Error implements error.
+func (e *ErrDocument) Error() string { return fmt.Sprintf("config: not a document: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ErrDocument) Unwrap() error { return e.Cause }
+
+// IsErrDocument reports whether err is or wraps an *ErrDocument.
+func IsErrDocument(err error) bool {
+	var target *ErrDocument
+	return errors.As(err, &target)
+}
+
+// PartFault says why a part of a document was ignored.
+type PartFault string
+
+// The faults of a part.
+const (
+	// PartInvalid is a part that is malformed or whose signature is bad.
+	PartInvalid PartFault = "invalid"
+	// PartStale is a part with a lower number than the current one.
+	PartStale PartFault = "stale"
+	// PartConflict is a part with the number of the current one but other content.
+	PartConflict PartFault = "conflict"
+)
+
+// ErrPart means that Join ignored one part of a document.
+type ErrPart struct {
+	// FailureDomain is the domain of the order, or empty for the bundle.
+	FailureDomain string
+	Fault         PartFault
+	// Have and Got are the current and the ignored number; Got is 0 when the part is invalid.
+	Have, Got uint64
+	Cause     error
+}
+
+// Error implements error.
+func (e *ErrPart) Error() string {
+	text := fmt.Sprintf("config: %s is %s", partName(e.FailureDomain), e.Fault)
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %v", text, e.Cause)
+	}
+	return fmt.Sprintf("%s: number %d, current %d", text, e.Got, e.Have)
+}
+
+// Unwrap returns the cause.
+func (e *ErrPart) Unwrap() error { return e.Cause }
+
+// ErrParts has every part that one Join ignored: the bundle first, then orders by failure domain.
+type ErrParts struct{ Parts []*ErrPart }
+
+// Error implements error.
+func (e *ErrParts) Error() string {
+	texts := make([]string, len(e.Parts))
+	for i, part := range e.Parts {
+		texts[i] = part.Error()
+	}
+	return strings.Join(texts, "; ")
+}
+
+// Unwrap returns the parts.
+func (e *ErrParts) Unwrap() []error {
+	parts := make([]error, len(e.Parts))
+	for i, part := range e.Parts {
+		parts[i] = part
+	}
+	return parts
+}
+
+// IsErrParts reports whether err is or wraps an *ErrParts.
+func IsErrParts(err error) bool {
+	var target *ErrParts
+	return errors.As(err, &target)
+}
+
+// Complete reports whether the view that Join returned with err includes every part of the document. A read of the
+// store counts for freshness only then: an invalid part may hide a change that this VM does not know.
+func Complete(err error) bool {
+	if err == nil {
+		return true
+	}
+	var parts *ErrParts
+	if !errors.As(err, &parts) {
+		return false
+	}
+	for _, part := range parts.Parts {
+		if part.Fault != PartStale {
+			return false
+		}
+	}
+	return true
+}
+
+// ErrRevisionConflict means that another change took the revision that a change was made for.
+type ErrRevisionConflict struct {
+	// FailureDomain is the domain of the order, or empty for the bundle.
+	FailureDomain string
+	// Number is the bundle revision or order sequence of the refused change.
+	Number uint64
+	// Winner is the change that is in the document; its ChangeID is empty when there is none or it is no longer known.
+	Winner Accepted
+}
+
+// Error implements error.
+func (e *ErrRevisionConflict) Error() string {
+	return fmt.Sprintf("config: %s number %d is not next: current is %d by change %q (revision %d)",
+		partName(e.FailureDomain), e.Number, e.Winner.Number, e.Winner.ChangeID, e.Winner.Revision)
+}
+
+// IsErrRevisionConflict reports whether err is or wraps an *ErrRevisionConflict.
+func IsErrRevisionConflict(err error) bool {
+	var target *ErrRevisionConflict
+	return errors.As(err, &target)
+}
+
+// ErrChange means that a change can never be accepted as it is.
+type ErrChange struct {
+	ChangeID string
+	Reason   string
+	Cause    error
+}
+
+// Error implements error.
+func (e *ErrChange) Error() string {
+	text := fmt.Sprintf("config: change %q: %s", e.ChangeID, e.Reason)
+	if e.Cause != nil {
+		return fmt.Sprintf("%s: %v", text, e.Cause)
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *ErrChange) Unwrap() error { return e.Cause }
+
+// IsErrChange reports whether err is or wraps an *ErrChange.
+func IsErrChange(err error) bool {
+	var target *ErrChange
+	return errors.As(err, &target)
+}
+
+// ErrDomainNotExist means that an order names a failure domain that the bundle does not have.
+type ErrDomainNotExist struct{ FailureDomain string }
+
+// Error implements error.
+func (e *ErrDomainNotExist) Error() string {
+	return fmt.Sprintf("config: failure domain %q does not exist", e.FailureDomain)
+}
+
+// IsErrDomainNotExist reports whether err is or wraps an *ErrDomainNotExist.
+func IsErrDomainNotExist(err error) bool {
+	var target *ErrDomainNotExist
+	return errors.As(err, &target)
+}
+
+// ErrNotYetInForce means that the set of failure domains changed and that change is not acknowledged yet, so the set
+// cannot change again.
+type ErrNotYetInForce struct{ Bundle uint64 }
+
+// Error implements error.
+func (e *ErrNotYetInForce) Error() string {
+	return fmt.Sprintf("config: the failure domains of bundle revision %d are not yet in force", e.Bundle)
+}
+
+// IsErrNotYetInForce reports whether err is or wraps an *ErrNotYetInForce.
+func IsErrNotYetInForce(err error) bool {
+	var target *ErrNotYetInForce
+	return errors.As(err, &target)
+}
+
+func partName(domain string) string {
+	if domain == "" {
+		return "bundle"
+	}
+	return fmt.Sprintf("order for %q", domain)
+}
