Add placement: rack model, anchors, reclaim and reservations

Each worker keeps, per organisation, what is anchored and what is used without borrowing. A task that would make the sum of the larger of the two exceed the worker's capacity is a borrower, and only idempotent requests may be one. Preempting all borrowers therefore always frees every anchor.

--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// mode says which capacity a placement may use.
+type mode int
+
+const (
+	// within its own anchors
+	modeOwn mode = iota
+	// own anchors and capacity under no anchor
+	modeOwnOrOpen
+	// any free capacity
+	modeBorrow
+)
+
+// Plan decides about one need, given the racks that the caller owns. It records reservations and reclaims but not
+// placements; for those callers use Held.
+func (c *Cluster) Plan(now time.Time, n Need, racks []string) Plan {
+	if r, ok := c.reclaims[n.Key]; ok {
+		if p, done := c.continueReclaim(now, n, r, racks); done {
+			return p
+		}
+	}
+	c.lapse(now)
+	if p, ok := c.place(now, n, racks, modeOwnOrOpen); ok {
+		return p
+	}
+	mayBorrow := c.options.MayBorrow(n)
+	if mayBorrow && !c.options.ReclaimFirst(n) {
+		if p, ok := c.place(now, n, racks, modeBorrow); ok {
+			return p
+		}
+	}
+	if p, ok := c.reclaim(now, n, racks); ok {
+		return p
+	}
+	if mayBorrow && c.options.ReclaimFirst(n) {
+		if p, ok := c.place(now, n, racks, modeBorrow); ok {
+			return p
+		}
+	}
+	return c.wait(now, n, racks)
+}
+
+// wait reserves a rack for a large need, or finds that the need can never run.
+func (c *Cluster) wait(now time.Time, n Need, racks []string) Plan {
+	if c.everFits(n, racks) {
+		c.reserve(now, n, racks)
+		return Plan{Result: Wait}
+	}
+	c.endReservation(n.Key)
+	if c.everFits(n, c.names) {
+		return Plan{Result: Wait, Elsewhere: true}
+	}
+	return Plan{Result: Never}
+}
+
+// place looks for free capacity.
+func (c *Cluster) place(now time.Time, n Need, racks []string, m mode) (Plan, bool) {
+	var best Candidate
+	var chosen *rack
+	spare, block := c.portions[0], c.portions[1]
+	for _, name := range racks {
+		r, ok := c.racks[name]
+		if !ok {
+			continue
+		}
+		spots := c.spotsOf(now, n, r, m)
+		found := pick(spots, n.Shape.Tasks, c.options.Spot, spare)
+		if found == nil {
+			continue
+		}
+		candidate := c.candidate(n, r, found)
+		if chosen == nil || c.options.Rack(candidate, best) {
+			best, chosen = candidate, r
+			spare, block = block, found
+		}
+	}
+	c.portions[0], c.portions[1] = spare, block
+	if chosen == nil {
+		return Plan{}, false
+	}
+	return chosen.plan(Placed, n, block, m == modeBorrow), true
+}
+
+// spotsOf lists what each worker of the rack could take of the need.
+func (c *Cluster) spotsOf(now time.Time, n Need, r *rack, m mode) []Spot {
+	spots := c.spots[:0]
+	task := perTask(n.Shape)
+	for i, w := range r.nodes {
+		limit := m
+		if r.reserved != nil && r.reserved.need.Key != n.Key && !c.mayBackfill(now, n, w) {
+			limit = modeOwn
+		}
+		hosts := 0
+		if w.usable() && !slices.Contains(n.Avoid, w.name) {
+			hosts = w.room(n.Key.Organisation, limit).fits(task)
+		}
+		if hosts == 0 {
+			continue
+		}
+		free := w.free()
+		spots = append(spots, Spot{
+			Position: i, Hosts: hosts, Free: free.accelerators, FreeSlots: free.slots,
+			Used: w.held != amount{}, Foreign: w.foreign(n.Key.Organisation).accelerators,
+		})
+	}
+	c.spots = spots
+	return spots
+}
+
+// room returns how much an organisation may take of the worker.
+func (n *node) room(organisation string, m mode) amount {
+	free := n.free()
+	if m == modeBorrow {
+		return free
+	}
+	s := n.share(organisation)
+	own := largest(s.anchored, s.used).minus(s.used)
+	if m == modeOwnOrOpen {
+		own = own.plus(largest(amount{}, n.capacity.minus(n.covered)))
+	}
+	return smallest(free, own)
+}
+
+func (c *Cluster) candidate(n Need, r *rack, block []portion) Candidate {
+	task := perTask(n.Shape)
+	free := 0
+	for _, w := range r.nodes {
+		if w.usable() {
+			free += max(0, w.free().accelerators)
+		}
+	}
+	candidate := Candidate{Rack: r.name, Workers: len(block), RackFree: free - n.Shape.TotalAccelerators()}
+	for _, p := range block {
+		w := r.nodes[p.position]
+		left := w.free().minus(task.times(p.tasks)).accelerators
+		candidate.Leftover += left
+		candidate.Foreign += w.foreign(n.Key.Organisation).accelerators
+		if w.held == (amount{}) && left > 0 {
+			candidate.Broken++
+		}
+	}
+	return candidate
+}
+
+// plan turns a block into a plan.
+func (r *rack) plan(result Result, n Need, block []portion, borrowed bool) Plan {
+	p := Plan{Result: result, Rack: r.name, Borrowed: borrowed, Anchored: !borrowed}
+	slices.SortFunc(block, func(a, b portion) int { return a.position - b.position })
+	p.Workers = make([]string, 0, n.Shape.Tasks)
+	for _, b := range block {
+		w := r.nodes[b.position]
+		s := w.share(n.Key.Organisation)
+		if !s.used.plus(perTask(n.Shape).times(b.tasks)).within(s.anchored) {
+			p.Anchored = false
+		}
+		for range b.tasks {
+			p.Workers = append(p.Workers, w.name)
+		}
+	}
+	return p
+}
+
+// everFits reports whether one of the racks could run the need if it were empty and all its workers were usable.
+func (c *Cluster) everFits(n Need, racks []string) bool {
+	for _, name := range racks {
+		if r, ok := c.racks[name]; ok && c.emptyHosts(n, r) >= n.Shape.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Cluster) emptyHosts(n Need, r *rack) int {
+	total := 0
+	for _, w := range r.nodes {
+		total += c.emptyRoom(n, w).fits(perTask(n.Shape))
+	}
+	return total
+}
+
+// emptyRoom returns what the need could take of the worker if it were empty.
+func (c *Cluster) emptyRoom(n Need, w *node) amount {
+	if c.options.MayBorrow(n) {
+		return w.capacity
+	}
+	return w.capacity.minus(w.foreign(n.Key.Organisation))
+}
--- /dev/null
+++ b/placement/summary.go
@@ -0,0 +1,104 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"clementinepier/job"
+)
+
+// RackSummary is what heartbeats say about one rack.
+type RackSummary struct {
+	Rack             string `json:"rack"`
+	FreeAccelerators int    `json:"free-accelerators"`
+	// LargestBlock is the number of accelerators on wholly free workers, or on the freest worker if that is more.
+	LargestBlock int `json:"largest-block"`
+	FreeSlots    int `json:"free-slots"`
+	// Unused has the organisations whose anchors in this rack are not fully used, in name order.
+	Unused []UnusedAnchor `json:"unused"`
+}
+
+// UnusedAnchor is capacity that an organisation may reclaim in one rack.
+type UnusedAnchor struct {
+	Organisation string `json:"organisation"`
+	Accelerators int    `json:"accelerators"`
+	Slots        int    `json:"slots"`
+}
+
+// Summaries returns a summary of every rack in name order. Workers that take no new tasks offer nothing.
+func (c *Cluster) Summaries() []RackSummary {
+	summaries := make([]RackSummary, 0, len(c.names))
+	for _, name := range c.names {
+		s := RackSummary{Rack: name}
+		whole, most := 0, 0
+		for _, w := range c.racks[name].nodes {
+			if !w.usable() {
+				continue
+			}
+			free := largest(amount{}, w.free())
+			s.FreeAccelerators += free.accelerators
+			s.FreeSlots += free.slots
+			most = max(most, free.accelerators)
+			if free == w.capacity {
+				whole += free.accelerators
+			}
+			for _, sh := range w.shares {
+				s.addUnused(sh.organisation, largest(amount{}, sh.anchored.minus(sh.used)))
+			}
+		}
+		s.LargestBlock = max(whole, most)
+		slices.SortFunc(s.Unused, func(a, b UnusedAnchor) int { return strings.Compare(a.Organisation, b.Organisation) })
+		summaries = append(summaries, s)
+	}
+	return summaries
+}
+
+func (s *RackSummary) addUnused(organisation string, a amount) {
+	if a == (amount{}) {
+		return
+	}
+	i := slices.IndexFunc(s.Unused, func(u UnusedAnchor) bool { return u.Organisation == organisation })
+	if i < 0 {
+		i = len(s.Unused)
+		s.Unused = append(s.Unused, UnusedAnchor{Organisation: organisation})
+	}
+	s.Unused[i].Accelerators += a.accelerators
+	s.Unused[i].Slots += a.slots
+}
+
+// LargestGuaranteed returns the guaranteed shape with the most accelerators.
+func LargestGuaranteed(anchors []Anchor) job.Shape {
+	var most job.Shape
+	for _, a := range anchors {
+		if cmp.Or(cmp.Compare(a.Shape.TotalAccelerators(), most.TotalAccelerators()),
+			cmp.Compare(a.Shape.Accelerators, most.Accelerators)) > 0 {
+			most = a.Shape
+		}
+	}
+	return most
+}
+
+// Fragmentation returns the share of free accelerators that cannot serve the shape: those of racks that could not host
+// one instance, and those on workers with too few left for one of its tasks.
+func (c *Cluster) Fragmentation(s job.Shape) float64 {
+	free, serving := 0, 0
+	task := perTask(s)
+	for _, name := range c.names {
+		hosts := 0
+		for _, w := range c.racks[name].nodes {
+			if w.usable() {
+				room := largest(amount{}, w.free())
+				free += room.accelerators
+				hosts += room.fits(task)
+			}
+		}
+		if hosts >= s.Tasks {
+			serving += hosts * s.Accelerators
+		}
+	}
+	if free == 0 {
+		return 0
+	}
+	return 1 - float64(serving)/float64(free)
+}
