--- a/bundle/keyring.go
+++ b/bundle/keyring.go
@@ -68,6 +68,11 @@
 // VerifyNewOrder is VerifyOrder for an order that is about to be accepted: keys past their not-after time are refused.
 func (k *Keyring) VerifyNewOrder(now time.Time, o SignedOrder) error { return k.verifyOrder(o, now) }
 
+// VerifyAuthor checks the author's signature only, for a bundle that is under review.
+func (k *Keyring) VerifyAuthor(s Signed) error {
+	return k.check(RoleAuthor, s.Author, bundleBytes(prefixAuthor, s.Source), time.Time{})
+}
+
 func (k *Keyring) verify(s Signed, now time.Time) (*Bundle, error) {
 	if err := k.check(RoleAuthor, s.Author, bundleBytes(prefixAuthor, s.Source), now); err != nil {
 		return nil, err
--- /dev/null
+++ b/cmd/client.go
@@ -0,0 +1,255 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"clementinepier/job"
+	"clementinepier/message"
+)
+
+const (
+	// callTimeout bounds a call that the entry VM answers without waiting for a task.
+	callTimeout = 5 * time.Second
+	// firstRetry and lastRetry bound the time between retries.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 2 * time.Second
+	// shownReply is how much of a reply that is not JSON is shown.
+	shownReply = 200
+)
+
+// ErrNoAnswer means that no entry VM gave a usable answer. The call may have taken effect.
+type ErrNoAnswer struct{ Causes []string }
+
+// Error implements error.
+func (e *ErrNoAnswer) Error() string { return "no entry VM answered: " + strings.Join(e.Causes, "; ") }
+
+// IsErrNoAnswer reports whether err is or wraps an *ErrNoAnswer.
+func IsErrNoAnswer(err error) bool {
+	var target *ErrNoAnswer
+	return errors.As(err, &target)
+}
+
+// ErrRefused means that an entry VM answered with an error.
+type ErrRefused struct {
+	Entry  string
+	Status int
+	Reply  message.Error
+}
+
+// Error implements error.
+func (e *ErrRefused) Error() string {
+	text := fmt.Sprintf("%s: %s", e.Entry, e.Reply.Detail)
+	if e.Reply.Code != "" {
+		text = fmt.Sprintf("%s: %s: %s", e.Entry, e.Reply.Code, e.Reply.Detail)
+	}
+	if e.Reply.Code == job.CodeRevisionConflict {
+		text += fmt.Sprintf(" (change %q won; the revision is %d)", e.Reply.ChangeID, e.Reply.Revision)
+	}
+	return text
+}
+
+// IsErrRefused reports whether err is or wraps an *ErrRefused.
+func IsErrRefused(err error) bool {
+	var target *ErrRefused
+	return errors.As(err, &target)
+}
+
+// refusedWith reports whether err is a refusal with the code.
+func refusedWith(err error, code job.Code) bool {
+	var target *ErrRefused
+	return errors.As(err, &target) && target.Reply.Code == code
+}
+
+// notFound reports whether an entry VM said that the object does not exist.
+func notFound(err error) bool {
+	var target *ErrRefused
+	return errors.As(err, &target) && target.Status == http.StatusNotFound
+}
+
+// online has the arguments of every command that calls an entry VM.
+type online struct {
+	Entry []string `arg:"--entry,separate,env:CLEMENTINEPIER_ENTRY" placeholder:"ADDRESS" help:"address and port of an entry VM; repeat it to name others that are tried when one does not answer"`
+	JSON  bool     `arg:"--json" help:"print the result as JSON"`
+}
+
+// client calls the entry VMs in turn until one answers.
+type client struct {
+	*session
+	entries []string
+	token   string
+	// first is the entry VM that answered last; it is tried first.
+	first int
+}
+
+func (s *session) client(o online) (*client, error) {
+	if len(o.Entry) == 0 {
+		return nil, exitf(ExitUsage, "--entry is missing")
+	}
+	for _, address := range o.Entry {
+		if _, port, err := net.SplitHostPort(address); err != nil || port == "" {
+			return nil, exitf(ExitUsage, "--entry %q is not an address with a port, such as 10.0.0.1:8080", address)
+		}
+	}
+	return &client{session: s, entries: o.Entry}, nil
+}
+
+// readToken reads the organisation's token.
+func (c *client) readToken(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	c.token = strings.TrimSpace(string(data))
+	notVisible := func(r rune) bool { return r <= ' ' || r > '~' }
+	if c.token == "" || strings.ContainsFunc(c.token, notVisible) {
+		return exitf(ExitInvalid, "%s: must hold one token of visible ASCII characters", path)
+	}
+	return nil
+}
+
+// call tries each entry VM once and decodes the first answer into out. It returns *ErrRefused if one answered with an
+// error that the others cannot change, else *ErrNoAnswer.
+func (c *client) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(len(c.entries))*callTimeout)
+	defer cancel()
+	return c.callWithin(ctx, callTimeout, method, path, in, out)
+}
+
+// callWithin is call with another bound for each entry VM; 0 means none.
+func (c *client) callWithin(ctx context.Context, bound time.Duration, method, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode call")
+	}
+	var causes []string
+	var refusal error
+	for i := range c.entries {
+		at := (c.first + i) % len(c.entries)
+		err := c.callOne(ctx, bound, c.entries[at], method, path, body, out)
+		var refused *ErrRefused
+		switch {
+		case err == nil:
+			c.first = at
+			return nil
+		case errors.As(err, &refused) && !refused.temporary():
+			c.first = at
+			return err
+		case refused != nil:
+			refusal = err
+		default:
+			causes = append(causes, fmt.Sprintf("%s: %s", c.entries[at], err))
+		}
+	}
+	if refusal != nil {
+		return refusal
+	}
+	return &ErrNoAnswer{Causes: causes}
+}
+
+// temporary reports whether another entry VM, or the same one later, may accept the call.
+func (e *ErrRefused) temporary() bool {
+	return e.Status == http.StatusBadGateway || e.Status == http.StatusServiceUnavailable || e.Status == http.StatusGatewayTimeout
+}
+
+func (c *client) callOne(ctx context.Context, bound time.Duration, entry, method, path string, body []byte, out any) error {
+	if bound > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, bound)
+		defer cancel()
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, nil)
+	if err != nil {
+		return err
+	}
+	if method == http.MethodPost {
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.ContentLength = int64(len(body))
+		request.Header.Set("Content-Type", "application/json")
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := readBounded(response.Body, "answer")
+	if err != nil {
+		return err
+	}
+	if response.StatusCode/100 == 2 {
+		return errors.Wrap(json.Unmarshal(data, out), "answer cannot be decoded")
+	}
+	// A request that ended without success can come with an error status, but has its outcome as body.
+	if outcome, isOutcome := out.(*job.Outcome); isOutcome && json.Unmarshal(data, outcome) == nil && outcome.Result != "" {
+		if outcome.Code != job.CodeStopping {
+			return nil
+		}
+	}
+	return &ErrRefused{Entry: entry, Status: response.StatusCode, Reply: decodeError(response.StatusCode, data)}
+}
+
+func decodeError(status int, data []byte) message.Error {
+	var reply message.Error
+	if json.Unmarshal(data, &reply) == nil && reply.Code != "" {
+		return reply
+	}
+	if len(data) > shownReply {
+		data = data[:shownReply]
+	}
+	return message.Error{Detail: fmt.Sprintf("HTTP status %d: %q", status, data)}
+}
+
+// retry repeats do until it succeeds, fails for good, or the deadline has passed.
+func (c *client) retry(ctx context.Context, deadline time.Time, do func() error) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstRetry, lastRetry
+	for {
+		err := do()
+		var refused *ErrRefused
+		again := IsErrNoAnswer(err) || errors.As(err, &refused) && refused.temporary() && refused.Reply.Code != job.CodeNoConfiguration
+		wait := pause.NextBackOff()
+		if !again || c.Clock.Now().Add(wait).After(deadline) {
+			return err
+		}
+		c.note("trying again: %s", err)
+		if sleepErr := c.sleep(ctx, wait); sleepErr != nil {
+			return err
+		}
+	}
+}
+
+func (c *client) sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-c.Clock.After(d):
+		return nil
+	}
+}
+
+// config returns the configuration in force; it is empty when there is none.
+func (c *client) config(ctx context.Context, deadline time.Time) (message.Config, error) {
+	var config message.Config
+	err := c.retry(ctx, deadline, func() error {
+		config = message.Config{}
+		return c.call(ctx, http.MethodGet, message.PathConfig, nil, &config)
+	})
+	if refusedWith(err, job.CodeNoConfiguration) {
+		return message.Config{}, nil
+	}
+	return config, err
+}
--- /dev/null
+++ b/cmd/online_test.go
@@ -0,0 +1,328 @@
+package cmd_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinepier/bundle"
+	"clementinepier/cmd"
+	"clementinepier/job"
+	"clementinepier/message"
+)
+
+// fakeEntry is an entry VM that knows one configuration and accepts changes to it.
+type fakeEntry struct {
+	t  *testing.T
+	mu sync.Mutex
+	// config is in force; progress is the reply for every change that was accepted.
+	config   message.Config
+	progress message.Change
+	// accepted has the change ids in the order of acceptance.
+	accepted []string
+	orders   []bundle.SignedOrder
+	requests []job.Request
+	outcome  job.Outcome
+	request  message.Request
+	// loseAnswers is how many answers to changes and requests are lost after they took effect.
+	loseAnswers int
+	// refuse is the reply to the next calls that would change something; status 0 means none.
+	refuse       message.Error
+	refuseStatus int
+	refuseTimes  int
+}
+
+func start(t *testing.T, f *fakeEntry) string {
+	f.t = t
+	server := httptest.NewServer(f)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// silent returns the address of an entry VM that has stopped.
+func silent(t *testing.T) string {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply := func(status int, body any) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}
+	if r.Method == http.MethodPost && f.refuseTimes > 0 {
+		f.refuseTimes--
+		reply(f.refuseStatus, f.refuse)
+		return
+	}
+	lose := func() {
+		if f.loseAnswers > 0 {
+			f.loseAnswers--
+			panic(http.ErrAbortHandler)
+		}
+	}
+	switch path := r.URL.Path; {
+	case path == message.PathBundle:
+		var change message.BundleChange
+		f.decode(r, &change)
+		if f.change(w, change.ChangeID, change.BasedOn) {
+			f.config.BundleRevision++
+			lose()
+		}
+	case strings.HasSuffix(path, "/order"):
+		var order bundle.SignedOrder
+		f.decode(r, &order)
+		f.orders = append(f.orders, order)
+		if f.change(w, order.Order.ChangeID, f.config.Revision) {
+			lose()
+		}
+	case path == message.PathConfig:
+		reply(http.StatusOK, f.config)
+	case strings.HasPrefix(path, "/api/v1/changes/"):
+		if len(f.accepted) == 0 {
+			reply(http.StatusNotFound, message.Error{Code: "no-change", Detail: "change does not exist"})
+			return
+		}
+		reply(http.StatusOK, f.progress)
+	case path == message.PathStatus:
+		reply(http.StatusOK, message.Status{Name: "entry-1", FailureDomain: "tunis-a", Reason: job.CodeViewNotFresh, Members: []message.Member{{Name: "entry-2"}}})
+	case r.Header.Get("Authorization") != "Bearer secret-token":
+		reply(http.StatusUnauthorized, message.Error{Code: job.CodeUnknownOrg, Detail: "token is not known"})
+	case path == message.PathRequests:
+		var request job.Request
+		f.decode(r, &request)
+		f.requests = append(f.requests, request)
+		lose()
+		reply(http.StatusOK, f.outcome)
+	case r.Method == http.MethodDelete:
+		reply(http.StatusOK, message.Cancelled{StoppedBeforeStart: true})
+	case path == "/api/v1/requests/r1":
+		reply(http.StatusOK, f.request)
+	default:
+		reply(http.StatusNotFound, message.Error{Code: job.CodeRequestNotExist, Detail: "request does not exist"})
+	}
+}
+
+func (f *fakeEntry) decode(r *http.Request, into any) {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		f.t.Errorf("body cannot be decoded: %v", err)
+	}
+}
+
+// change accepts a change once and replies; it reports whether the change is accepted.
+func (f *fakeEntry) change(w http.ResponseWriter, id string, basedOn uint64) bool {
+	if len(f.accepted) == 0 || f.accepted[len(f.accepted)-1] != id {
+		if basedOn != f.config.Revision {
+			w.WriteHeader(http.StatusConflict)
+			_ = json.NewEncoder(w).Encode(message.Error{Code: job.CodeRevisionConflict, Detail: "another change was first", Revision: f.config.Revision, ChangeID: f.config.ChangeID})
+			return false
+		}
+		f.accepted = append(f.accepted, id)
+		f.config.Revision++
+		f.config.ChangeID = id
+	}
+	_ = json.NewEncoder(w).Encode(message.Accepted{ChangeID: id, Revision: f.config.Revision})
+	return true
+}
+
+func inForce() message.Change {
+	return message.Change{
+		Acknowledged: true, InForceEverywhere: true, Revision: 1,
+		FailureDomains: map[string]message.DomainProgress{"tunis-a": {Confirmed: []string{"entry-1", "entry-2"}}},
+	}
+}
+
+func notConfirmed(acknowledged bool) message.Change {
+	c := inForce()
+	c.Acknowledged, c.InForceEverywhere = acknowledged, false
+	c.FailureDomains["tunis-a"] = message.DomainProgress{
+		Confirmed: []string{"entry-1"}, Missing: []message.MissingVM{{Name: "entry-2", Since: time.Date(2027, 1, 2, 3, 0, 0, 0, time.UTC)}},
+	}
+	return c
+}
+
+// Guards against changes that are made twice or reported wrongly when answers are lost, refused or late.
+func TestRoll(t *testing.T) {
+	const named = "not confirmed by tunis-a/entry-2 (since 2027-01-02T03:00:00Z)"
+	stopping := message.Error{Code: job.CodeStopping, Detail: "entry VM is stopping"}
+	won := message.Error{Code: job.CodeRevisionConflict, Detail: "lost", Revision: 7, ChangeID: "other"}
+	for name, test := range map[string]struct {
+		entry    *fakeEntry
+		args     string
+		code     int
+		want     string
+		accepted int
+	}{
+		"in force":                      {&fakeEntry{progress: inForce()}, "", 0, "in force everywhere at revision 1\n", 1},
+		"answer lost":                   {&fakeEntry{progress: inForce(), loseAnswers: 1}, "", 0, "in force everywhere at revision 1\n", 1},
+		"answers lost often":            {&fakeEntry{progress: inForce(), loseAnswers: 5}, "", 0, "in force everywhere at revision 1\n", 1},
+		"all answers lost":              {&fakeEntry{progress: inForce(), loseAnswers: 1000}, "", cmd.ExitNoAnswer, "--change-id 0102030405060708090a0b0c0d0e0f10", 1},
+		"stopping for a while":          {&fakeEntry{progress: inForce(), refuse: stopping, refuseStatus: 503, refuseTimes: 2}, "", 0, "in force everywhere at revision 1\n", 1},
+		"stopping for good":             {&fakeEntry{progress: inForce(), refuse: stopping, refuseStatus: 503, refuseTimes: 1000}, "", cmd.ExitRefused, "stopping", 0},
+		"conflict":                      {&fakeEntry{refuse: won, refuseStatus: 409, refuseTimes: 1}, "", cmd.ExitConflict, `change "other" won; the revision is 7`, 0},
+		"conflict as JSON":              {&fakeEntry{refuse: won, refuseStatus: 409, refuseTimes: 1}, "--json", cmd.ExitConflict, `"change-id": "other"`, 0},
+		"conflict with itself":          {&fakeEntry{progress: inForce(), accepted: []string{"c1", ""}, refuse: message.Error{Code: job.CodeRevisionConflict, ChangeID: "0102030405060708090a0b0c0d0e0f10"}, refuseStatus: 409, refuseTimes: 1}, "", 0, "in force everywhere", 2},
+		"other bundle in force":         {&fakeEntry{config: message.Config{BundleRevision: 1, ChangeID: "other"}}, "", cmd.ExitConflict, "only revision 2 can follow", 0},
+		"bundle invalid":                {&fakeEntry{refuse: message.Error{Code: job.CodeBundleInvalid, Faults: []bundle.Fault{{Key: "a", Reason: "b"}}}, refuseStatus: 422, refuseTimes: 1}, "", cmd.ExitRefused, "error: a: b", 0},
+		"reply is not JSON":             {&fakeEntry{refuseStatus: 500, refuseTimes: 1}, "", cmd.ExitRefused, "HTTP status 500", 0},
+		"one VM is late":                {&fakeEntry{progress: notConfirmed(true)}, "", cmd.ExitNotEverywhere, "acknowledged at revision 1, but " + named, 1},
+		"not acknowledged":              {&fakeEntry{progress: notConfirmed(false)}, "", cmd.ExitNotYetInForce, named, 1},
+		"progress as JSON":              {&fakeEntry{progress: notConfirmed(true)}, "--json", cmd.ExitNotEverywhere, `"missing": [`, 1},
+		"rerun of an accepted change":   {&fakeEntry{progress: inForce(), accepted: []string{"c1"}}, "--change-id c1", 0, "in force everywhere at revision 1\n", 1},
+		"rerun of a change not arrived": {&fakeEntry{progress: inForce()}, "--change-id c1", 0, "in force everywhere at revision 1\n", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			signedWorkspace(t)
+			is := is.New(t)
+			args := "bundle roll bundle.signed --entry " + silent(t) + " --entry " + start(t, test.entry) + " " + test.args
+			r := run(program(), strings.Fields(args)...)
+			t.Log(r.out, r.errors)
+			is.Equal(r.code, test.code)
+			is.True(strings.Contains(r.out+r.errors, test.want))
+			test.entry.mu.Lock()
+			defer test.entry.mu.Unlock()
+			is.Equal(len(test.entry.accepted), test.accepted)
+		})
+	}
+	t.Run("no entry VM", func(t *testing.T) {
+		signedWorkspace(t)
+		is := is.New(t)
+		is.Equal(run(program(), "bundle", "roll", "bundle.signed", "--entry", silent(t)).code, cmd.ExitNoAnswer)
+	})
+}
+
+// Guards against orders that an entry VM refuses: wrong state, sequence, change id or signature.
+func TestOutAndBack(t *testing.T) {
+	workspace(t)
+	is := is.New(t)
+	f := &fakeEntry{progress: inForce(), loseAnswers: 1, config: message.Config{Revision: 5, Orders: map[string]message.DomainOrder{"tunis-a": {State: bundle.OrderIn, Sequence: 4}}}}
+	entry := start(t, f)
+	ring, err := bundle.NewKeyring([]bundle.TrustedKey{key(t, 3).Trusted(bundle.RoleOperator)})
+	is.NoErr(err)
+	p := program()
+	for _, command := range []string{"out", "back"} {
+		is.Equal(run(p, "domain", command, "tunis-a", "--key", "carol.key", "--entry", entry).code, 0)
+	}
+	f.mu.Lock()
+	is.Equal(len(f.orders), 3) // the first answer was lost, so the order came twice
+	is.Equal(f.orders[0], f.orders[1])
+	for i, state := range []bundle.OrderState{bundle.OrderOut, bundle.OrderOut, bundle.OrderIn} {
+		is.NoErr(ring.VerifyOrder(f.orders[i]))
+		is.Equal(f.orders[i].Order.State, state)
+		is.Equal(f.orders[i].Order.Sequence, uint64(5))
+	}
+	f.mu.Unlock()
+	is.Equal(run(program(), "domain", "out", "Tunis", "--key", "carol.key", "--entry", entry).code, cmd.ExitUsage)
+	is.Equal(run(program(), "domain", "out", "tunis-a", "--key", "carol.key.pub", "--entry", entry).code, cmd.ExitInvalid)
+	is.Equal(run(program(), "domain", "list", "--entry", entry).out, "tunis-a                  in   order 4\nrevision 7, last change 1112131415161718191a1b1c1d1e1f20\n")
+	source, err := os.ReadFile("bundle.toml")
+	is.NoErr(err)
+	f.mu.Lock()
+	f.config.Bundle, f.config.BundleRevision = &bundle.Signed{Source: source}, 1
+	f.mu.Unlock()
+	is.True(strings.Contains(run(program(), "domain", "list", "--entry", entry).out, "bizerte-b                in   order 0\n"))
+	is.Equal(run(program(), "bundle", "show", "--entry", entry).out, string(source))
+	is.Equal(run(program(), "bundle", "sign", "bundle.toml", "--key", "alice.key").code, 0)
+	is.True(strings.HasPrefix(run(program(), "bundle", "review", "bundle.signed", "--entry", entry).out, "0 changes"))
+}
+
+// Guards against answers and outcomes that a script takes for another one.
+func TestSubmit(t *testing.T) {
+	outcome := func(result job.Result, code job.Code) job.Outcome {
+		return job.Outcome{Result: result, Code: code, Detail: "why", Answer: []byte("the answer")}
+	}
+	stopping := message.Error{Code: job.CodeStopping, Detail: "entry VM is stopping"}
+	for name, test := range map[string]struct {
+		entry *fakeEntry
+		args  string
+		code  int
+		want  string
+		sent  int
+	}{
+		"done":             {&fakeEntry{outcome: outcome(job.Done, "")}, "", 0, "the answer", 1},
+		"done as JSON":     {&fakeEntry{outcome: outcome(job.Done, "")}, "--json", 0, `"result": "done"`, 1},
+		"answer lost":      {&fakeEntry{outcome: outcome(job.Done, ""), loseAnswers: 2}, "--timeout 10s", 0, "the answer", 3},
+		"all answers lost": {&fakeEntry{loseAnswers: 1000}, "--timeout 1s --id r7", cmd.ExitNoAnswer, "", -1},
+		"stopping":         {&fakeEntry{outcome: outcome(job.Done, ""), refuse: stopping, refuseStatus: 503, refuseTimes: 1}, "", 0, "the answer", 1},
+		"not run":          {&fakeEntry{outcome: outcome(job.NotRun, job.CodeOverloaded)}, "", cmd.ExitNotRun, "", 1},
+		"unknown":          {&fakeEntry{outcome: outcome(job.Unknown, job.CodeWorkerLost)}, "", cmd.ExitUnknown, "", 1},
+		"no result":        {&fakeEntry{}, "", cmd.ExitUnknown, "", 1},
+		"task failed":      {&fakeEntry{outcome: outcome(job.Done, job.CodeTaskFailed)}, "", cmd.ExitTaskFailed, "", 1},
+		"refused":          {&fakeEntry{refuse: message.Error{Code: job.CodeBadRequest}, refuseStatus: 400, refuseTimes: 1}, "", cmd.ExitRefused, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			workspace(t)
+			is := is.New(t)
+			args := fmt.Sprintf("request submit --service provenance --accelerators 2 --payload - --token-file token --entry %s --entry %s %s", silent(t), start(t, test.entry), test.args)
+			p := program()
+			p.Stdin = strings.NewReader("payload")
+			r := run(p, strings.Fields(args)...)
+			t.Log(r.out, r.errors)
+			is.Equal(r.code, test.code)
+			is.True(strings.Contains(r.out, test.want))
+			is.True(test.want != "" || r.out == "")
+			test.entry.mu.Lock()
+			defer test.entry.mu.Unlock()
+			is.True(test.sent < 0 || len(test.entry.requests) == test.sent)
+			for _, request := range test.entry.requests {
+				is.Equal(request.ID, test.entry.requests[0].ID)
+				is.Equal(string(request.Payload), "payload")
+				is.Equal(request.Shape, job.Shape{Tasks: 1, Accelerators: 2, Slots: 1})
+			}
+		})
+	}
+}
+
+// Guards against requests that are shown, read or cancelled wrongly.
+func TestRequestsAndStatus(t *testing.T) {
+	workspace(t)
+	f := &fakeEntry{request: message.Request{Key: job.Key{Organisation: "o", ID: "r1"}, State: message.RequestRunning}}
+	entry := start(t, f)
+	ended := f.request
+	ended.State, ended.Outcome = message.RequestEnded, &job.Outcome{Result: job.Done, Answer: []byte{0, 1, 255}}
+	for _, test := range []struct {
+		args  string
+		state message.Request
+		code  int
+		out   string
+	}{
+		{"request show r1", f.request, 0, "request o/r1: running\n"},
+		{"request result r1", f.request, cmd.ExitNotEnded, ""},
+		{"request show r1", ended, 0, "request o/r1: ended\noutcome done, attempts 0, answer of 3 bytes\n"},
+		{"request result r1", ended, 0, "\x00\x01\xff"},
+		{"request show r2", ended, cmd.ExitRefused, ""},
+		{"request cancel r1", ended, 0, "cancelled before it started; it was not run\n"},
+		{"request cancel r1 --json", ended, 0, "{\n  \"stopped-before-start\": true\n}\n"},
+	} {
+		t.Run(test.args, func(t *testing.T) {
+			is := is.New(t)
+			f.mu.Lock()
+			f.request = test.state
+			f.mu.Unlock()
+			r := run(program(), strings.Fields(test.args+" --token-file token --entry "+entry)...)
+			is.Equal(r.code, test.code)
+			is.Equal(r.out, test.out)
+		})
+	}
+	is := is.New(t)
+	is.Equal(run(program(), "request", "show", "r1", "--token-file", "bundle.toml", "--entry", entry).code, cmd.ExitInvalid)
+	is.NoErr(os.WriteFile("token", []byte("other-token"), 0o600))
+	r := run(program(), "request", "show", "r1", "--token-file", "token", "--entry", entry)
+	is.Equal(r.code, cmd.ExitRefused)
+	is.True(!strings.Contains(r.errors, "other-token")) // the token is not shown
+	r = run(program(), "status", "--entry", entry, "--entry", silent(t))
+	is.Equal(r.code, cmd.ExitNoAnswer)
+	is.Equal(r.out, "tunis-a/entry-1: starts no tasks: view-not-fresh, revision 0, store not reachable, 0 waiting, 0 running\n  /entry-2: silent\n")
+	is.Equal(run(program(), "status", "--json", "--entry", entry).code, 0)
+}
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+
+	"clementinepier/message"
+)
+
+type statusCommand struct{ online }
+
+func (*statusCommand) example() string {
+	return "status --entry 10.0.0.1:8080 --entry 10.0.1.1:8080"
+}
+
+// run asks every entry VM named, not only the first that answers.
+func (c *statusCommand) run(ctx context.Context, s *session) error {
+	if _, err := s.client(c.online); err != nil {
+		return err
+	}
+	var all []message.Status
+	var failed error
+	for _, entry := range c.Entry {
+		cl, err := s.client(online{Entry: []string{entry}})
+		if err != nil {
+			return err
+		}
+		var status message.Status
+		if err := cl.call(ctx, http.MethodGet, message.PathStatus, nil, &status); err != nil {
+			s.note("error: %s", err)
+			failed = exitf(exitCode(err), "not every entry VM gave its status")
+			continue
+		}
+		all = append(all, status)
+		if !c.JSON {
+			s.printStatus(status)
+		}
+	}
+	if c.JSON {
+		if err := s.printJSON(all); err != nil {
+			return err
+		}
+	}
+	return failed
+}
+
+func (s *session) printStatus(status message.Status) {
+	state := "starts tasks"
+	switch {
+	case status.Stopping:
+		state = "stopping"
+	case !status.MayStart:
+		state = "starts no tasks: " + string(status.Reason)
+	}
+	store := "reachable"
+	if !status.StoreReachable {
+		store = "not reachable"
+	}
+	s.print("%s/%s: %s, revision %d, store %s, %d waiting, %d running",
+		status.FailureDomain, status.Name, state, status.Revision, store, status.Waiting, status.Running)
+	for _, m := range status.Members {
+		condition := "live"
+		if !m.Live {
+			condition = "silent"
+		}
+		if m.Leaving {
+			condition += ", leaving"
+		}
+		s.print("  %s/%s: %s", m.FailureDomain, m.Name, condition)
+	}
+}
--- a/main.go
+++ b/main.go
@@ -1,4 +1,10 @@
 // Command clementinepier schedules multi-accelerator jobs under organisation guarantees.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"clementinepier/cmd"
+)
+
+func main() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/message/message.go
@@ -0,0 +1,145 @@
+// Package message has the HTTP bodies of /api/v1 that the server and the command line share. All are JSON with
+// kebab-case keys.
+package message
+
+import (
+	"net/url"
+	"time"
+
+	"clementinepier/bundle"
+	"clementinepier/job"
+)
+
+// The paths of the interface.
+const (
+	PathBundle   = "/api/v1/bundle"
+	PathConfig   = "/api/v1/config"
+	PathStatus   = "/api/v1/status"
+	PathRequests = "/api/v1/requests"
+)
+
+// OrderPath returns the path that takes orders for a failure domain.
+func OrderPath(domain string) string { return "/api/v1/domains/" + url.PathEscape(domain) + "/order" }
+
+// ChangePath returns the path of one change.
+func ChangePath(changeID string) string { return "/api/v1/changes/" + url.PathEscape(changeID) }
+
+// RequestPath returns the path of one request.
+func RequestPath(id string) string { return PathRequests + "/" + url.PathEscape(id) }
+
+// Error is the body of every reply that reports an error.
+type Error struct {
+	Code job.Code `json:"code"`
+	// Detail is a sentence for people; programs use Code.
+	Detail string `json:"detail"`
+	// Revision and ChangeID name the change that won; they are set with revision-conflict.
+	Revision uint64 `json:"revision,omitempty"`
+	ChangeID string `json:"change-id,omitempty"`
+	// Faults lists what is wrong with a bundle; it is set with bundle-invalid.
+	Faults []bundle.Fault `json:"faults,omitempty"`
+}
+
+// BundleChange asks for a bundle to be rolled out (POST PathBundle). A retry carries the same change id.
+type BundleChange struct {
+	bundle.Signed
+	ChangeID string `json:"change-id"`
+	// BasedOn is the revision that Config reported when the change was prepared.
+	BasedOn uint64 `json:"based-on"`
+}
+
+// Accepted is the reply to a change that was accepted, also to a retry of it.
+type Accepted struct {
+	ChangeID string `json:"change-id"`
+	Revision uint64 `json:"revision"`
+}
+
+// DomainOrder is the latest order for a failure domain.
+type DomainOrder struct {
+	State    bundle.OrderState `json:"state"`
+	Sequence uint64            `json:"sequence"`
+}
+
+// Config is the configuration in force as one entry VM knows it (GET PathConfig).
+type Config struct {
+	Revision uint64 `json:"revision"`
+	// ChangeID is the last change that was accepted.
+	ChangeID       string `json:"change-id"`
+	BundleRevision uint64 `json:"bundle-revision"`
+	// Orders is by failure domain. A failure domain without an order is in service.
+	Orders map[string]DomainOrder `json:"orders"`
+	// Bundle is the signed bundle in force, if there is one.
+	Bundle *bundle.Signed `json:"bundle,omitempty"`
+}
+
+// Change is the progress of one change (GET ChangePath).
+type Change struct {
+	ChangeID string `json:"change-id"`
+	// Acknowledged means that no entry VM starts a task against the change any more; see docs/design.md, 6.6.
+	Acknowledged      bool   `json:"acknowledged"`
+	InForceEverywhere bool   `json:"in-force-everywhere"`
+	Revision          uint64 `json:"revision"`
+	// FailureDomains is by failure domain.
+	FailureDomains map[string]DomainProgress `json:"failure-domains"`
+}
+
+// DomainProgress tells which entry VMs of a failure domain have confirmed a change.
+type DomainProgress struct {
+	Confirmed []string    `json:"confirmed"`
+	Missing   []MissingVM `json:"missing"`
+}
+
+// MissingVM is an entry VM that has not confirmed a change.
+type MissingVM struct {
+	Name string `json:"name"`
+	// Since is when the entry VM was last heard from, or when the change was made if that is later.
+	Since time.Time `json:"since"`
+}
+
+// RequestState is where a request is.
+type RequestState string
+
+// The states of a request.
+const (
+	RequestWaiting RequestState = "waiting"
+	RequestRunning RequestState = "running"
+	RequestEnded   RequestState = "ended"
+)
+
+// Request is what is known about a request (GET RequestPath).
+type Request struct {
+	Key   job.Key      `json:"key"`
+	State RequestState `json:"state"`
+	// Outcome is set when State is RequestEnded.
+	Outcome *job.Outcome `json:"outcome,omitempty"`
+}
+
+// Cancelled is the reply to a cancellation (DELETE RequestPath).
+type Cancelled struct {
+	// StoppedBeforeStart means that the request has not run and will not.
+	StoppedBeforeStart bool `json:"stopped-before-start"`
+}
+
+// Status is the state of one entry VM (GET PathStatus).
+type Status struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure-domain"`
+	Revision      uint64 `json:"revision"`
+	// MayStart tells whether the entry VM may start tasks; Reason is why not.
+	MayStart bool     `json:"may-start"`
+	Reason   job.Code `json:"reason,omitempty"`
+	Stopping bool     `json:"stopping"`
+	// StoreReachable tells whether the last call to the key-value service brought a reply.
+	StoreReachable bool     `json:"store-reachable"`
+	Waiting        int      `json:"waiting"`
+	Running        int      `json:"running"`
+	Members        []Member `json:"members"`
+}
+
+// Member is an entry VM as another one sees it.
+type Member struct {
+	Name          string    `json:"name"`
+	FailureDomain string    `json:"failure-domain"`
+	Live          bool      `json:"live"`
+	Leaving       bool      `json:"leaving"`
+	LastHeard     time.Time `json:"last-heard"`
+}
