--- /dev/null
+++ b/queue/errors.go
@@ -0,0 +1,38 @@
+package queue
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"clementinepier/job"
+)
+
+// ErrQueueFull means that an organisation has as many waiting requests as it may have.
+type ErrQueueFull struct {
+	Organisation string
+	Length       int
+}
+
+// Error implements error.
+func (e *ErrQueueFull) Error() string {
+	return fmt.Sprintf("organisation %s has %d waiting requests, which is the limit", e.Organisation, e.Length)
+}
+
+// IsErrQueueFull reports whether err is or wraps an *ErrQueueFull.
+func IsErrQueueFull(err error) bool {
+	var target *ErrQueueFull
+	return errors.As(err, &target)
+}
+
+// ErrRequestWaits means that a request with the same key waits already.
+type ErrRequestWaits struct{ Key job.Key }
+
+// Error implements error.
+func (e *ErrRequestWaits) Error() string { return "request waits already: " + e.Key.String() }
+
+// IsErrRequestWaits reports whether err is or wraps an *ErrRequestWaits.
+func IsErrRequestWaits(err error) bool {
+	var target *ErrRequestWaits
+	return errors.As(err, &target)
+}
