--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,116 @@
+// Package api serves callers and operators over HTTP with JSON under /api/v1.
+package api
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/jonboulle/clockwork"
+
+	"clementinepier/bundle"
+	"clementinepier/config"
+	"clementinepier/job"
+	"clementinepier/message"
+	"clementinepier/trace"
+)
+
+const (
+	readTimeout  = 30 * time.Second
+	idleTimeout  = 60 * time.Second
+	writeTimeout = 30 * time.Second
+	// defaultWait is how long a caller that names no wait is kept waiting before it is told to ask again.
+	defaultWait = 30 * time.Second
+	maxWait     = 10 * time.Minute
+	// maxBundleBody has room for the largest bundle in base64; request bodies have their own bound.
+	maxBundleBody = 4 << 20
+)
+
+// Submission is a request in the hands of this entry VM.
+type Submission struct {
+	// Ended is closed when Outcome is set.
+	Ended   <-chan struct{}
+	Outcome func() job.Outcome
+}
+
+// API is the HTTP interface of one entry VM. Set the exported fields before Serve.
+type API struct {
+	Clock  clockwork.Clock
+	Tracer *trace.Tracer
+	// View returns the configuration view; it is never nil.
+	View func() *config.View
+	// EverFits reports whether some rack of the bundle could run the request when empty.
+	EverFits func(req job.Request) bool
+	// Submit takes a request in hand. A second call for the same request returns the same submission. The code is set
+	// when the request is refused.
+	Submit func(ctx context.Context, req job.Request, digest string) (Submission, job.Outcome)
+	// Find returns what the entry VMs know of a request.
+	Find func(ctx context.Context, key job.Key) (message.Request, bool, error)
+	// Cancel reports whether the request is known to have been stopped before its start.
+	Cancel func(ctx context.Context, key job.Key) (message.Cancelled, bool)
+	// Roll and Order make changes of the configuration.
+	Roll  func(ctx context.Context, change message.BundleChange) (message.Accepted, error)
+	Order func(ctx context.Context, order bundle.SignedOrder) (message.Accepted, error)
+	// Change returns the progress of a change.
+	Change func(ctx context.Context, id string) (message.Change, error)
+	Status func(ctx context.Context) (message.Status, error)
+	// Draining reports whether this entry VM is stopping; DrainEnd is closed when its waiting callers must be told.
+	Draining func() bool
+	DrainEnd <-chan struct{}
+
+	// MaxBodySize bounds the bodies of requests and MaxHeaderSize all headers, in bytes.
+	MaxBodySize   int
+	MaxHeaderSize int
+	// MaxConnections bounds the connections of callers.
+	MaxConnections int
+
+	server *server.Hertz
+}
+
+// Serve answers on the listener and returns a channel that reports the end.
+func (a *API) Serve(listener net.Listener) <-chan error {
+	hlog.SetLevel(hlog.LevelFatal)
+	a.server = server.New(
+		server.WithListener(newLimitListener(listener, a.MaxConnections)),
+		server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(maxBundleBody),
+		server.WithMaxHeaderBytes(a.MaxHeaderSize),
+		server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithWriteTimeout(writeTimeout),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(time.Second),
+		hertzconfig.Option{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
+	)
+	a.route()
+	done := make(chan error, 1)
+	go func() { done <- a.server.Run() }()
+	return done
+}
+
+// Shutdown closes the listener and waits for the replies being written.
+func (a *API) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
+
+func (a *API) route() {
+	a.server.POST(message.PathRequests, a.submitRequest)
+	a.server.GET(message.PathRequests+"/:id", a.showRequest)
+	a.server.DELETE(message.PathRequests+"/:id", a.cancelRequest)
+	a.server.POST(message.PathBundle, a.rollBundle)
+	a.server.POST("/api/v1/domains/:name/order", a.orderDomain)
+	a.server.GET(message.PathConfig, a.showConfig)
+	a.server.GET("/api/v1/changes/:id", a.showChange)
+	a.server.GET(message.PathStatus, a.showStatus)
+	a.server.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		a.fail(c, 404, job.CodeBadRequest, "no such path")
+	})
+}
+
+// fail writes an error body.
+func (a *API) fail(c *app.RequestContext, status int, code job.Code, detail string) {
+	c.JSON(status, message.Error{Code: code, Detail: detail})
+}
--- /dev/null
+++ b/api/operators.go
@@ -0,0 +1,145 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/pkg/errors"
+
+	"clementinepier/bundle"
+	"clementinepier/config"
+	"clementinepier/job"
+	"clementinepier/message"
+	"clementinepier/platform"
+)
+
+// decodeStrict decodes JSON, refusing unknown fields and anything after the value.
+func decodeStrict(body []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("something follows the JSON value")
+	}
+	return nil
+}
+
+// rollBundle takes a signed bundle. Its signatures authenticate the operators.
+func (a *API) rollBundle(ctx context.Context, c *app.RequestContext) {
+	var change message.BundleChange
+	if err := decodeStrict(c.Request.Body(), &change); err != nil {
+		a.fail(c, http.StatusBadRequest, job.CodeBadRequest, err.Error())
+		return
+	}
+	accepted, err := a.Roll(ctx, change)
+	a.writeChange(c, accepted, err)
+}
+
+// orderDomain takes a signed order for the failure domain in the path.
+func (a *API) orderDomain(ctx context.Context, c *app.RequestContext) {
+	var order bundle.SignedOrder
+	if err := decodeStrict(c.Request.Body(), &order); err != nil {
+		a.fail(c, http.StatusBadRequest, job.CodeBadRequest, err.Error())
+		return
+	}
+	if order.Order.FailureDomain != c.Param("name") {
+		a.fail(c, http.StatusBadRequest, job.CodeBadRequest, "the order is for another failure domain than the path")
+		return
+	}
+	accepted, err := a.Order(ctx, order)
+	a.writeChange(c, accepted, err)
+}
+
+func (a *API) writeChange(c *app.RequestContext, accepted message.Accepted, err error) {
+	if err == nil {
+		c.JSON(http.StatusOK, accepted)
+		return
+	}
+	status, body := changeError(err)
+	c.JSON(status, body)
+}
+
+// changeError maps an error of a change to its status and body.
+func changeError(err error) (int, message.Error) {
+	body := message.Error{Detail: err.Error()}
+	var conflict *config.ErrRevisionConflict
+	var invalid *bundle.ErrBundleInvalid
+	switch {
+	case errors.As(err, &conflict):
+		body.Code, body.Revision, body.ChangeID = job.CodeRevisionConflict, conflict.Winner.Revision, conflict.Winner.ChangeID
+		return http.StatusConflict, body
+	case config.IsErrNotYetInForce(err):
+		body.Code = job.CodeNotYetInForce
+		return http.StatusConflict, body
+	case errors.As(err, &invalid):
+		body.Code, body.Faults = job.CodeBundleInvalid, invalid.Faults
+		return http.StatusUnprocessableEntity, body
+	case config.IsErrDomainNotExist(err):
+		body.Code = job.CodeUnknownDomain
+		return http.StatusNotFound, body
+	case bundle.IsErrSignatureInvalid(err), bundle.IsErrKeyNotTrusted(err):
+		body.Code = job.CodeSignatureInvalid
+		return http.StatusForbidden, body
+	case platform.IsErrUnavailable(err):
+		body.Code = job.CodeStoreUnavailable
+		return http.StatusServiceUnavailable, body
+	}
+	body.Code = job.CodeBadRequest
+	return http.StatusBadRequest, body
+}
+
+// showConfig tells which configuration this entry VM has in force.
+func (a *API) showConfig(_ context.Context, c *app.RequestContext) {
+	view := a.View()
+	document := view.Document()
+	reply := message.Config{
+		Revision: view.Revision().Sum(), ChangeID: document.ChangeID, BundleRevision: view.Revision().Bundle,
+		Orders: map[string]message.DomainOrder{},
+	}
+	for domain, order := range document.Orders {
+		reply.Orders[domain] = message.DomainOrder{State: order.Order.State, Sequence: order.Order.Sequence}
+	}
+	if view.Bundle() != nil {
+		reply.Bundle = &document.Bundle
+	}
+	c.JSON(http.StatusOK, reply)
+}
+
+func (a *API) showChange(ctx context.Context, c *app.RequestContext) {
+	change, err := a.Change(ctx, c.Param("id"))
+	switch {
+	case err == nil:
+		c.JSON(http.StatusOK, change)
+	case IsErrChangeNotExist(err):
+		a.fail(c, http.StatusNotFound, job.CodeRequestNotExist, err.Error())
+	default:
+		a.fail(c, http.StatusServiceUnavailable, job.CodeStoreUnavailable, err.Error())
+	}
+}
+
+func (a *API) showStatus(ctx context.Context, c *app.RequestContext) {
+	status, err := a.Status(ctx)
+	if err != nil {
+		a.fail(c, http.StatusServiceUnavailable, job.CodeStopping, err.Error())
+		return
+	}
+	c.JSON(http.StatusOK, status)
+}
+
+// ErrChangeNotExist means that no accepted change has the id.
+type ErrChangeNotExist struct{ ID string }
+
+// Error implements error.
+func (e *ErrChangeNotExist) Error() string { return "change does not exist: " + e.ID }
+
+// IsErrChangeNotExist reports whether err is or wraps an *ErrChangeNotExist.
+func IsErrChangeNotExist(err error) bool {
+	var target *ErrChangeNotExist
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/claim/ledger.go
@@ -0,0 +1,274 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"clementinepier/job"
+	"clementinepier/platform"
+)
+
+// Defaults of a Ledger.
+const (
+	// DefaultMinInterval keeps 8 entry VMs with 16 busy shards near the writes a second that the store sustains.
+	DefaultMinInterval = 50 * time.Millisecond
+	// DefaultRetention is how long settled claims are kept.
+	DefaultRetention = 24 * time.Hour
+	// DefaultMaxValue leaves room below the store's limit for the settling of claims that exist.
+	DefaultMaxValue = 900_000
+	// DefaultCallTimeout bounds one call of the store, which normally takes milliseconds.
+	DefaultCallTimeout = time.Second
+	// maxBackOff bounds the pause between calls, so that claims are made soon after an outage.
+	maxBackOff = 500 * time.Millisecond
+)
+
+// errClosed is the cause when the ledger's Run has ended.
+var errClosed = errors.New("ledger is closed")
+
+// Ledger changes records with one goroutine for the control of all shards and one call in flight per shard. Its
+// exported fields are set before Run.
+type Ledger struct {
+	Store       platform.Store
+	Clock       clockwork.Clock
+	MinInterval time.Duration
+	Retention   time.Duration
+	// MaxValue is the largest value, in bytes, that a new claim may lead to.
+	MaxValue    int
+	CallTimeout time.Duration
+	// NewBackOff returns the pauses after failed calls and version conflicts.
+	NewBackOff func() backoff.BackOff
+
+	submitted chan *change
+	withdrawn chan withdrawal
+	landed    chan reply
+	done      chan struct{}
+	// do makes a change and returns its result. Tests replace it to drive a book without goroutines.
+	do func(ctx context.Context, key job.Key, decide func(*Record) (*Record, error)) error
+}
+
+type withdrawal struct {
+	change *change
+	cause  error
+}
+
+type reply struct {
+	call    call
+	entry   platform.Entry
+	version uint64
+	err     error
+}
+
+// NewLedger returns a ledger with the default settings.
+func NewLedger(store platform.Store, clock clockwork.Clock) *Ledger {
+	l := &Ledger{
+		Store: store, Clock: clock, MinInterval: DefaultMinInterval, Retention: DefaultRetention,
+		MaxValue: DefaultMaxValue, CallTimeout: DefaultCallTimeout,
+		NewBackOff: func() backoff.BackOff {
+			b := backoff.NewExponentialBackOff()
+			b.InitialInterval, b.MaxInterval = 10*time.Millisecond, maxBackOff
+			return b
+		},
+		submitted: make(chan *change), withdrawn: make(chan withdrawal),
+		// Every shard can have a reply without a reader when Run ends.
+		landed: make(chan reply, Shards), done: make(chan struct{}),
+	}
+	l.do = l.queue
+	return l
+}
+
+func (l *Ledger) book() *book {
+	return &book{minInterval: l.MinInterval, retention: l.Retention, maxValue: l.MaxValue, newBackOff: l.NewBackOff}
+}
+
+// Done is closed when Run has ended; changes fail from then on.
+func (l *Ledger) Done() <-chan struct{} { return l.done }
+
+// Run makes the changes that are submitted until ctx ends. It returns when no call is in flight.
+func (l *Ledger) Run(ctx context.Context) {
+	defer close(l.done)
+	b := l.book()
+	flying := 0
+	for {
+		calls, wake := b.due(l.Clock.Now())
+		for _, c := range calls {
+			flying++
+			go l.fly(ctx, c)
+		}
+		var timer clockwork.Timer
+		var fired <-chan time.Time
+		if !wake.IsZero() {
+			timer = l.Clock.NewTimer(l.Clock.Until(wake))
+			fired = timer.Chan()
+		}
+		select {
+		case c := <-l.submitted:
+			b.submit(c)
+		case w := <-l.withdrawn:
+			b.withdraw(w.change, w.cause)
+		case r := <-l.landed:
+			flying--
+			b.land(l.Clock.Now(), r)
+		case <-fired:
+		case <-ctx.Done():
+			b.close()
+			for ; flying > 0; flying-- {
+				<-l.landed
+			}
+			return
+		}
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+}
+
+// fly makes one call of the store and reports its end on the channel landed.
+func (l *Ledger) fly(ctx context.Context, c call) {
+	ctx, cancel := clockwork.WithTimeout(ctx, l.Clock, l.CallTimeout)
+	defer cancel()
+	r := reply{call: c}
+	if c.write {
+		r.version, r.err = l.Store.CompareAndSwap(ctx, shardKey(c.shard), c.value, c.version)
+	} else {
+		r.entry, r.err = l.Store.Get(ctx, shardKey(c.shard))
+	}
+	l.landed <- r
+}
+
+func (b *book) land(now time.Time, r reply) {
+	if r.call.write {
+		b.writeReply(now, r.call, r.version, r.err)
+	} else {
+		b.readReply(now, r.call, r.entry, r.err)
+	}
+}
+
+// close resolves every pending change.
+func (b *book) close() {
+	for i := range b.shards {
+		for _, c := range b.shards[i].pending {
+			b.withdraw(c, errClosed)
+		}
+	}
+}
+
+// queue hands a change to Run and waits for its result.
+func (l *Ledger) queue(ctx context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
+	result := make(chan error, 1)
+	c := &change{key: key, decide: decide, resolve: func(err error) { result <- err }}
+	select {
+	case l.submitted <- c:
+	case <-ctx.Done():
+		return &ErrStoreUnavailable{Key: key, Cause: ctx.Err()}
+	case <-l.done:
+		return &ErrStoreUnavailable{Key: key, Cause: errClosed}
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-l.done:
+	case <-ctx.Done():
+		select {
+		case l.withdrawn <- withdrawal{change: c, cause: ctx.Err()}:
+		case <-l.done:
+		}
+	}
+	// Either the change was withdrawn, or Run resolved every pending change before it ended.
+	return <-result
+}
+
+// Claim records an attempt at a request that has no record. It returns the existing record if there is one, and
+// nil, nil if the claim is written. Other errors are *ErrStoreUnavailable and *ErrFull.
+func (l *Ledger) Claim(ctx context.Context, r Record) (*Record, error) {
+	r.State, r.At = StateClaimed, l.now()
+	err := l.do(ctx, r.Key, func(current *Record) (*Record, error) {
+		switch {
+		case current == nil:
+			return &r, nil
+		case current.isClaim(r):
+			return nil, nil
+		}
+		return nil, &ErrConflict{Existing: *current}
+	})
+	return existing(err)
+}
+
+// Advance claims the attempt after fromAttempt, whose record must have state StateNotRun. Its results are those of
+// Claim.
+func (l *Ledger) Advance(ctx context.Context, key job.Key, fromAttempt int, next Record) (*Record, error) {
+	next.Key, next.Attempt, next.State, next.At = key, fromAttempt+1, StateClaimed, l.now()
+	err := l.do(ctx, key, func(current *Record) (*Record, error) {
+		switch {
+		case current == nil:
+			return nil, &ErrClaimNotExist{Key: key}
+		case current.isClaim(next):
+			return nil, nil
+		case current.Attempt == fromAttempt && current.State == StateNotRun:
+			return &next, nil
+		}
+		return nil, &ErrConflict{Existing: *current}
+	})
+	return existing(err)
+}
+
+// Settle records how an attempt ended. A record that was settled as unknown may become done; no other settled record
+// changes. It returns *ErrConflict, *ErrClaimNotExist or *ErrStoreUnavailable.
+func (l *Ledger) Settle(ctx context.Context, key job.Key, attempt int, state RecordState) error {
+	now := l.now()
+	return l.do(ctx, key, func(current *Record) (*Record, error) {
+		switch {
+		case current == nil:
+			return nil, &ErrClaimNotExist{Key: key}
+		case current.Attempt == attempt && current.State == state:
+			return nil, nil
+		case current.Attempt == attempt && maySettle(current.State, state):
+			next := *current
+			next.State, next.At = state, now
+			return &next, nil
+		}
+		return nil, &ErrConflict{Existing: *current}
+	})
+}
+
+// Get reads the record of a request from the store.
+func (l *Ledger) Get(ctx context.Context, key job.Key) (Record, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, l.Clock, l.CallTimeout)
+	defer cancel()
+	e, err := l.Store.Get(ctx, shardKey(shardOf(key)))
+	var v view
+	if err == nil {
+		v, err = decode(e.Version, e.Value)
+	}
+	if err != nil {
+		return Record{}, &ErrStoreUnavailable{Key: key, Cause: err}
+	}
+	found, ok := v.records[key]
+	if !ok {
+		return Record{}, &ErrClaimNotExist{Key: key}
+	}
+	return found.record, nil
+}
+
+func (l *Ledger) now() time.Time { return l.Clock.Now().UTC() }
+
+// isClaim reports whether r is the unsettled claim that was asked for.
+func (r Record) isClaim(asked Record) bool {
+	return r.State == StateClaimed && r.Attempt == asked.Attempt && r.Owner == asked.Owner && r.Nonce == asked.Nonce
+}
+
+func maySettle(from, to RecordState) bool {
+	return from == StateClaimed || from == StateUnknown && to == StateDone
+}
+
+// existing turns a conflict into the record that caused it.
+func existing(err error) (*Record, error) {
+	var conflict *ErrConflict
+	if errors.As(err, &conflict) {
+		return &conflict.Existing, nil
+	}
+	return nil, err
+}
--- a/deps_test.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package main
-
-import (
-	_ "github.com/matryer/is"
-	_ "pgregory.net/rapid"
-)
--- /dev/null
+++ b/dispatch/claims.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"clementinepier/board"
+	"clementinepier/claim"
+	"clementinepier/gang"
+	"clementinepier/job"
+	"clementinepier/metrics"
+	"clementinepier/worker"
+)
+
+const (
+	// claimTimeout bounds one try at a claim; the gang gives up its holds at about the same time.
+	claimTimeout = 2 * time.Second
+	// settleTimeout bounds the recording of an outcome in the ledger. Nothing depends on it but the time that a later
+	// retry needs.
+	settleTimeout = 30 * time.Second
+	// resolveInterval is the pause between two questions about an attempt that runs under another owner.
+	resolveInterval = 500 * time.Millisecond
+)
+
+// claim makes the claim of the current attempt, whose members are all held. It does nothing for idempotent requests.
+func (d *Dispatcher) claim(s *board.State, r *run) {
+	if r.request.Idempotent || r.claiming || r.claimed == r.attempt {
+		return
+	}
+	record := claim.Record{
+		Key: r.key(), Attempt: r.attempt, Workers: r.workers, RequestDigest: r.digest, Owner: s.Self.VM, Nonce: r.nonce,
+		State: claim.StateClaimed,
+	}
+	r.claiming = true
+	r.claimNonces = append(r.claimNonces, r.nonce)
+	earlier, g := r.claimed, r.gang
+	go func() {
+		ctx, cancel := clockwork.WithTimeout(d.ctx, d.Clock, claimTimeout)
+		defer cancel()
+		existing, err := d.makeClaim(ctx, record, earlier)
+		d.Board.Post(func(s *board.State) { d.claimed(s, r, g, record, existing, err) })
+	}()
+}
+
+// makeClaim claims a first attempt, or the attempt after an earlier one of this run that never started.
+func (d *Dispatcher) makeClaim(ctx context.Context, record claim.Record, earlier int) (*claim.Record, error) {
+	if earlier == 0 {
+		return d.Ledger.Claim(ctx, record)
+	}
+	err := d.Ledger.Settle(ctx, record.Key, earlier, claim.StateNotRun)
+	if err != nil && !claim.IsErrConflict(err) {
+		return nil, err
+	}
+	return d.Ledger.Advance(ctx, record.Key, earlier, record)
+}
+
+// claimed applies the result of a claim.
+func (d *Dispatcher) claimed(s *board.State, r *run, g *gang.Gang, record claim.Record, existing *claim.Record, err error) {
+	r.claiming = false
+	if r.phase == phaseEnded {
+		return
+	}
+	switch {
+	case err != nil:
+		d.Metrics.Add(metrics.ClaimsFailed, 1)
+	case existing == nil:
+		d.Metrics.Add(metrics.ClaimsMade, 1)
+		r.claimed = record.Attempt
+		d.gangEvent(s, r, g, gang.Claimed{})
+	case r.ownsNonce(existing.Nonce):
+		// An earlier claim of this run took effect although its answer was lost. That attempt never started.
+		r.claimed = existing.Attempt
+	case existing.RequestDigest != r.digest:
+		r.cancelled = true
+		d.gangEvent(s, r, g, gang.Cancel{Code: job.CodeRequestIDConflict})
+	default:
+		d.Metrics.Add(metrics.ClaimsExisting, 1)
+		d.resolve(s, r, g, *existing)
+	}
+}
+
+func (r *run) ownsNonce(nonce string) bool {
+	for _, own := range r.claimNonces {
+		if own == nonce {
+			return true
+		}
+	}
+	return false
+}
+
+// resolve drops the run's own holds and finds out what became of the attempt that the ledger names.
+func (d *Dispatcher) resolve(s *board.State, r *run, g *gang.Gang, record claim.Record) {
+	if r.phase == phaseActive && r.gang == g {
+		r.phase = phaseResolving
+		d.gangEvent(s, r, g, gang.Cancel{Code: job.CodeClaimedElsewhere})
+	}
+	if r.phase == phaseQueued {
+		s.Queue.Remove(r.key())
+	}
+	r.phase = phaseResolving
+	go d.settle(r, record)
+}
+
+// settle asks about the named attempt until its end is known or the run has been taken over by an adoption.
+func (d *Dispatcher) settle(r *run, record claim.Record) {
+	ctx, cancel := clockwork.WithDeadline(d.ctx, d.Clock, r.deadline.Add(deadlineGrace))
+	defer cancel()
+	for ctx.Err() == nil {
+		settlement, err := d.Settler.Settle(ctx, record)
+		record = settlement.Record
+		outcome, final := job.Outcome{}, false
+		if err == nil {
+			outcome, final = d.conclude(ctx, r, settlement)
+		}
+		resolving := false
+		if doErr := d.Board.Do(ctx, func(s *board.State) { resolving = d.settled(s, r, settlement, err, outcome, final) }); doErr != nil {
+			return
+		}
+		if !resolving {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-d.Clock.After(resolveInterval):
+		}
+	}
+}
+
+// conclude derives an outcome from a settlement. It returns false while the attempt runs or may be tried again.
+func (d *Dispatcher) conclude(ctx context.Context, r *run, settlement claim.Settlement) (job.Outcome, bool) {
+	key := r.key()
+	switch settlement.Verdict {
+	case claim.VerdictUnknown:
+		return job.NewUnknown(key, job.CodeWorkerLost, "an earlier attempt may have run and its workers have no answer"), true
+	case claim.VerdictAttach:
+	default:
+		return job.Outcome{}, false
+	}
+	done := 0
+	for _, status := range settlement.Statuses {
+		switch status.State {
+		case worker.StateDone:
+			done++
+		case worker.StateFailed:
+			return job.Outcome{Key: key, Result: job.Done, Code: job.CodeTaskFailed, Detail: status.Error, Attempts: 1}, true
+		}
+	}
+	if done < len(settlement.Record.Workers) {
+		return job.Outcome{}, false
+	}
+	answer, err := d.fetch(ctx, settlement.Record)
+	if err != nil {
+		if worker.IsErrTaskNotExist(err) {
+			return job.NewUnknown(key, job.CodeAnswerLost, "the request ran, and its answer is gone"), true
+		}
+		return job.Outcome{}, false
+	}
+	return job.Outcome{Key: key, Result: job.Done, Answer: answer, Attempts: 1}, true
+}
+
+func (d *Dispatcher) fetch(ctx context.Context, record claim.Record) ([]byte, error) {
+	client, ok := d.Workers(record.Workers[0])
+	if !ok {
+		return nil, errors.New("worker is not known")
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.CallTimeout)
+	defer cancel()
+	return client.Answer(ctx, job.TaskID{Organisation: record.Key.Organisation, RequestID: record.Key.ID, Attempt: record.Attempt})
+}
+
+// settled applies one settlement; it reports whether the run is still to be resolved.
+func (d *Dispatcher) settled(s *board.State, r *run, found claim.Settlement, err error, outcome job.Outcome, final bool) bool {
+	switch {
+	case r.phase != phaseResolving:
+		return false
+	case err != nil:
+		return true
+	case final:
+		d.end(s, r, outcome)
+		return false
+	case found.Verdict == claim.VerdictNotRun:
+		r.claimed = found.Record.Attempt
+		r.attempt = max(r.attempt, r.claimed)
+		if r.cancelled {
+			d.end(s, r, job.NewNotRun(r.key(), job.CodeCancelled, "cancelled before an attempt started", 0))
+		} else {
+			d.enqueue(s, r)
+		}
+		return false
+	}
+	return true
+}
+
+// settleClaim records the end of the current attempt, if it was claimed.
+func (d *Dispatcher) settleClaim(r *run, result job.Result) {
+	if r.claimed == 0 || r.claimed != r.attempt {
+		return
+	}
+	state := claim.StateUnknown
+	switch result {
+	case job.Done:
+		state = claim.StateDone
+	case job.NotRun:
+		state = claim.StateNotRun
+	}
+	key, attempt := r.key(), r.attempt
+	go func() {
+		ctx, cancel := clockwork.WithTimeout(d.ctx, d.Clock, settleTimeout)
+		defer cancel()
+		if err := d.Ledger.Settle(ctx, key, attempt, state); err != nil {
+			d.Metrics.Add(metrics.ClaimsFailed, 1)
+		}
+	}()
+}
--- /dev/null
+++ b/dispatch/execute.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinepier/board"
+	"clementinepier/gang"
+	"clementinepier/job"
+	"clementinepier/metrics"
+	"clementinepier/trace"
+	"clementinepier/worker"
+)
+
+// errLateStart is the reply to a start whose hold may have lapsed before it could be sent.
+var errLateStart = errors.New("the hold may have lapsed before the start was sent")
+
+// errPoolFull is the reply to a command that no goroutine was free for. It was not sent.
+var errPoolFull = errors.New("too many calls to workers are in flight")
+
+// execute hands commands to the traffic pool. Renewals and stops are gathered per worker and sent in one batch.
+func (d *Dispatcher) execute(r *run, commands []gang.Command) {
+	for _, c := range commands {
+		switch c.Kind {
+		case gang.KindRenew:
+			d.renewals[c.Worker] = append(d.renewals[c.Worker], owned{run: r, gang: r.gang, command: c})
+		default:
+			d.submit(r, c)
+		}
+	}
+}
+
+// owned is a command with the run that it belongs to.
+type owned struct {
+	run     *run
+	gang    *gang.Gang
+	command gang.Command
+}
+
+// submit runs one command on the traffic pool and posts its reply.
+func (d *Dispatcher) submit(r *run, c gang.Command) {
+	payload := r.request.Payload
+	spec := r.gang.Spec(c.Member)
+	parent := r.trace
+	current := r.gang
+	post := func(reply gang.Reply) {
+		d.Board.Post(func(s *board.State) { d.gangEvent(s, r, current, reply) })
+	}
+	err := d.pool.Submit(func() {
+		ctx, cancel := context.WithTimeout(trace.Extract(d.ctx, parent), d.CallTimeout)
+		defer cancel()
+		ctx, span := d.Tracer.Start(ctx, "worker-"+string(c.Kind), "worker", c.Worker, "task", c.ID.String())
+		reply := d.call(ctx, c, spec, payload)
+		span.End(reason(reply.Err))
+		post(reply)
+	})
+	if err != nil {
+		// Posting from the control goroutine must not block on a full mailbox.
+		go post(gang.Reply{Command: c, Err: &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errPoolFull}})
+	}
+}
+
+func reason(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// call carries out one command.
+func (d *Dispatcher) call(ctx context.Context, c gang.Command, spec worker.Spec, payload []byte) gang.Reply {
+	reply := gang.Reply{Command: c}
+	client, ok := d.Workers(c.Worker)
+	if !ok {
+		reply.Err = &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errors.New("worker is not known")}
+		return reply
+	}
+	d.Metrics.Add(metrics.WorkerCalls, 1)
+	switch c.Kind {
+	case gang.KindHold:
+		_, reply.Refused, reply.Err = client.Hold(ctx, spec, c.Length)
+	case gang.KindStart:
+		if !d.Clock.Now().Before(c.NotAfter) {
+			reply.Err = &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errLateStart}
+			return reply
+		}
+		reply.Refused, reply.Err = client.Start(ctx, c.ID, c.Nonce, payload, c.Length)
+	case gang.KindCheckpoint:
+		reply.Err = client.Checkpoint(ctx, c.ID)
+	case gang.KindStop:
+		reply.Status, reply.Err = one(client.Stop(ctx, []job.TaskID{c.ID}, c.Reason))
+	case gang.KindForbid:
+		reply.Status, reply.Err = client.Forbid(ctx, c.ID)
+	case gang.KindAnswer:
+		reply.Answer, reply.Err = client.Answer(ctx, c.ID)
+	case gang.KindAcknowledge:
+		reply.Err = client.Acknowledge(ctx, []job.TaskID{c.ID})
+	}
+	if reply.Err != nil {
+		d.Metrics.Add(metrics.WorkerCallsFailed, 1)
+	}
+	return reply
+}
+
+// one returns the status of a call that named one task.
+func one(statuses []worker.Status, err error) (worker.Status, error) {
+	if err != nil {
+		return worker.Status{}, err
+	}
+	if len(statuses) != 1 {
+		return worker.Status{}, errors.Errorf("reply has %d statuses where 1 was asked for", len(statuses))
+	}
+	return statuses[0], nil
+}
+
+// flushRenewals sends the gathered renewals, one call per worker.
+func (d *Dispatcher) flushRenewals() {
+	for name, batch := range d.renewals {
+		delete(d.renewals, name)
+		if err := d.pool.Submit(func() { d.renew(name, batch) }); err != nil {
+			cause := &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errPoolFull}
+			go d.postRenewals(batch, nil, cause)
+		}
+	}
+}
+
+func (d *Dispatcher) renew(name string, batch []owned) {
+	client, ok := d.Workers(name)
+	if !ok {
+		d.postRenewals(batch, nil, &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errors.New("worker is not known")})
+		return
+	}
+	leases := make([]worker.Lease, 0, len(batch))
+	for _, o := range batch {
+		leases = append(leases, worker.Lease{ID: o.command.ID, Nonce: o.command.Nonce, Length: job.Duration(o.command.Length)})
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, renewTimeout)
+	defer cancel()
+	d.Metrics.Add(metrics.WorkerCalls, 1)
+	statuses, err := client.Renew(ctx, leases)
+	if err != nil {
+		d.Metrics.Add(metrics.WorkerCallsFailed, 1)
+	}
+	d.postRenewals(batch, statuses, err)
+}
+
+// postRenewals gives every gang the status of its own task.
+func (d *Dispatcher) postRenewals(batch []owned, statuses []worker.Status, err error) {
+	byID := make(map[job.TaskID]worker.Status, len(statuses))
+	for _, s := range statuses {
+		byID[s.Spec.ID] = s
+	}
+	d.Board.Post(func(s *board.State) {
+		for _, o := range batch {
+			reply := gang.Reply{Command: o.command, Err: err}
+			status, ok := byID[o.command.ID]
+			reply.Status = status
+			if err == nil && !ok {
+				reply.Err = errors.New("reply lacks the task")
+			}
+			d.gangEvent(s, o.run, o.gang, reply)
+		}
+	})
+}
+
+// renewTimeout is below the call timeout of a gang, so that one slow worker costs one renewal and not the lease.
+const renewTimeout = 400 * time.Millisecond
--- /dev/null
+++ b/dispatch/finish.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"clementinepier/board"
+	"clementinepier/gang"
+	"clementinepier/job"
+	"clementinepier/metrics"
+)
+
+const (
+	// refusedDelay is the first pause after a refused hold; it doubles with each refusal up to maxDelay.
+	refusedDelay = 20 * time.Millisecond
+	maxDelay     = time.Second
+	// storeDelay is the pause before a claim is tried again.
+	storeDelay = 500 * time.Millisecond
+	// retryHint is what callers are told when the system cannot estimate a better time.
+	retryHint = job.Duration(time.Second)
+)
+
+// gangEvent feeds one event to a gang, carries out its commands and ends the attempt when it is over.
+func (d *Dispatcher) gangEvent(s *board.State, r *run, g *gang.Gang, e gang.Event) {
+	if r.gang != g || g == nil || r.phase == phaseEnded {
+		return
+	}
+	d.execute(r, g.Step(d.Clock.Now(), e))
+	r.wake = g.Wake()
+	switch g.Phase() {
+	case gang.PhaseEnded:
+		d.finish(s, r)
+	case gang.PhaseReady:
+		d.claim(s, r)
+	}
+}
+
+// finish ends an attempt: it releases the capacity, then decides between an outcome and another attempt.
+func (d *Dispatcher) finish(s *board.State, r *run) {
+	g := r.gang
+	r.gang, r.wake = nil, time.Time{}
+	d.release(s, r)
+	if g.StartIssued() {
+		r.started++
+	}
+	switch g.Result() {
+	case gang.ResultDone:
+		d.finishDone(s, r, g)
+	case gang.ResultFailed:
+		d.finishFailed(s, r, g)
+	case gang.ResultPreempted:
+		d.Metrics.Add(metrics.AttemptsPreempted, 1)
+		d.enqueue(s, r)
+	case gang.ResultNeverStarted:
+		d.finishNeverStarted(s, r, g)
+	default:
+		d.finishUnknown(s, r, g)
+	}
+}
+
+func (d *Dispatcher) finishDone(s *board.State, r *run, g *gang.Gang) {
+	for _, name := range r.distinctWorkers() {
+		s.Breaker.Succeeded(d.Clock.Now(), name, r.key())
+	}
+	d.settleClaim(r, job.Done)
+	d.end(s, r, job.Outcome{Key: r.key(), Result: job.Done, Answer: g.Answer(), Attempts: r.started})
+}
+
+// finishFailed retries a failed idempotent request on other workers while its failures and the retry budget allow.
+func (d *Dispatcher) finishFailed(s *board.State, r *run, g *gang.Gang) {
+	now := d.Clock.Now()
+	r.failures++
+	for _, name := range r.distinctWorkers() {
+		s.Breaker.Failed(now, name, r.key())
+	}
+	r.avoid = append(r.avoid, r.distinctWorkers()...)
+	if r.request.Idempotent && r.known && !r.cancelled && r.failures < maxFailures && s.Retries.Take(now) {
+		d.Metrics.Add(metrics.AttemptsRetried, 1)
+		d.delay(r, refusedDelay)
+		return
+	}
+	d.settleClaim(r, job.Done)
+	d.end(s, r, job.Outcome{
+		Key: r.key(), Result: job.Done, Code: job.CodeTaskFailed, Detail: g.Detail(), Attempts: r.started,
+	})
+}
+
+// finishNeverStarted tries again later, since nothing ran.
+func (d *Dispatcher) finishNeverStarted(s *board.State, r *run, g *gang.Gang) {
+	if r.cancelled {
+		d.settleClaim(r, job.NotRun)
+		d.end(s, r, job.NewNotRun(r.key(), g.Code(), g.Detail(), 0))
+		return
+	}
+	if r.phase == phaseResolving {
+		return
+	}
+	delay := storeDelay
+	if g.Code() == job.CodeNoRack {
+		d.Metrics.Add(metrics.HoldsRefused, 1)
+		delay = d.refusalDelay(r)
+	}
+	if g.Code() == job.CodeWorkerLost {
+		r.avoid = append(r.avoid, r.distinctWorkers()...)
+	}
+	d.delay(r, delay)
+}
+
+// refusalDelay grows with the number of attempts and is jittered, so that two owners that contend for one rack do not
+// collide again and again.
+func (d *Dispatcher) refusalDelay(r *run) time.Duration {
+	delay := min(refusedDelay<<min(r.attempt, 6), maxDelay)
+	return delay/2 + time.Duration(d.random.Int64N(int64(delay)))
+}
+
+// finishUnknown retries an idempotent request; one that is not idempotent may have run and is never retried.
+func (d *Dispatcher) finishUnknown(s *board.State, r *run, g *gang.Gang) {
+	r.avoid = append(r.avoid, r.distinctWorkers()...)
+	if r.request.Idempotent && r.known && !r.cancelled && s.Retries.Take(d.Clock.Now()) {
+		d.Metrics.Add(metrics.AttemptsRetried, 1)
+		d.delay(r, refusedDelay)
+		return
+	}
+	d.settleClaim(r, job.Unknown)
+	outcome := job.NewUnknown(r.key(), g.Code(), g.Detail())
+	outcome.Attempts = r.started
+	d.end(s, r, outcome)
+}
+
+// end records the outcome and tells the waiters.
+func (d *Dispatcher) end(s *board.State, r *run, outcome job.Outcome) {
+	s.Queue.Remove(r.key())
+	s.Cluster.Forget(r.key())
+	r.phase, r.outcome, r.endedAt = phaseEnded, outcome, d.Clock.Now()
+	r.request.Payload = nil
+	d.notify(r, outcome)
+}
+
+func (d *Dispatcher) notify(r *run, outcome job.Outcome) {
+	for _, w := range r.waiters {
+		w <- outcome
+	}
+	r.waiters = nil
+}
+
+// move gives a run up because its rack has another owner. Its waiters
+// send the request there. A run without a start is not run here any more, so its holds are dropped.
+func (d *Dispatcher) move(s *board.State, r *run) {
+	s.Queue.Remove(r.key())
+	s.Cluster.Forget(r.key())
+	outcome := job.NewNotRun(r.key(), job.CodeOwnerLost, "the rack has another owner", retryHint)
+	if r.started > 0 || r.gang != nil && r.gang.StartIssued() {
+		outcome = job.NewUnknown(r.key(), job.CodeOwnerLost, "the rack has another owner, who goes on with the request")
+	}
+	d.notify(r, outcome)
+	r.phase = phaseEnded
+	delete(d.runs, r.key())
+}
+
+// forget drops an ended run and lets its workers drop the answer.
+func (d *Dispatcher) forget(r *run) {
+	delete(d.runs, r.key())
+	if r.outcome.Result == job.Done {
+		d.acknowledge(r)
+	}
+}
+
+func (d *Dispatcher) delay(r *run, wait time.Duration) {
+	r.phase, r.retryAt = phaseDelayed, d.Clock.Now().Add(wait)
+}
+
+// avoids returns the workers that the next attempt must not use. When so many have failed that the request could
+// not be placed any more, only the latest is avoided.
+func (r *run) avoids() []string {
+	const most = 4
+	if len(r.avoid) > most {
+		return slices.Clone(r.avoid[len(r.avoid)-1:])
+	}
+	return r.avoid
+}
--- /dev/null
+++ b/dispatch/schedule.go
@@ -0,0 +1,301 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"clementinepier/board"
+	"clementinepier/gang"
+	"clementinepier/job"
+	"clementinepier/metrics"
+	"clementinepier/placement"
+	"clementinepier/queue"
+)
+
+// adoptWait is how long a gained rack waits for workers that do not answer before it is used without them.
+const adoptWait = time.Second
+
+// maxWaiting bounds the requests looked at in one pass that cannot be placed. Later ones are looked at when capacity
+// has become free; the bound keeps a pass cheap when many wait.
+const maxWaiting = 64
+
+// enqueue makes a run wait for capacity.
+func (d *Dispatcher) enqueue(s *board.State, r *run) {
+	now := d.Clock.Now()
+	if r.queuedAt.IsZero() {
+		r.queuedAt = now
+	}
+	item := queue.Item{
+		Request: r.request, Deadline: r.deadline, Enqueued: r.queuedAt, Attempt: r.attempt + 1, Avoid: r.avoids(),
+	}
+	if r.attempt == 0 {
+		if retryAfter, refuse := s.Queue.Refuse(now, item, d.share(s, r.request.Organisation)); refuse {
+			d.end(s, r, job.NewNotRun(r.key(), job.CodeOverloaded, "the expected wait exceeds the timeout", job.Duration(retryAfter)))
+			return
+		}
+	}
+	r.phase = phaseQueued
+	if err := s.Queue.Push(item); err != nil {
+		d.end(s, r, job.NewNotRun(r.key(), job.CodeOverloaded, err.Error(), retryHint))
+	}
+}
+
+// share is the number of accelerators that an organisation can expect here: its unused anchors and what is free.
+func (d *Dispatcher) share(s *board.State, organisation string) int {
+	share := 0
+	for _, rack := range s.Cluster.Summaries() {
+		share += rack.FreeAccelerators
+		for _, u := range rack.Unused {
+			if u.Organisation == organisation {
+				share += u.Accelerators
+			}
+		}
+	}
+	return share + d.running[organisation]
+}
+
+// schedule places what can be placed now.
+func (d *Dispatcher) schedule(s *board.State) {
+	if s.Queue.Len() == 0 {
+		return
+	}
+	if code := d.blocked(s); code != job.CodeOK {
+		d.turnAway(s, code)
+		return
+	}
+	racks := d.usableRacks(s)
+	if len(racks) == 0 {
+		return
+	}
+	now := d.Clock.Now()
+	s.Queue.NewPass()
+	for waiting := 0; waiting < maxWaiting; {
+		item, ok := s.Queue.Next(now, d.usage)
+		if !ok {
+			return
+		}
+		r, ok := d.runs[item.Request.Key()]
+		if !ok || r.phase != phaseQueued {
+			continue
+		}
+		if !d.place(s, r, item, racks) {
+			waiting++
+		}
+	}
+}
+
+// blocked says why nothing may start here now.
+func (d *Dispatcher) blocked(s *board.State) job.Code {
+	if s.Draining {
+		return job.CodeStopping
+	}
+	return d.mayStart(s, d.Clock.Now())
+}
+
+// mayStart says why no task may start at the time given.
+func (d *Dispatcher) mayStart(s *board.State, now time.Time) job.Code {
+	if fresh, code := s.Freshness.MayStart(now); !fresh {
+		return code
+	}
+	if s.View.IsOut(s.Self.FailureDomain) {
+		return job.CodeDomainOut
+	}
+	return job.CodeOK
+}
+
+// turnAway returns the waiting requests to their receivers, which try other failure domains. A view that is not fresh
+// may be fresh again soon, so its requests wait here for a moment first.
+func (d *Dispatcher) turnAway(s *board.State, code job.Code) {
+	now := d.Clock.Now()
+	for _, item := range s.Queue.Items() {
+		r, ok := d.runs[item.Request.Key()]
+		if !ok || code == job.CodeViewNotFresh && now.Sub(r.queuedAt) < staleWait {
+			continue
+		}
+		d.end(s, r, job.NewNotRun(r.key(), code, "nothing may start in this failure domain now", retryHint))
+	}
+}
+
+// staleWait is one heartbeat interval and a round trip.
+const staleWait = 600 * time.Millisecond
+
+// usableRacks returns the owned racks whose workers have been listed, in name order.
+func (d *Dispatcher) usableRacks(s *board.State) []string {
+	waiting := map[string]bool{}
+	for _, w := range d.watchers {
+		if !w.listed && d.Clock.Since(w.since) < adoptWait {
+			waiting[w.rack] = true
+		}
+	}
+	var racks []string
+	for rack := range s.Owned {
+		if !waiting[rack] {
+			racks = append(racks, rack)
+		}
+	}
+	slices.Sort(racks)
+	return racks
+}
+
+// usage returns what an organisation runs here and what its anchors guarantee it here.
+func (d *Dispatcher) usage(organisation string) queue.Usage {
+	return queue.Usage{
+		Running: d.running[organisation], Guaranteed: d.guaranteed[organisation], Weight: d.weights[organisation],
+	}
+}
+
+// place tries to place one run. It returns false when the run has to wait.
+func (d *Dispatcher) place(s *board.State, r *run, item queue.Item, racks []string) bool {
+	now := d.Clock.Now()
+	need := placement.Need{
+		Key: r.key(), Shape: r.request.Shape, Idempotent: r.request.Idempotent, Urgent: r.request.Urgent,
+		Avoid: append(d.quarantined(s, now, r), r.avoids()...),
+	}
+	need.RunTime, _ = s.Queue.ServiceTime(r.request.Organisation, r.request.Shape)
+	plan := s.Cluster.Plan(now, need, racks)
+	switch plan.Result {
+	case placement.Placed:
+		d.begin(s, r, plan)
+		return true
+	case placement.Never:
+		if d.everFitsElsewhere(s, r) {
+			d.end(s, r, job.NewNotRun(r.key(), job.CodeNoRack, "no rack here could run the shape", retryHint))
+		} else {
+			d.end(s, r, job.NewNotRun(r.key(), job.CodeShapeFitsNoRack, "no rack could run the shape even when empty", 0))
+		}
+		return true
+	case placement.Reclaim:
+		d.reclaim(s, plan.Victims)
+	}
+	if plan.Elsewhere {
+		d.end(s, r, job.NewNotRun(r.key(), job.CodeNoRack, "no rack here could run the shape", retryHint))
+		return true
+	}
+	s.Queue.Return(item)
+	return false
+}
+
+// everFitsElsewhere reports whether the bundle has a rack that could run the request.
+func (d *Dispatcher) everFitsElsewhere(s *board.State, r *run) bool {
+	return placement.EverFits(s.View.Bundle(), d.anchors, r.request.Organisation, r.request.Shape, r.request.Idempotent)
+}
+
+// quarantined returns the workers that the breaker keeps the request off.
+func (d *Dispatcher) quarantined(s *board.State, now time.Time, r *run) []string {
+	var names []string
+	for name := range d.watchers {
+		if !s.Breaker.Allowed(now, name, r.request.Idempotent) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// begin starts an attempt with the workers of a plan.
+func (d *Dispatcher) begin(s *board.State, r *run, plan placement.Plan) {
+	now := d.Clock.Now()
+	r.attempt++
+	r.preempting = false
+	r.phase, r.workers, r.borrowed, r.nonce = phaseActive, plan.Workers, plan.Borrowed, d.newNonce()
+	for member, name := range plan.Workers {
+		id := r.spec().ID
+		id.Member = member
+		s.Cluster.Held(placement.Allocation{
+			Task: id, Worker: name, Accelerators: r.request.Shape.Accelerators, Slots: r.request.Shape.Slots,
+			Idempotent: r.request.Idempotent, Borrowed: plan.Borrowed, Anchored: plan.Anchored, StartedAt: now, Checkpoint: now,
+		})
+	}
+	for _, name := range r.distinctWorkers() {
+		s.Breaker.Started(now, name, r.key())
+	}
+	d.running[r.request.Organisation] += accelerators(r)
+	r.placedAt = now
+	d.Metrics.Add(metrics.AttemptsStarted, 1)
+	r.gang = gang.New(d.gangOptions(s, r))
+	d.gangEvent(s, r, r.gang, gang.Tick{})
+}
+
+// gangOptions are evaluated by the control goroutine only, so they may read the state.
+func (d *Dispatcher) gangOptions(s *board.State, r *run) gang.Options {
+	return gang.Options{
+		Spec: r.spec(), Limits: d.Limits,
+		MayStart: func(now time.Time) (bool, job.Code) {
+			code := d.mayStart(s, now)
+			if code != job.CodeOK {
+				d.Metrics.Add(metrics.StartsHeldBack, 1)
+			}
+			return code == job.CodeOK, code
+		},
+	}
+}
+
+// release returns the capacity of the run's current attempt.
+func (d *Dispatcher) release(s *board.State, r *run) {
+	for member := range r.workers {
+		id := r.spec().ID
+		id.Member = member
+		s.Cluster.Released(id)
+	}
+	if !r.placedAt.IsZero() {
+		d.running[r.request.Organisation] -= accelerators(r)
+		s.Queue.Observed(r.request.Organisation, r.request.Shape, d.Clock.Since(r.placedAt))
+		r.placedAt = time.Time{}
+	}
+}
+
+func accelerators(r *run) int { return max(1, r.request.Shape.TotalAccelerators()) }
+
+// reclaim preempts the borrowers of a guaranteed shape.
+func (d *Dispatcher) reclaim(s *board.State, victims []job.Key) {
+	for _, key := range victims {
+		r, ok := d.runs[key]
+		if !ok || r.phase != phaseActive || r.preempting {
+			continue
+		}
+		r.preempting = true
+		d.Metrics.Add(metrics.ReclaimsRequested, 1)
+		d.gangEvent(s, r, r.gang, gang.Preempt{})
+	}
+}
+
+// SetConfiguration brings the anchors and the weights in line with the view. It is called by the control goroutine.
+func (d *Dispatcher) SetConfiguration(s *board.State) {
+	b := s.View.Bundle()
+	if b == nil {
+		return
+	}
+	d.anchors = placement.Anchors(b, s.View.IsOut)
+	s.Cluster.SetAnchors(d.anchors)
+	d.guaranteed, d.weights = map[string]int{}, map[string]int{}
+	for _, a := range d.anchors {
+		if s.Owned[a.Rack] {
+			d.guaranteed[a.Organisation] += a.Shape.TotalAccelerators()
+		}
+	}
+	for _, o := range b.Organisations {
+		d.weights[o.Name] = o.Weight
+	}
+}
+
+// acknowledge lets the workers of the last attempt drop its answer.
+func (d *Dispatcher) acknowledge(r *run) {
+	spec := r.spec()
+	_ = d.pool.Submit(func() {
+		for member, name := range spec.Workers {
+			client, ok := d.Workers(name)
+			if !ok {
+				continue
+			}
+			id := spec.ID
+			id.Member = member
+			ctx, cancel := d.callContext()
+			_ = client.Acknowledge(ctx, []job.TaskID{id})
+			cancel()
+		}
+	})
+}
+
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // jitter needs no secure randomness
+}
--- /dev/null
+++ b/entry/changes.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"clementinepier/api"
+	"clementinepier/board"
+	"clementinepier/bundle"
+	"clementinepier/config"
+	"clementinepier/membership"
+	"clementinepier/message"
+	"clementinepier/metrics"
+	"clementinepier/platform"
+)
+
+// maxChangeTries bounds the compare-and-swaps of one change. Every lost race means that another change won, so a
+// change that is still valid wins soon.
+const maxChangeTries = 16
+
+// roll accepts a signed bundle.
+func (v *VM) roll(ctx context.Context, change message.BundleChange) (message.Accepted, error) {
+	b, err := v.Settings.Keyring().VerifyNew(v.Clock.Now(), change.Signed)
+	if err != nil {
+		return message.Accepted{}, err
+	}
+	if faults := b.Check(); len(faults) > 0 {
+		return message.Accepted{}, &bundle.ErrBundleInvalid{Faults: faults}
+	}
+	return v.change(ctx, config.Change{ID: change.ChangeID, Bundle: &change.Signed})
+}
+
+// order accepts a signed order for one failure domain.
+func (v *VM) order(ctx context.Context, order bundle.SignedOrder) (message.Accepted, error) {
+	if err := v.Settings.Keyring().VerifyNewOrder(v.Clock.Now(), order); err != nil {
+		return message.Accepted{}, err
+	}
+	return v.change(ctx, config.Change{ID: order.Order.ChangeID, Order: &order})
+}
+
+// change makes a change by compare-and-swap. A write whose answer is lost is settled by reading again: the change's id
+// is then found among the accepted ones, or the write is made anew.
+func (v *VM) change(ctx context.Context, change config.Change) (message.Accepted, error) {
+	var last error
+	for range maxChangeTries {
+		accepted, err := v.tryChange(ctx, change)
+		if err == nil {
+			return message.Accepted{ChangeID: accepted.ChangeID, Revision: accepted.Revision}, nil
+		}
+		if !platform.IsErrUnavailable(err) && !platform.IsErrVersionDiffers(err) {
+			return message.Accepted{}, err
+		}
+		last = err
+		v.sleep(ctx, storeRetry)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return message.Accepted{}, last
+}
+
+func (v *VM) tryChange(ctx context.Context, change config.Change) (config.Accepted, error) {
+	v.Metrics.Add(metrics.StoreReads, 1)
+	head, err := v.Store.Get(ctx, headKey)
+	if err != nil {
+		return config.Accepted{}, err
+	}
+	var current config.Document
+	if head.Version > 0 {
+		if current, err = config.Decode(head.Value); err != nil {
+			return config.Accepted{}, err
+		}
+	}
+	next, accepted, err := config.Accept(v.Settings.Keyring(), current, change)
+	if err != nil {
+		return config.Accepted{}, err
+	}
+	if next.ChangeID == current.ChangeID && current.ChangeID != "" || isRetry(current, change.ID) {
+		return accepted, nil
+	}
+	value, err := config.Encode(next)
+	if err != nil {
+		return config.Accepted{}, err
+	}
+	v.Metrics.Add(metrics.StoreWrites, 1)
+	if _, err := v.Store.CompareAndSwap(ctx, headKey, value, head.Version); err != nil {
+		return config.Accepted{}, err
+	}
+	return accepted, v.board.Do(ctx, func(s *board.State) { _ = v.join(s, next) })
+}
+
+func isRetry(current config.Document, id string) bool {
+	for _, a := range current.Recent {
+		if a.ChangeID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// rollouts follows the acknowledgement of the changes that operators asked about.
+type rollouts struct {
+	mu   sync.Mutex
+	byID map[string]*rollout
+}
+
+// rollout is one change with its acknowledgement.
+type rollout struct {
+	accepted config.Accepted
+	revision config.Revision
+	progress *config.Rollout
+}
+
+// maxRollouts bounds the changes that are followed; older ones are started again when asked about.
+const maxRollouts = 64
+
+// changeProgress tells how far a change is in force. It reads the registrations from the store, since only a list read
+// after the change was accepted has every VM that must confirm.
+func (v *VM) changeProgress(ctx context.Context, id string) (message.Change, error) {
+	r, err := v.rollout(ctx, id)
+	if err != nil {
+		return message.Change{}, err
+	}
+	v.Metrics.Add(metrics.StoreReads, 1)
+	entries, err := v.Store.List(ctx, registrationPrefix)
+	if err != nil {
+		return message.Change{}, err
+	}
+	var list []membership.Registration
+	for _, e := range entries {
+		list = append(list, parseRegistration(e))
+	}
+	v.rollouts.mu.Lock()
+	defer v.rollouts.mu.Unlock()
+	r.progress.SetRegistered(v.Clock.Now(), registrationsOf(list))
+	err = v.board.Do(ctx, func(s *board.State) {
+		r.progress.Confirm(s.Self.VM, s.View.Revision())
+		for name, report := range s.Reports {
+			r.progress.Confirm(name, report.Revision)
+		}
+	})
+	if err != nil {
+		return message.Change{}, err
+	}
+	return describe(r, list, v.Clock.Now()), nil
+}
+
+// rollout returns the rollout of a change, starting it from the document in the store.
+func (v *VM) rollout(ctx context.Context, id string) (*rollout, error) {
+	v.rollouts.mu.Lock()
+	known := v.rollouts.byID[id]
+	v.rollouts.mu.Unlock()
+	if known != nil {
+		return known, nil
+	}
+	v.Metrics.Add(metrics.StoreReads, 1)
+	head, err := v.Store.Get(ctx, headKey)
+	if err != nil {
+		return nil, err
+	}
+	document, err := config.Decode(head.Value)
+	if err != nil || head.Version == 0 {
+		return nil, &api.ErrChangeNotExist{ID: id}
+	}
+	r, err := v.newRollout(document, id)
+	if err != nil {
+		return nil, err
+	}
+	v.rollouts.mu.Lock()
+	defer v.rollouts.mu.Unlock()
+	if len(v.rollouts.byID) >= maxRollouts {
+		v.rollouts.byID = map[string]*rollout{}
+	}
+	v.rollouts.byID[id] = r
+	return r, nil
+}
+
+// newRollout waits for the whole revision of the document. It includes the change, and later changes of the same part
+// replace it.
+func (v *VM) newRollout(document config.Document, id string) (*rollout, error) {
+	view, err := config.Join(v.Settings.Keyring(), nil, document)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration in the store")
+	}
+	for _, a := range document.Recent {
+		if a.ChangeID != id {
+			continue
+		}
+		options := config.RolloutOptions{
+			Change: view.Revision(), Domains: view.FailureDomains(), PreviousDomains: document.PreviousDomains,
+			Window: v.Settings.FreshnessWindow(), IsolatedWindow: v.Settings.IsolatedWindow(),
+		}
+		if a.FailureDomain != "" {
+			order := document.Orders[a.FailureDomain].Order
+			options.Order = &order
+		}
+		return &rollout{accepted: a, revision: view.Revision(), progress: config.NewRollout(options)}, nil
+	}
+	return nil, &api.ErrChangeNotExist{ID: id}
+}
+
+// describe puts the progress of a rollout into the form for operators.
+func describe(r *rollout, list []membership.Registration, now time.Time) message.Change {
+	p := r.progress.Progress(now)
+	reply := message.Change{
+		ChangeID: r.accepted.ChangeID, Revision: r.accepted.Revision, Acknowledged: !p.Acknowledged.IsZero(),
+		InForceEverywhere: !p.Acknowledged.IsZero(), FailureDomains: map[string]message.DomainProgress{},
+	}
+	for _, d := range p.Domains {
+		progress := message.DomainProgress{Confirmed: []string{}, Missing: []message.MissingVM{}}
+		waiting := map[string]bool{}
+		for _, w := range d.Waiting {
+			waiting[w.VM] = true
+			progress.Missing = append(progress.Missing, message.MissingVM{Name: w.VM, Since: w.Since})
+			reply.InForceEverywhere = false
+		}
+		for _, registered := range list {
+			if registered.FailureDomain == d.FailureDomain && !waiting[registered.VM] {
+				progress.Confirmed = append(progress.Confirmed, registered.VM)
+			}
+		}
+		reply.FailureDomains[d.FailureDomain] = progress
+	}
+	return reply
+}
--- /dev/null
+++ b/entry/directory.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+
+	"clementinepier/board"
+	"clementinepier/metrics"
+	"clementinepier/platform"
+	"clementinepier/worker"
+)
+
+// workerClients has a client for every worker that the platform has listed. A worker that the list drops keeps its
+// client, because the list lags and a claim may name the worker.
+type workerClients struct {
+	clock clockwork.Clock
+	mu    sync.RWMutex
+	// clients and addresses have the same keys.
+	clients   map[string]*worker.Client
+	addresses map[string]string
+}
+
+func newWorkerClients(clock clockwork.Clock) *workerClients {
+	return &workerClients{clock: clock, clients: map[string]*worker.Client{}, addresses: map[string]string{}}
+}
+
+func (w *workerClients) client(name string) (*worker.Client, bool) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	c, ok := w.clients[name]
+	return c, ok
+}
+
+// update adds new workers and replaces the client of a worker with a new address.
+func (w *workerClients) update(list []platform.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, vm := range list {
+		if vm.Kind != platform.KindWorker || w.addresses[vm.Name] == vm.Address {
+			continue
+		}
+		w.addresses[vm.Name] = vm.Address
+		w.clients[vm.Name] = worker.NewClient(worker.Options{Name: vm.Name, Address: vm.Address, Clock: w.clock})
+	}
+}
+
+// followDirectory reads the platform's list of VMs until ctx ends.
+func (v *VM) followDirectory(ctx context.Context) error {
+	for ctx.Err() == nil {
+		v.Metrics.Add(metrics.StoreReads, 1)
+		list, err := v.Directory.VMs(ctx)
+		if err != nil {
+			v.Metrics.Add(metrics.StoreErrors, 1)
+		} else {
+			v.workers.update(list)
+			v.board.Post(func(s *board.State) { v.listed(s, list) })
+		}
+		v.sleep(ctx, listInterval)
+	}
+	return nil
+}
+
+// listed records the platform's list. Workers that it drops are forgotten; an empty list is taken for a fault of the
+// platform, since it would stop all work.
+func (v *VM) listed(s *board.State, list []platform.VM) {
+	s.Members.SetList(v.Clock.Now(), list)
+	workers, leaving := map[string]platform.VM{}, map[string]bool{}
+	for _, vm := range list {
+		if vm.Kind != platform.KindWorker || vm.FailureDomain != s.Self.FailureDomain {
+			continue
+		}
+		workers[vm.Name] = vm
+		if vm.Leaving {
+			leaving[vm.Name] = true
+		}
+	}
+	if len(workers) == 0 {
+		return
+	}
+	s.Workers, s.Leaving = workers, leaving
+	for name := range leaving {
+		s.Cluster.SetAvailable(name, false)
+	}
+}
+
+// racksOf returns the racks of this failure domain, sorted.
+func racksOf(s *board.State) []string {
+	seen := map[string]bool{}
+	var racks []string
+	for _, vm := range s.Workers {
+		if !seen[vm.Rack] {
+			seen[vm.Rack] = true
+			racks = append(racks, vm.Rack)
+		}
+	}
+	slices.Sort(racks)
+	return racks
+}
--- /dev/null
+++ b/entry/heartbeat.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"clementinepier/board"
+	"clementinepier/config"
+	"clementinepier/membership"
+	"clementinepier/metrics"
+	"clementinepier/peer"
+)
+
+// heartbeatTimeout is below the freshness window, so that a slow answer does not pile up calls.
+const heartbeatTimeout = time.Second
+
+// member describes this VM for its own table of members.
+func (v *VM) member(s *board.State) membership.Member {
+	return membership.Member{
+		Name: s.Self.VM, FailureDomain: s.Self.FailureDomain, Address: s.Address, BootID: s.Self.BootID,
+		Registered: s.Registered, Leaving: s.Draining,
+	}
+}
+
+// report describes this VM to the others.
+func (v *VM) report(s *board.State, now time.Time) board.Report {
+	fresh, _ := s.Freshness.MayStart(now)
+	if fresh {
+		v.Metrics.SetGauge(metrics.ViewFresh, 1)
+	} else {
+		v.Metrics.SetGauge(metrics.ViewFresh, 0)
+	}
+	return board.Report{
+		Identity: s.Self, Address: s.Address, Registered: s.Registered, Leaving: s.Draining,
+		Revision: s.View.Revision(), Usable: fresh && !s.Draining, Racks: s.Cluster.Summaries(), Queued: s.Queue.Len(),
+	}
+}
+
+// sendHeartbeats calls every other entry VM and waits for none of them.
+func (v *VM) sendHeartbeats(ctx context.Context) {
+	var report board.Report
+	var contacts []membership.Member
+	err := v.board.Do(ctx, func(s *board.State) {
+		now := v.Clock.Now()
+		report, contacts = v.report(s, now), s.Members.Contacts(now)
+		for _, gone := range s.Members.Forget(now) {
+			s.Freshness.Forget(gone)
+			delete(s.Reports, gone)
+		}
+	})
+	if err != nil {
+		return
+	}
+	addresses := make(map[string]string, len(contacts))
+	for _, c := range contacts {
+		addresses[c.Name] = c.Address
+	}
+	v.hub.SetPeers(addresses)
+	for _, c := range contacts {
+		go v.sendHeartbeat(ctx, c.Name, report)
+	}
+}
+
+func (v *VM) sendHeartbeat(ctx context.Context, vm string, report board.Report) {
+	sent := v.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	var reply board.Report
+	v.Metrics.Add(metrics.HeartbeatsSent, 1)
+	if err := v.hub.Call(ctx, vm, peer.KindHeartbeat, report, &reply); err != nil {
+		v.Metrics.Add(metrics.HeartbeatsFailed, 1)
+		return
+	}
+	behind := false
+	err := v.board.Do(ctx, func(s *board.State) {
+		v.heard(s, reply)
+		s.Freshness.Heartbeat(sent, reply.Identity.VM, reply.Identity.FailureDomain, reply.Registered, reply.Revision)
+		behind = !s.View.Revision().Covers(reply.Revision)
+	})
+	if err == nil && behind {
+		v.fetchConfiguration(ctx, vm)
+	}
+}
+
+// heard records what another VM said of itself.
+func (v *VM) heard(s *board.State, report board.Report) {
+	event := s.Members.Heard(v.Clock.Now(), membership.Member{
+		Name: report.Identity.VM, FailureDomain: report.Identity.FailureDomain, Address: report.Address,
+		BootID: report.Identity.BootID, Registered: report.Registered, Leaving: report.Leaving,
+	})
+	if event != membership.EventIgnored {
+		s.Reports[report.Identity.VM] = report
+	}
+}
+
+// onHeartbeat answers another VM's heartbeat with this VM's own report.
+func (v *VM) onHeartbeat(ctx context.Context, from peer.Identity, body []byte) (any, error) {
+	var report board.Report
+	if err := cbor.Unmarshal(body, &report); err != nil {
+		return nil, err
+	}
+	// The link is authenticated, so the identity that it was opened with counts.
+	report.Identity = from
+	var own board.Report
+	err := v.board.Do(ctx, func(s *board.State) {
+		v.heard(s, report)
+		own = v.report(s, v.Clock.Now())
+	})
+	return own, err
+}
+
+// fetchConfiguration takes over the configuration of a VM that knows a newer one.
+func (v *VM) fetchConfiguration(ctx context.Context, vm string) {
+	var value []byte
+	if err := v.hub.Call(ctx, vm, peer.KindConfig, struct{}{}, &value); err != nil {
+		return
+	}
+	document, err := config.Decode(value)
+	if err != nil {
+		v.Metrics.Add(metrics.ConfigRejected, 1)
+		return
+	}
+	v.board.Post(func(s *board.State) { _ = v.join(s, document) })
+}
+
+// onConfig returns the signed configuration. A relay needs no trust, since the signatures are checked by the reader.
+func (v *VM) onConfig(context.Context, peer.Identity, []byte) (any, error) {
+	value, err := config.Encode(v.view.Load().Document())
+	return value, err
+}
--- /dev/null
+++ b/entry/requests.go
@@ -0,0 +1,286 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"clementinepier/api"
+	"clementinepier/claim"
+	"clementinepier/config"
+	"clementinepier/dispatch"
+	"clementinepier/job"
+	"clementinepier/message"
+	"clementinepier/metrics"
+	"clementinepier/peer"
+	"clementinepier/placement"
+	"clementinepier/router"
+	"clementinepier/trace"
+)
+
+const (
+	// outcomeRetention is how long a receiver keeps outcomes for callers that ask again.
+	outcomeRetention = 5 * time.Minute
+	// maxRequests bounds the requests that one receiver has in hand or keeps the outcome of.
+	maxRequests = 20_000
+)
+
+// inHand is one request that this VM received.
+type inHand struct {
+	digest string
+	ended  chan struct{}
+	// outcome is set before ended is closed.
+	outcome job.Outcome
+	endedAt time.Time
+}
+
+func (h *inHand) isEnded() bool {
+	select {
+	case <-h.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// requestDirectory has the requests that this VM received.
+type requestDirectory struct {
+	clock clockwork.Clock
+	mu    sync.Mutex
+	byKey map[job.Key]*inHand
+	// open counts the requests without an outcome.
+	open int
+}
+
+func newRequestDirectory(clock clockwork.Clock) *requestDirectory {
+	return &requestDirectory{clock: clock, byKey: map[job.Key]*inHand{}}
+}
+
+// take returns the request in hand, creating it if there is none; created tells which. It returns nil when the id is
+// in use for another request.
+func (d *requestDirectory) take(key job.Key, digest string, idempotent bool) (h *inHand, created bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.byKey[key]
+	if ok && h.digest != digest {
+		return nil, false
+	}
+	if ok && (!h.isEnded() || !mayRunAgain(h.outcome, idempotent)) {
+		return h, false
+	}
+	h = &inHand{digest: digest, ended: make(chan struct{})}
+	d.byKey[key] = h
+	d.open++
+	return h, true
+}
+
+// mayRunAgain reports whether a caller that asks again gets a new run instead of the outcome that is kept.
+func mayRunAgain(outcome job.Outcome, idempotent bool) bool {
+	return outcome.Result == job.NotRun || outcome.Result == job.Unknown && idempotent
+}
+
+func (d *requestDirectory) end(h *inHand, outcome job.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.outcome, h.endedAt = outcome, d.clock.Now()
+	d.open--
+	close(h.ended)
+}
+
+func (d *requestDirectory) find(key job.Key) (*inHand, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.byKey[key]
+	return h, ok
+}
+
+func (d *requestDirectory) openCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open
+}
+
+// full reports whether the directory has as many requests as it may have.
+func (d *requestDirectory) full() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.byKey) >= maxRequests
+}
+
+// prune drops outcomes that were kept long enough.
+func (d *requestDirectory) prune() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	for key, h := range d.byKey {
+		if h.isEnded() && now.Sub(h.endedAt) > outcomeRetention {
+			delete(d.byKey, key)
+		}
+	}
+}
+
+// submit takes a request in hand. The request goes on when the caller's connection breaks, so that its retry finds
+// the outcome.
+func (v *VM) submit(ctx context.Context, req job.Request, digest string) (api.Submission, job.Outcome) {
+	v.Metrics.Add(metrics.RequestsReceived, 1)
+	if v.directory.full() {
+		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeOverloaded, "this entry VM has too many requests in hand", job.Duration(time.Second))
+	}
+	h, created := v.directory.take(req.Key(), digest, req.Idempotent)
+	if h == nil {
+		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeRequestIDConflict, "the id was used for another request", 0)
+	}
+	if created {
+		go v.carry(trace.Inject(ctx), h, req, digest)
+	}
+	return api.Submission{Ended: h.ended, Outcome: func() job.Outcome { return h.outcome }}, job.Outcome{}
+}
+
+// carry brings a request to its outcome.
+func (v *VM) carry(traceparent string, h *inHand, req job.Request, digest string) {
+	ctx, span := v.Tracer.Start(trace.Extract(context.Background(), traceparent), "route")
+	outcome := v.router.Run(ctx, req, digest)
+	span.End(string(outcome.Code))
+	switch outcome.Result {
+	case job.Done:
+		v.Metrics.Add(metrics.RequestsDone, 1)
+	case job.NotRun:
+		v.Metrics.Add(metrics.RequestsNotRun, 1)
+	default:
+		v.Metrics.Add(metrics.RequestsUnknown, 1)
+	}
+	v.directory.end(h, outcome)
+}
+
+// onRun runs a request on this VM's racks for another receiver.
+func (v *VM) onRun(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var call router.RunCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, err
+	}
+	ctx, span := v.Tracer.Start(ctx, "dispatch", "request", call.Request.Key().String())
+	outcome, err := v.dispatcher.Submit(ctx, call.Request, call.Digest)
+	span.End(string(outcome.Code))
+	if errors.Is(err, dispatch.ErrRequestConflict) {
+		return nil, &peer.ErrRefused{Code: job.CodeRequestIDConflict, Detail: err.Error()}
+	}
+	return outcome, err
+}
+
+// find looks for a request on this VM's racks.
+func (v *VM) find(ctx context.Context, key job.Key) (router.FindReply, error) {
+	outcome, found, ended, err := v.dispatcher.Find(ctx, key)
+	return router.FindReply{Found: found, Ended: ended, Outcome: outcome}, err
+}
+
+func (v *VM) onFind(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var call router.FindCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, err
+	}
+	if h, ok := v.directory.find(call.Key); ok && call.Receivers {
+		reply := router.FindReply{Found: true, Ended: h.isEnded()}
+		if reply.Ended {
+			reply.Outcome = h.outcome
+		}
+		return reply, nil
+	}
+	return v.find(ctx, call.Key)
+}
+
+func (v *VM) onCancel(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	var call router.FindCall
+	if err := cbor.Unmarshal(body, &call); err != nil {
+		return nil, err
+	}
+	return v.dispatcher.Cancel(ctx, call.Key)
+}
+
+// findRequest looks for a request at this receiver, at every other entry VM, and in the claim ledger.
+func (v *VM) findRequest(ctx context.Context, key job.Key) (message.Request, bool, error) {
+	reply := message.Request{Key: key, State: message.RequestRunning}
+	if h, ok := v.directory.find(key); ok {
+		if h.isEnded() {
+			reply.State, reply.Outcome = message.RequestEnded, &h.outcome
+		}
+		return reply, true, nil
+	}
+	found, missing := v.router.Lookup(ctx, key)
+	if found.Found {
+		if found.Ended {
+			reply.State, reply.Outcome = message.RequestEnded, &found.Outcome
+		}
+		return reply, true, nil
+	}
+	record, err := v.ledger.Get(ctx, key)
+	switch {
+	case claim.IsErrClaimNotExist(err):
+		return reply, false, missing
+	case err != nil:
+		return reply, false, err
+	}
+	if record.State == claim.StateClaimed {
+		return reply, true, nil
+	}
+	outcome := recordedOutcome(record)
+	reply.State, reply.Outcome = message.RequestEnded, &outcome
+	return reply, true, nil
+}
+
+// recordedOutcome is what the ledger tells of a request whose answer no entry VM has any more.
+func recordedOutcome(record claim.Record) job.Outcome {
+	if record.State == claim.StateNotRun {
+		return job.NewNotRun(record.Key, job.CodeOwnerLost, "the last attempt never started", job.Duration(time.Second))
+	}
+	return job.NewUnknown(record.Key, job.CodeAnswerLost, "send the request again with the same id to have its answer fetched")
+}
+
+// cancelRequest cancels a request wherever it is.
+func (v *VM) cancelRequest(ctx context.Context, key job.Key) (message.Cancelled, bool) {
+	v.Metrics.Add(metrics.RequestsCancelled, 1)
+	known := v.router.CancelAll(ctx, key)
+	h, ok := v.directory.find(key)
+	if !ok {
+		return message.Cancelled{}, known
+	}
+	select {
+	case <-h.ended:
+	case <-v.Clock.After(cancelWait):
+	}
+	stopped := h.isEnded() && h.outcome.Result == job.NotRun
+	return message.Cancelled{StoppedBeforeStart: stopped}, true
+}
+
+// cancelWait is how long a cancellation waits for its effect to be known.
+const cancelWait = 2 * time.Second
+
+// anchorCache has the anchors of the view that they were computed from.
+type anchorCache struct {
+	last atomic.Pointer[cachedAnchors]
+}
+
+type cachedAnchors struct {
+	view    *config.View
+	anchors []placement.Anchor
+}
+
+// of returns the anchors of a view.
+func (c *anchorCache) of(view *config.View) []placement.Anchor {
+	if last := c.last.Load(); last != nil && last.view == view {
+		return last.anchors
+	}
+	next := &cachedAnchors{view: view, anchors: placement.Anchors(view.Bundle(), view.IsOut)}
+	c.last.Store(next)
+	return next.anchors
+}
+
+// everFits reports whether some rack of the bundle could run the request when empty.
+func (v *VM) everFits(req job.Request) bool {
+	view := v.view.Load()
+	return placement.EverFits(view.Bundle(), v.anchors.of(view), req.Organisation, req.Shape, req.Idempotent)
+}
--- /dev/null
+++ b/entry/run.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"clementinepier/metrics"
+	"clementinepier/platform"
+	"clementinepier/settings"
+	"clementinepier/trace"
+)
+
+// Run runs an entry VM on the platform that its settings name, until ctx ends and it has drained.
+func Run(ctx context.Context, s *settings.Settings) error {
+	file := ""
+	if s.TraceOutput() == settings.TraceFile {
+		file = s.TraceFile()
+	}
+	tracer, err := trace.New(s.Name(), file)
+	if err != nil {
+		return err
+	}
+	counters := &metrics.Set{}
+	counters.Publish()
+	options := platform.Options{Address: s.PlatformAddress()}
+	vm := &VM{
+		Settings: s, Clock: clockwork.NewRealClock(), Store: platform.NewStore(options),
+		Directory: platform.NewDirectory(options), Metrics: counters, Tracer: tracer,
+	}
+	return vm.Run(ctx.Done())
+}
--- a/main.go
+++ b/main.go
@@ -5,6 +5,11 @@
 	"os"
 
 	"clementinepier/cmd"
+	"clementinepier/entry"
 )
 
-func main() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	program := cmd.New()
+	program.Entry = entry.Run
+	os.Exit(program.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/peer/handshake.go
+++ b/peer/handshake.go
@@ -41,6 +41,16 @@
 	return mac.Sum(nil)
 }
 
+// verify accepts a proof made with any of the secrets, so that a secret can be replaced while both are known.
+func verify(given []byte, secrets [][]byte, role string, dialer, listener hello) bool {
+	for _, secret := range secrets {
+		if hmac.Equal(given, proof(secret, role, dialer, listener)) {
+			return true
+		}
+	}
+	return false
+}
+
 func newNonce() []byte {
 	nonce := make([]byte, nonceSize)
 	_, _ = rand.Read(nonce)
@@ -48,7 +58,7 @@
 }
 
 // dialHandshake authenticates the listener and proves this side; it returns the listener's identity.
-func dialHandshake(ctx context.Context, c *conn, self Identity, secret []byte) (Identity, error) {
+func dialHandshake(ctx context.Context, c *conn, self Identity, secrets [][]byte) (Identity, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	mine := hello{Identity: self, Nonce: newNonce()}
@@ -59,15 +69,15 @@
 	if err := c.read(ctx, &theirs); err != nil {
 		return Identity{}, errors.Wrap(err, "receive hello")
 	}
-	if !hmac.Equal(theirs.Proof, proof(secret, roleListener, mine, theirs)) {
+	if !verify(theirs.Proof, secrets, roleListener, mine, theirs) {
 		return Identity{}, errors.New("the listener does not know the peer secret")
 	}
-	answer := hello{Identity: self, Proof: proof(secret, roleDialer, mine, theirs)}
+	answer := hello{Identity: self, Proof: proof(secrets[0], roleDialer, mine, theirs)}
 	return theirs.Identity, errors.Wrap(c.write(ctx, answer), "send proof")
 }
 
 // acceptHandshake is the listener's side of dialHandshake.
-func acceptHandshake(ctx context.Context, c *conn, self Identity, secret []byte) (Identity, error) {
+func acceptHandshake(ctx context.Context, c *conn, self Identity, secrets [][]byte) (Identity, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	var theirs hello
@@ -78,7 +88,7 @@
 		return Identity{}, errors.New("hello without a nonce")
 	}
 	mine := hello{Identity: self, Nonce: newNonce()}
-	mine.Proof = proof(secret, roleListener, theirs, mine)
+	mine.Proof = proof(secrets[0], roleListener, theirs, mine)
 	if err := c.write(ctx, mine); err != nil {
 		return Identity{}, errors.Wrap(err, "send hello")
 	}
@@ -86,7 +96,7 @@
 	if err := c.read(ctx, &answer); err != nil {
 		return Identity{}, errors.Wrap(err, "receive proof")
 	}
-	if !hmac.Equal(answer.Proof, proof(secret, roleDialer, theirs, mine)) {
+	if !verify(answer.Proof, secrets, roleDialer, theirs, mine) {
 		return Identity{}, errors.New("the dialer does not know the peer secret")
 	}
 	return theirs.Identity, nil
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -35,9 +35,10 @@
 
 // Hub holds the links of one entry VM. Set the exported fields before Run.
 type Hub struct {
-	Self   Identity
-	Secret []byte
-	Clock  clockwork.Clock
+	Self Identity
+	// Secrets has at least one secret that the entry VMs share. Own proofs use the first; any is accepted.
+	Secrets [][]byte
+	Clock   clockwork.Clock
 	// Handlers must hold every kind this VM serves; it is not changed after Run.
 	Handlers map[Kind]Handler
 	// MaxCalls bounds the calls served at a time; 0 means the default.
@@ -136,7 +137,7 @@
 	ctx, cancel := context.WithCancel(h.ctx)
 	defer cancel()
 	c := newConn(ws)
-	from, err := acceptHandshake(ctx, c, h.Self, h.Secret)
+	from, err := acceptHandshake(ctx, c, h.Self, h.Secrets)
 	if err != nil {
 		h.Counters.HandshakesFailed.Add(1)
 		return
--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -21,7 +21,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Hub{
 		Self:     Identity{VM: vm, FailureDomain: "tunis-a", BootID: vm + "-1"},
-		Secret:   []byte(secret),
+		Secrets:  [][]byte{[]byte(secret)},
 		Clock:    clockwork.NewRealClock(),
 		Handlers: handlers,
 		MaxCalls: 16,
--- a/peer/link.go
+++ b/peer/link.go
@@ -75,7 +75,7 @@
 	}
 	defer func() { _ = ws.CloseNow() }()
 	c := newConn(ws)
-	identity, err := dialHandshake(ctx, c, l.hub.Self, l.hub.Secret)
+	identity, err := dialHandshake(ctx, c, l.hub.Self, l.hub.Secrets)
 	if err != nil || identity.VM != l.vm {
 		l.hub.Counters.HandshakesFailed.Add(1)
 		return false
