--- a/api/requests.go
+++ b/api/requests.go
@@ -87,7 +87,9 @@
 	case <-a.DrainEnd:
 	}
 	span.End("")
-	c.JSON(http.StatusAccepted, message.Request{Key: req.Key(), State: message.RequestRunning})
+	c.JSON(http.StatusAccepted, message.Request{
+		Key: req.Key(), State: message.RequestRunning, Durable: a.Keep(ctx, req.Key()),
+	})
 }
 
 // refusal is why a request body was refused.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -26,7 +26,7 @@
 // serveCallers serves callers and operators.
 func (v *VM) serveCallers(listener net.Listener) *api.API {
 	a := &api.API{
-		Clock: v.Clock, Tracer: v.Tracer, View: v.view.Load, EverFits: v.everFits, Submit: v.submit, Find: v.findRequest,
+		Clock: v.Clock, Tracer: v.Tracer, View: v.view.Load, EverFits: v.everFits, Submit: v.submit, Keep: v.keep, Find: v.findRequest,
 		Cancel: v.cancelRequest, Roll: v.roll, Order: v.order, Change: v.changeProgress, Status: v.status,
 		Draining: v.draining.Load, DrainEnd: v.drainEnd,
 		MaxBodySize: v.Settings.BodySize(), MaxHeaderSize: v.Settings.HeaderSize(), MaxConnections: v.Settings.Connections(),
--- a/entry/loops.go
+++ b/entry/loops.go
@@ -27,7 +27,8 @@
 		v.keepRegistered,
 		v.followDirectory,
 		v.every(v.Settings.HeartbeatInterval(), v.sendHeartbeats),
-		v.every(pruneInterval, func(context.Context) { v.directory.prune() }),
+		v.adoptRequests,
+		v.every(pruneInterval, v.release),
 		v.every(ownershipInterval, func(context.Context) { v.board.Post(v.evaluateOwnership) }),
 	} {
 		end := make(chan error, 1)
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -32,8 +32,12 @@
 
 // inHand is one request that this VM received.
 type inHand struct {
-	digest string
-	ended  chan struct{}
+	request  job.Request
+	digest   string
+	deadline time.Time
+	// kept is true once the journal has the request; it is guarded by the directory.
+	kept  bool
+	ended chan struct{}
 	// outcome is set before ended is closed.
 	outcome job.Outcome
 	endedAt time.Time
@@ -63,18 +67,18 @@
 
 // take returns the request in hand, creating it if there is none; created tells which. It returns nil when the id is
 // in use for another request.
-func (d *requestDirectory) take(key job.Key, digest string, idempotent bool) (h *inHand, created bool) {
+func (d *requestDirectory) take(req job.Request, digest string, deadline time.Time) (h *inHand, created bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h, ok := d.byKey[key]
+	h, ok := d.byKey[req.Key()]
 	if ok && h.digest != digest {
 		return nil, false
 	}
-	if ok && (!h.isEnded() || !mayRunAgain(h.outcome, idempotent)) {
+	if ok && (!h.isEnded() || !mayRunAgain(h.outcome, req.Idempotent)) {
 		return h, false
 	}
-	h = &inHand{digest: digest, ended: make(chan struct{})}
-	d.byKey[key] = h
+	h = &inHand{request: req, digest: digest, deadline: deadline, ended: make(chan struct{})}
+	d.byKey[req.Key()] = h
 	d.open++
 	return h, true
 }
@@ -112,16 +116,29 @@
 	return len(d.byKey) >= maxRequests
 }
 
-// prune drops outcomes that were kept long enough.
-func (d *requestDirectory) prune() {
+// setKept records that the journal has the request.
+func (d *requestDirectory) setKept(h *inHand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.kept = true
+}
+
+// prune drops outcomes that were kept long enough and returns the keys of those that the journal has.
+func (d *requestDirectory) prune() []job.Key {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var kept []job.Key
 	now := d.clock.Now()
 	for key, h := range d.byKey {
-		if h.isEnded() && now.Sub(h.endedAt) > outcomeRetention {
-			delete(d.byKey, key)
+		if !h.isEnded() || now.Sub(h.endedAt) <= outcomeRetention {
+			continue
+		}
+		delete(d.byKey, key)
+		if h.kept {
+			kept = append(kept, key)
 		}
 	}
+	return kept
 }
 
 // submit takes a request in hand. The request goes on when the caller's connection breaks, so that its retry finds
@@ -131,7 +148,7 @@
 	if v.directory.full() {
 		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeOverloaded, "this entry VM has too many requests in hand", job.Duration(time.Second))
 	}
-	h, created := v.directory.take(req.Key(), digest, req.Idempotent)
+	h, created := v.directory.take(req, digest, v.Clock.Now().Add(req.Timeout.Std()))
 	if h == nil {
 		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeRequestIDConflict, "the id was used for another request", 0)
 	}
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -22,6 +22,7 @@
 	"clementinepier/config"
 	"clementinepier/dispatch"
 	"clementinepier/gang"
+	"clementinepier/journal"
 	"clementinepier/membership"
 	"clementinepier/metrics"
 	"clementinepier/peer"
@@ -59,6 +60,7 @@
 	ledger     *claim.Ledger
 	workers    *workerClients
 	directory  *requestDirectory
+	journal    *journal.Journal
 	// owners is replaced by the control goroutine and read by traffic.
 	owners atomic.Pointer[router.Owners]
 	// view is the board's view, for traffic.
@@ -132,6 +134,7 @@
 	v.rollouts.byID = map[string]*rollout{}
 	v.workers = newWorkerClients(v.Clock)
 	v.directory = newRequestDirectory(v.Clock)
+	v.journal = &journal.Journal{Store: v.Store, Receiver: v.self.VM}
 	v.board = board.New(v.newState(empty))
 	v.buildHub()
 	v.ledger = claim.NewLedger(v.Store, v.Clock)
--- a/message/message.go
+++ b/message/message.go
@@ -109,6 +109,9 @@
 type Request struct {
 	Key   job.Key      `json:"key"`
 	State RequestState `json:"state"`
+	// Durable means that the request goes on even if the entry VM that took it is lost. Otherwise the caller should
+	// send it again with the same id when it finds that no entry VM has it.
+	Durable bool `json:"durable,omitempty"`
 	// Outcome is set when State is RequestEnded.
 	Outcome *job.Outcome `json:"outcome,omitempty"`
 }
