--- a/claim/book.go
+++ b/claim/book.go
@@ -221,10 +221,19 @@
 	}
 	s.view, s.known, s.fresh = v, true, true
 	for _, p := range s.pending {
-		// A lost write that is not in a later version can no longer take effect.
-		if p.doubtful && p.doubtfulAt != v.version {
-			p.doubtful = false
+		if !p.doubtful || p.doubtfulAt == v.version {
+			continue
+		}
+		// A later version tells whether the lost write took effect. If it did, the record is there or was changed
+		// since; if it did not, it can no longer do so.
+		var current *Record
+		if e, ok := v.records[p.key]; ok {
+			current = &e.record
+		}
+		if record, err := p.decide(current); record == nil {
+			p.finish(err)
 		}
+		p.doubtful = false
 	}
 }
 
