--- a/standin/main.go
+++ b/standin/main.go
@@ -12,6 +12,8 @@
 	Platform *platformCommand `arg:"subcommand:platform" help:"serve the platform stand-in"`
 	Worker   *workerCommand   `arg:"subcommand:worker" help:"serve a worker stand-in"`
 	Call     *callCommand     `arg:"subcommand:call" help:"send one call to a stand-in and print the reply"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"send requests to entry VMs and check the answers"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"compare the results of a load with the run logs of the workers"`
 }
 
 // Description implements arg.Described.
@@ -29,6 +31,10 @@
 		return a.Worker
 	case a.Call != nil:
 		return a.Call
+	case a.Load != nil:
+		return a.Load
+	case a.Check != nil:
+		return a.Check
 	}
 	return nil
 }
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -108,3 +108,13 @@
 	close(release)
 	is.NoErr(<-first)
 }
+
+// Guards against an answer whose digest was made after it was cut: the length still tells.
+func TestAnswerLengthIsChecked(t *testing.T) {
+	is := is.New(t)
+	id := job.TaskID{Organisation: "o", RequestID: "r", Attempt: 1}
+	reply := AnswerReply{ID: id, Answer: []byte("cut"), Length: 3, Digest: Digest([]byte("cut"))}
+	is.NoErr(reply.Check(id))
+	reply.Length = 6
+	is.True(IsErrAnswerDamaged(reply.Check(id)))
+}
