--- a/placement/domain.go
+++ b/placement/domain.go
@@ -67,18 +67,17 @@
 	started int
 }
 
-// Take reports whether a request with this number of tasks may start now, and counts it if so. A gang larger than what
-// has been allowed so far still starts once anything is allowed, so that it does not wait for the whole window.
-func (r *Ramp) Take(now time.Time, tasks int) bool {
+// Allows reports whether another request may start now. A gang larger than what has been allowed so far still starts
+// once anything is allowed, so that it does not wait for the whole window.
+func (r *Ramp) Allows(now time.Time) bool {
 	passed := now.Sub(r.Back)
 	if passed >= r.Window {
 		return true
 	}
 	t := max(0, passed.Seconds())
 	allowed := 1 + r.First*t + (r.Last-r.First)*t*t/(2*r.Window.Seconds())
-	if float64(r.started)+1 > allowed {
-		return false
-	}
-	r.started += tasks
-	return true
+	return float64(r.started)+1 <= allowed
 }
+
+// Started records that a request with this number of tasks started.
+func (r *Ramp) Started(tasks int) { r.started += tasks }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -89,6 +89,8 @@
 	p, err = w.submit(need("p", "again", shape(1, 1), true))
 	is.NoErr(err)
 	is.True(p.Result == Placed && p.Borrowed)
+	is.True(w.c.InShare(need("o", "own", shape(1, 8), false), w.racks)) // though it has to be reclaimed
+	is.True(!w.c.InShare(need("p", "own", shape(1, 8), false), w.racks))
 	p, err = w.submit(need("o", "own", shape(1, 8), false))
 	is.NoErr(err)
 	is.True(p.Result == Placed && p.Anchored)
@@ -267,7 +269,8 @@
 	r := &Ramp{Back: start, Window: 10 * time.Second, First: 1, Last: 11}
 	perSecond := make([]int, 11)
 	for tenth := range 110 {
-		for r.Take(start.Add(time.Duration(tenth)*100*time.Millisecond), 1) && perSecond[tenth/10] < 100 {
+		for r.Allows(start.Add(time.Duration(tenth)*100*time.Millisecond)) && perSecond[tenth/10] < 100 {
+			r.Started(1)
 			perSecond[tenth/10]++
 		}
 	}
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -51,24 +51,51 @@
 	victims         []*request
 }
 
-// reclaimIn finds the cheapest block in one rack: all tasks on one worker if any has room for them, otherwise the
-// workers with the least lost work per task.
-func reclaimIn(c *Cluster, now time.Time, n Need, r *rack) (*reclaim, time.Duration) {
+// InShare reports whether the need fits what its organisation does not use of its anchors in one of the racks. Such a
+// need starts within the reclaim bound, whatever others borrow.
+func (c *Cluster) InShare(n Need, racks []string) bool {
+	for _, name := range racks {
+		if r, ok := c.racks[name]; ok && r.shareHosts(n) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// shareHosts returns how many tasks fit the unused anchors of the organisation on each worker, nil when too few do.
+func (r *rack) shareHosts(n Need) []int {
 	task := perTask(n.Shape)
+	total := 0
+	for _, w := range r.nodes {
+		total += w.shareHosts(n, task)
+	}
+	if total < n.Shape.Tasks {
+		return nil
+	}
 	hosts := make([]int, len(r.nodes))
-	total, most := 0, 0
 	for i, w := range r.nodes {
-		if !w.usable() || slices.Contains(n.Avoid, w.name) {
-			continue
-		}
-		s := w.share(n.Key.Organisation)
-		hosts[i] = s.anchored.minus(s.used).fits(task)
-		total += hosts[i]
-		most = max(most, hosts[i])
+		hosts[i] = w.shareHosts(n, task)
 	}
-	if total < n.Shape.Tasks {
+	return hosts
+}
+
+func (n *node) shareHosts(need Need, task amount) int {
+	if !n.usable() || slices.Contains(need.Avoid, n.name) {
+		return 0
+	}
+	s := n.share(need.Key.Organisation)
+	return s.anchored.minus(s.used).fits(task)
+}
+
+// reclaimIn finds the cheapest block in one rack: all tasks on one worker if any has room for them, otherwise the
+// workers with the least lost work per task.
+func reclaimIn(c *Cluster, now time.Time, n Need, r *rack) (*reclaim, time.Duration) {
+	task := perTask(n.Shape)
+	hosts := r.shareHosts(n)
+	if hosts == nil {
 		return nil, 0
 	}
+	most := slices.Max(hosts)
 	q := &reclaim{need: n, rack: r, at: now}
 	chosen := map[*request]bool{}
 	var cost time.Duration
