--- a/bundle/keyring.go
+++ b/bundle/keyring.go
@@ -94,7 +94,7 @@
 	return o.Order.Check()
 }
 
-// check verifies one signature. The zero time skips the check of not-after.
+// check verifies one signature. The zero time is before every not-after time.
 func (k *Keyring) check(role Role, s Signature, message []byte, now time.Time) error {
 	key, known := k.keys[s.Key]
 	switch {
@@ -102,7 +102,7 @@
 		return &ErrKeyNotTrusted{Key: s.Key, Role: role, Reason: "the key is not among the trusted keys"}
 	case len(key.roles) > 0 && !slices.Contains(key.roles, role):
 		return &ErrKeyNotTrusted{Key: s.Key, Role: role, Reason: "the key is trusted for other roles only"}
-	case !now.IsZero() && !key.notAfter.IsZero() && now.After(key.notAfter):
+	case !key.notAfter.IsZero() && now.After(key.notAfter):
 		reason := "the key signs no new changes since " + key.notAfter.UTC().Format(time.RFC3339)
 		return &ErrKeyNotTrusted{Key: s.Key, Role: role, Reason: reason}
 	case !ed25519.Verify(key.public, message, s.Value):
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"strings"
 	"time"
 
@@ -191,17 +192,29 @@
 		return err
 	}
 	if response.StatusCode/100 == 2 {
-		return errors.Wrap(json.Unmarshal(data, out), "answer cannot be decoded")
+		return errors.Wrap(decodeInto(out, data), "answer cannot be decoded")
 	}
 	// A request that ended without success can come with an error status, but has its outcome as body.
-	if outcome, isOutcome := out.(*job.Outcome); isOutcome && json.Unmarshal(data, outcome) == nil && outcome.Result != "" {
-		if outcome.Code != job.CodeStopping {
+	if outcome, isOutcome := out.(*job.Outcome); isOutcome {
+		var ended job.Outcome
+		if json.Unmarshal(data, &ended) == nil && ended.Result != "" && ended.Code != job.CodeStopping {
+			*outcome = ended
 			return nil
 		}
 	}
 	return &ErrRefused{Entry: entry, Status: response.StatusCode, Reply: decodeError(response.StatusCode, data)}
 }
 
+// decodeInto replaces what out points to, so that nothing of an earlier, unusable answer remains.
+func decodeInto(out any, data []byte) error {
+	fresh := reflect.New(reflect.TypeOf(out).Elem())
+	if err := json.Unmarshal(data, fresh.Interface()); err != nil {
+		return err
+	}
+	reflect.ValueOf(out).Elem().Set(fresh.Elem())
+	return nil
+}
+
 func decodeError(status int, data []byte) message.Error {
 	var reply message.Error
 	if json.Unmarshal(data, &reply) == nil && reply.Code != "" {
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -39,8 +40,11 @@
 
 // New returns the program with its real dependencies and without Entry.
 func New() *Program {
-	// Connections are not reused: after a lost answer the transport would otherwise repeat calls by itself.
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{
+		DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext,
+		// The transport repeats some calls by itself when a reused connection breaks; retries are counted here.
+		DisableKeepAlives: true,
+	}
 	return &Program{
 		Clock:  clockwork.NewRealClock(),
 		HTTP:   &http.Client{Transport: transport},
@@ -115,6 +119,9 @@
 		_, _ = fmt.Fprintln(stderr, "error:", err)
 		return ExitFailed
 	}
+	if len(args) == 1 && args[0] == "--version" {
+		args = []string{"version"}
+	}
 	err = parser.Parse(args)
 	command, runnable := parser.Subcommand().(subcommand)
 	switch {
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -226,5 +226,5 @@
 	is.True(!strings.Contains(r.out, "ssss"))
 	is.Equal(run(p, "entry", "--settings", "settings.toml").code, cmd.ExitFailed)
 	is.Equal(started, "entry-1")
-	is.Equal(run(p, "version").code, 0)
+	is.Equal(run(p, "version"), run(p, "--version"))
 }
--- a/cmd/online_test.go
+++ b/cmd/online_test.go
@@ -34,6 +34,9 @@
 	request  message.Request
 	// loseAnswers is how many answers to changes and requests are lost after they took effect.
 	loseAnswers int
+	// unknownChange is how many calls for a change are answered as if it did not exist.
+	unknownChange int
+	noConfig      bool
 	// refuse is the reply to the next calls that would change something; status 0 means none.
 	refuse       message.Error
 	refuseStatus int
@@ -88,9 +91,14 @@
 			lose()
 		}
 	case path == message.PathConfig:
+		if f.noConfig {
+			reply(http.StatusServiceUnavailable, message.Error{Code: job.CodeNoConfiguration, Detail: "no configuration"})
+			return
+		}
 		reply(http.StatusOK, f.config)
 	case strings.HasPrefix(path, "/api/v1/changes/"):
-		if len(f.accepted) == 0 {
+		if f.unknownChange > 0 || len(f.accepted) == 0 {
+			f.unknownChange--
 			reply(http.StatusNotFound, message.Error{Code: "no-change", Detail: "change does not exist"})
 			return
 		}
@@ -179,7 +187,10 @@
 		"one VM is late":                {&fakeEntry{progress: notConfirmed(true)}, "", cmd.ExitNotEverywhere, "acknowledged at revision 1, but " + named, 1},
 		"not acknowledged":              {&fakeEntry{progress: notConfirmed(false)}, "", cmd.ExitNotYetInForce, named, 1},
 		"progress as JSON":              {&fakeEntry{progress: notConfirmed(true)}, "--json", cmd.ExitNotEverywhere, `"missing": [`, 1},
-		"rerun of an accepted change":   {&fakeEntry{progress: inForce(), accepted: []string{"c1"}}, "--change-id c1", 0, "in force everywhere at revision 1\n", 1},
+		"first bundle":                  {&fakeEntry{progress: inForce(), noConfig: true}, "", 0, "in force everywhere at revision 1\n", 1},
+		"rerun of a change in config":   {&fakeEntry{progress: inForce(), accepted: []string{"c1"}, unknownChange: 1, loseAnswers: 1000, config: message.Config{ChangeID: "c1"}}, "--change-id c1", 0, "in force everywhere at revision 1\n", 1},
+		"rerun of a change before last": {&fakeEntry{progress: inForce(), accepted: []string{"c1"}, unknownChange: 1, config: message.Config{ChangeID: "c2", BundleRevision: 1}}, "--change-id c1", 0, "in force everywhere at revision 1\n", 1},
+		"rerun of an accepted change":   {&fakeEntry{progress: inForce(), accepted: []string{"c1"}, loseAnswers: 1000}, "--change-id c1", 0, "in force everywhere at revision 1\n", 1},
 		"rerun of a change not arrived": {&fakeEntry{progress: inForce()}, "--change-id c1", 0, "in force everywhere at revision 1\n", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -190,6 +201,7 @@
 			t.Log(r.out, r.errors)
 			is.Equal(r.code, test.code)
 			is.True(strings.Contains(r.out+r.errors, test.want))
+			is.True(!test.entry.noConfig || !strings.Contains(r.errors, "trying again")) // waiting brings no first bundle
 			test.entry.mu.Lock()
 			defer test.entry.mu.Unlock()
 			is.Equal(len(test.entry.accepted), test.accepted)
@@ -275,7 +287,8 @@
 			test.entry.mu.Lock()
 			defer test.entry.mu.Unlock()
 			is.True(test.sent < 0 || len(test.entry.requests) == test.sent)
-			for _, request := range test.entry.requests {
+			for i, request := range test.entry.requests {
+				is.True(i == 0 || request.Timeout == 0 || request.Timeout < test.entry.requests[i-1].Timeout)
 				is.Equal(request.ID, test.entry.requests[0].ID)
 				is.Equal(string(request.Payload), "payload")
 				is.Equal(request.Shape, job.Shape{Tasks: 1, Accelerators: 2, Slots: 1})
@@ -316,9 +329,18 @@
 		})
 	}
 	is := is.New(t)
+	other := &fakeEntry{refuse: message.Error{Code: job.CodeBadRequest}, refuseStatus: 400, refuseTimes: 1}
+	r := run(program(), "request", "submit", "--service", "s", "--token-file", "token", "--entry", start(t, other), "--entry", entry)
+	is.Equal(r.code, cmd.ExitRefused)
+	is.Equal(len(f.requests), 0) // a refusal for good must not be tried elsewhere
+	stopping := &fakeEntry{refuse: message.Error{Code: job.CodeStopping}, refuseStatus: 503, refuseTimes: 1}
+	f.outcome = job.Outcome{Result: job.Done, Answer: []byte("the answer")}
+	r = run(program(), "request", "submit", "--service", "s", "--token-file", "token", "--entry", start(t, stopping), "--entry", entry)
+	is.Equal(r.out, "the answer")
+	is.True(!strings.Contains(r.errors, "trying again")) // the next entry VM is tried without a pause
 	is.Equal(run(program(), "request", "show", "r1", "--token-file", "bundle.toml", "--entry", entry).code, cmd.ExitInvalid)
 	is.NoErr(os.WriteFile("token", []byte("other-token"), 0o600))
-	r := run(program(), "request", "show", "r1", "--token-file", "token", "--entry", entry)
+	r = run(program(), "request", "show", "r1", "--token-file", "token", "--entry", entry)
 	is.Equal(r.code, cmd.ExitRefused)
 	is.True(!strings.Contains(r.errors, "other-token")) // the token is not shown
 	r = run(program(), "status", "--entry", entry, "--entry", silent(t))
--- a/settings/check.go
+++ b/settings/check.go
@@ -104,21 +104,19 @@
 		return
 	}
 	c.keyring = keyring
-	may := func(role bundle.Role) (n int) {
-		for _, t := range trusted {
+	may := map[bundle.Role][]int{}
+	for _, role := range []bundle.Role{bundle.RoleAuthor, bundle.RoleReviewer, bundle.RoleOperator} {
+		for i, t := range trusted {
 			if len(t.Roles) == 0 || slices.Contains(t.Roles, role) {
-				n++
+				may[role] = append(may[role], i)
 			}
 		}
-		return n
-	}
-	for _, role := range []bundle.Role{bundle.RoleAuthor, bundle.RoleReviewer, bundle.RoleOperator} {
-		if may(role) == 0 {
+		if len(may[role]) == 0 {
 			c.add("keys", "no trusted key may sign as %s", role)
 		}
 	}
-	if len(trusted) == 1 {
-		c.add("keys", "author and reviewer need two different keys; only one is trusted")
+	if authors := may[bundle.RoleAuthor]; len(authors) == 1 && slices.Equal(authors, may[bundle.RoleReviewer]) {
+		c.add("keys", "only one trusted key may sign as author or reviewer; a bundle needs two different keys")
 	}
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,6 +36,9 @@
 				return key(byte(i)).Trusted(role), nil
 			}
 		}
+		if path == "both.pub" {
+			return key(9).Trusted(bundle.RoleAuthor, bundle.RoleReviewer), nil
+		}
 		return bundle.TrustedKey{}, errors.New("no such file")
 	},
 	Secret: func(path string) (string, error) {
@@ -113,6 +116,7 @@
 		{`"author.key.pub"`, `"lost.pub"`, `keys.trusted-files[0]: no such file`},
 		{`"author.key.pub"`, `"operator.key.pub"`, `is in the keyring more than once`},
 		{`trusted-files = [`, `trusted-files = [] # [`, `keys: no trusted key may sign as operator`},
+		{`"author.key.pub", "reviewer.key.pub"`, `"both.pub"`, `keys: only one trusted key may sign as author or reviewer`},
 		{"#[[keys.trusted]]", "[[keys.trusted]]\npublic-key = 'x'", `keys.trusted[0]: public-key must be`},
 		{`secret-files = ["peer.secret"]`, ``, `peers: secret-files or secrets must have`},
 		{`"peer.secret"`, `"lost"`, `peers.secret-files[0]: no such file`},
