--- a/cmd/online_test.go
+++ b/cmd/online_test.go
@@ -31,7 +31,9 @@
 	orders   []bundle.SignedOrder
 	requests []job.Request
 	outcome  job.Outcome
-	request  message.Request
+	// outcomeStatus is the HTTP status of the outcome; 0 means OK.
+	outcomeStatus int
+	request       message.Request
 	// loseAnswers is how many answers to changes and requests are lost after they took effect.
 	loseAnswers int
 	// unknownChange is how many calls for a change are answered as if it did not exist.
@@ -112,7 +114,7 @@
 		f.decode(r, &request)
 		f.requests = append(f.requests, request)
 		lose()
-		reply(http.StatusOK, f.outcome)
+		reply(max(http.StatusOK, f.outcomeStatus), f.outcome)
 	case r.Method == http.MethodDelete:
 		reply(http.StatusOK, message.Cancelled{StoppedBeforeStart: true})
 	case path == "/api/v1/requests/r1":
@@ -268,6 +270,7 @@
 		"all answers lost": {&fakeEntry{loseAnswers: 1000}, "--timeout 1s --id r7", cmd.ExitNoAnswer, "", -1},
 		"stopping":         {&fakeEntry{outcome: outcome(job.Done, ""), refuse: stopping, refuseStatus: 503, refuseTimes: 1}, "", 0, "the answer", 1},
 		"not run":          {&fakeEntry{outcome: outcome(job.NotRun, job.CodeOverloaded)}, "", cmd.ExitNotRun, "", 1},
+		"not run, 503":     {&fakeEntry{outcome: outcome(job.NotRun, job.CodeStoreUnavailable), outcomeStatus: 503}, "", cmd.ExitNotRun, "", 1},
 		"unknown":          {&fakeEntry{outcome: outcome(job.Unknown, job.CodeWorkerLost)}, "", cmd.ExitUnknown, "", 1},
 		"no result":        {&fakeEntry{}, "", cmd.ExitUnknown, "", 1},
 		"task failed":      {&fakeEntry{outcome: outcome(job.Done, job.CodeTaskFailed)}, "", cmd.ExitTaskFailed, "", 1},
