--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -197,10 +197,12 @@
 	return existing(err)
 }
 
-// Advance claims the attempt after fromAttempt, whose record must have state StateNotRun. Its results are those of
-// Claim.
+// Advance claims a later attempt than fromAttempt, whose record must have state StateNotRun. Numbers between the two
+// are those of attempts that were given up before their claim; a number that is not later becomes the next one. Its
+// results are those of Claim.
 func (l *Ledger) Advance(ctx context.Context, key job.Key, fromAttempt int, next Record) (*Record, error) {
-	next.Key, next.Attempt, next.State, next.At = key, fromAttempt+1, StateClaimed, l.now()
+	next.Key, next.State, next.At = key, StateClaimed, l.now()
+	next.Attempt = max(next.Attempt, fromAttempt+1)
 	err := l.do(ctx, key, func(current *Record) (*Record, error) {
 		switch {
 		case current == nil:
