--- a/board/state.go
+++ b/board/state.go
@@ -10,6 +10,7 @@
 	"clementinepier/placement"
 	"clementinepier/platform"
 	"clementinepier/queue"
+	"clementinepier/quota"
 )
 
 // State is what the controllers of one entry VM share. Only changes run by the board may touch it.
@@ -40,6 +41,9 @@
 	Queue   *queue.Queue
 	Breaker *breaker.Breaker
 	Retries *breaker.RetryBudget
+	Quota   *quota.Splitter
+	// Demands is this VM's latest report to Quota.
+	Demands []Demand
 	// Back is when this failure domain last came back into service in this view.
 	Back time.Time
 	// Draining is true once the process has been asked to stop.
@@ -59,8 +63,13 @@
 	// Racks describes the racks that the VM owns.
 	Racks  []placement.RackSummary `cbor:"7,keyasint"`
 	Queued int                     `cbor:"8,keyasint"`
-	// Demand is the number of requests of each organisation and service in the last interval.
-	Demand map[string]float64 `cbor:"9,keyasint,omitempty"`
-	// Running is the number of requests of each organisation and service in hand.
-	Running map[string]int `cbor:"10,keyasint,omitempty"`
+	// Demands is what the VM needs of the service limits.
+	Demands []Demand `cbor:"9,keyasint,omitempty"`
+}
+
+// Demand is what a VM needs of one service limit.
+type Demand struct {
+	Organisation string       `cbor:"1,keyasint"`
+	Service      string       `cbor:"2,keyasint"`
+	Demand       quota.Demand `cbor:"3,keyasint"`
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -162,6 +162,7 @@
 		return nil
 	}
 	now := d.Clock.Now()
+	s.Retries.Request()
 	r = &run{
 		request: req, digest: digest, deadline: now.Add(req.Timeout.Std()), known: true, trace: traceparent,
 		waiters: []chan<- job.Outcome{waiter},
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -43,6 +43,11 @@
 	if g.StartIssued() {
 		r.started++
 	}
+	if g.Result() != gang.ResultDone && g.Result() != gang.ResultFailed {
+		for _, name := range r.distinctWorkers() {
+			s.Breaker.Abandoned(name, r.key())
+		}
+	}
 	switch g.Result() {
 	case gang.ResultDone:
 		d.finishDone(s, r, g)
@@ -60,7 +65,7 @@
 
 func (d *Dispatcher) finishDone(s *board.State, r *run, g *gang.Gang) {
 	for _, name := range r.distinctWorkers() {
-		s.Breaker.Succeeded(d.Clock.Now(), name, r.key())
+		s.Breaker.Succeeded(name, r.key())
 	}
 	d.settleClaim(r, job.Done)
 	d.end(s, r, job.Outcome{Key: r.key(), Result: job.Done, Answer: g.Answer(), Attempts: r.started})
@@ -74,7 +79,7 @@
 		s.Breaker.Failed(now, name, r.key())
 	}
 	r.avoid = append(r.avoid, r.distinctWorkers()...)
-	if r.request.Idempotent && r.known && !r.cancelled && r.failures < maxFailures && s.Retries.Take(now) {
+	if r.request.Idempotent && r.known && !r.cancelled && r.failures < maxFailures && s.Retries.Take() {
 		d.Metrics.Add(metrics.AttemptsRetried, 1)
 		d.delay(r, refusedDelay)
 		return
@@ -116,7 +121,7 @@
 // finishUnknown retries an idempotent request; one that is not idempotent may have run and is never retried.
 func (d *Dispatcher) finishUnknown(s *board.State, r *run, g *gang.Gang) {
 	r.avoid = append(r.avoid, r.distinctWorkers()...)
-	if r.request.Idempotent && r.known && !r.cancelled && s.Retries.Take(d.Clock.Now()) {
+	if r.request.Idempotent && r.known && !r.cancelled && s.Retries.Take() {
 		d.Metrics.Add(metrics.AttemptsRetried, 1)
 		d.delay(r, refusedDelay)
 		return
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -43,6 +43,9 @@
 	v.view.Store(next)
 	s.Freshness.SetView(next.Revision(), next.FailureDomains())
 	v.dispatcher.SetConfiguration(s)
+	if next.Bundle() != nil {
+		setLimits(s)
+	}
 	v.Metrics.Add(metrics.ConfigApplied, 1)
 	v.Metrics.SetGauge(metrics.ConfigRevision, int64(next.Revision().Sum())) //nolint:gosec // a revision never nears 2^63
 	klog.InfoS("Configuration applied", "revision", next.Revision().Sum(), "failure-domain-out", next.IsOut(domain))
@@ -141,6 +144,7 @@
 		now := v.Clock.Now()
 		s.Members.SetRegistrations(now, list)
 		s.Registrations = registrationsOf(list)
+		s.Quota.SetRegistered(namesOf(list))
 		if !present {
 			// Others may accept changes without this VM from now on, so it is no witness until it registers again.
 			s.Registered = false
@@ -171,6 +175,14 @@
 	return registrations
 }
 
+func namesOf(list []membership.Registration) []string {
+	names := make([]string, 0, len(list))
+	for _, r := range list {
+		names = append(names, r.VM)
+	}
+	return names
+}
+
 // register writes this VM's key, then reads the configuration. Only a read that was sent after the write makes this
 // VM a witness: changes accepted before the write are in it, and later ones wait for this VM.
 func (v *VM) register(ctx context.Context) (uint64, bool) {
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -35,6 +35,7 @@
 	return board.Report{
 		Identity: s.Self, Address: s.Address, Registered: s.Registered, Leaving: s.Draining,
 		Revision: s.View.Revision(), Usable: fresh && !s.Draining, Racks: s.Cluster.Summaries(), Queued: s.Queue.Len(),
+		Demands: s.Demands,
 	}
 }
 
@@ -44,6 +45,7 @@
 	var contacts []membership.Member
 	err := v.board.Do(ctx, func(s *board.State) {
 		now := v.Clock.Now()
+		reportDemand(s, now)
 		report, contacts = v.report(s, now), s.Members.Contacts(now)
 		for _, gone := range s.Members.Forget(now) {
 			s.Freshness.Forget(gone)
@@ -92,6 +94,7 @@
 	})
 	if event != membership.EventIgnored {
 		s.Reports[report.Identity.VM] = report
+		hearDemand(s, v.Clock.Now(), report)
 	}
 }
 
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -148,6 +148,10 @@
 	if v.directory.full() {
 		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeOverloaded, "this entry VM has too many requests in hand", job.Duration(time.Second))
 	}
+	// A request that is in hand already is not counted again.
+	if _, known := v.directory.find(req.Key()); !known && !v.withinRate(ctx, req) {
+		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeLimitReached, "the organisation's rate for the service is used up", limitHint)
+	}
 	h, created := v.directory.take(req, digest, v.Clock.Now().Add(req.Timeout.Std()))
 	if h == nil {
 		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeRequestIDConflict, "the id was used for another request", 0)
@@ -161,7 +165,7 @@
 // carry brings a request to its outcome.
 func (v *VM) carry(traceparent string, h *inHand, req job.Request, digest string) {
 	ctx, span := v.Tracer.Start(trace.Extract(context.Background(), traceparent), "route")
-	outcome := v.router.Run(ctx, req, digest)
+	outcome := v.runWithinLimits(ctx, req, digest)
 	span.End(string(outcome.Code))
 	switch outcome.Result {
 	case job.Done:
@@ -174,6 +178,17 @@
 	v.directory.end(h, outcome)
 }
 
+// runWithinLimits waits for the organisation's running limit and then sends the request to a rack owner.
+func (v *VM) runWithinLimits(ctx context.Context, req job.Request, digest string) job.Outcome {
+	deadline := v.Clock.Now().Add(req.Timeout.Std())
+	if !v.awaitRunning(ctx, req, deadline) {
+		return job.NewNotRun(req.Key(), job.CodeLimitReached, "the organisation ran as many requests of the service as it may", limitHint)
+	}
+	defer v.releaseRunning(req)
+	req.Timeout = job.Duration(deadline.Sub(v.Clock.Now()))
+	return v.router.Run(ctx, req, digest)
+}
+
 // onRun runs a request on this VM's racks for another receiver.
 func (v *VM) onRun(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
 	var call router.RunCall
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -29,6 +29,7 @@
 	"clementinepier/placement"
 	"clementinepier/platform"
 	"clementinepier/queue"
+	"clementinepier/quota"
 	"clementinepier/router"
 	"clementinepier/settings"
 	"clementinepier/trace"
@@ -73,6 +74,8 @@
 	storeReachable atomic.Bool
 	anchors        anchorCache
 	rollouts       rollouts
+	// limitWaits counts the requests that wait for a running limit; only the control goroutine touches it.
+	limitWaits map[quota.Key]int
 }
 
 // Run serves until stop is closed, then drains and returns.
@@ -132,6 +135,7 @@
 	v.owners.Store(&router.Owners{})
 	v.drainEnd = make(chan struct{})
 	v.rollouts.byID = map[string]*rollout{}
+	v.limitWaits = map[quota.Key]int{}
 	v.workers = newWorkerClients(v.Clock)
 	v.directory = newRequestDirectory(v.Clock)
 	v.journal = &journal.Journal{Store: v.Store, Receiver: v.self.VM}
@@ -160,7 +164,7 @@
 		Workers:   map[string]platform.VM{}, Leaving: map[string]bool{}, Owned: map[string]bool{},
 		Cluster: placement.New(placement.Options{}),
 		Queue:   queue.New(queue.Options{MaxLength: v.Settings.QueueLength()}),
-		Breaker: &breaker.Breaker{}, Retries: &breaker.RetryBudget{},
+		Breaker: breaker.New(), Retries: breaker.NewRetryBudget(), Quota: quota.New(v.self.VM),
 	}
 }
 
