--- a/main.go
+++ b/main.go
@@ -1,4 +1,15 @@
 // Command clementinepier schedules multi-accelerator jobs under organisation guarantees.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"clementinepier/cmd"
+	"clementinepier/entry"
+)
+
+func main() {
+	program := cmd.New()
+	program.Entry = entry.Run
+	os.Exit(program.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
