--- a/standin/loadcheck.go
+++ b/standin/loadcheck.go
@@ -18,6 +18,9 @@
 	"clementinepier/standin/worker"
 )
 
+// findingsShown keeps the output of a failed trial readable.
+const findingsShown = 50
+
 type loadCommand struct {
 	Entries          []string      `arg:"--entry,separate,required" help:"address of an entry VM (repeatable)"`
 	Organisations    []string      `arg:"--organisation,separate,required" help:"NAME=TOKEN of an organisation (repeatable)"`
@@ -106,7 +109,11 @@
 		}
 	}
 	report := check.Run(in)
-	for _, finding := range report.Findings {
+	for i, finding := range report.Findings {
+		if i == findingsShown {
+			fmt.Printf("and %d more faults\n", len(report.Findings)-i)
+			break
+		}
 		fmt.Println(finding)
 	}
 	fmt.Println(report)
