Keep racks that can serve the largest guaranteed shape whole

Cause: the rack was chosen by foreign anchors and by the tightest worker, so small requests took open workers in every rack before they borrowed on partly used ones. Change: racks are compared by how many accelerators could no longer serve the largest guaranteed shape, then by whole workers broken, then by fullness; borrowing comes after these. A need within its organisation's share still uses its own anchor first, which a test shows.

--- a/placement/cluster.go
+++ b/placement/cluster.go
@@ -102,6 +102,8 @@
 	reclaims     map[job.Key]*reclaim
 	reservations map[job.Key]*reservation
 	anchors      []Anchor
+	// largest is the guaranteed shape with the most accelerators; free capacity that can serve it is kept together.
+	largest job.Shape
 
 	// Buffers that Plan uses again, so that a decision allocates only its result.
 	spots    []Spot
@@ -244,6 +246,7 @@
 // as borrowed.
 func (c *Cluster) SetAnchors(anchors []Anchor) {
 	c.anchors = anchors
+	c.largest = LargestGuaranteed(anchors)
 	byRack := map[string][]Anchor{}
 	for _, a := range anchors {
 		byRack[a.Rack] = append(byRack[a.Rack], a)
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -21,6 +21,10 @@
 	Rack string
 	// Workers is the number of workers used.
 	Workers int
+	// Harm is the number of accelerators that could serve the largest guaranteed shape before and could not after.
+	Harm int
+	// Borrowed is true when the tasks would be borrowers.
+	Borrowed bool
 	// Broken is the number of wholly free workers that would no longer be so and would keep free accelerators.
 	Broken int
 	// Foreign is the number of accelerators anchored for other organisations on the workers used.
@@ -57,19 +61,24 @@
 // FirstFitRack prefers the rack that comes first.
 func FirstFitRack(_, _ Candidate) bool { return false }
 
-// BestFitRack prefers few workers, whole free workers kept whole, few foreign anchors and a tight fit.
+// BestFitRack prefers few workers, little harm to what can serve the largest guaranteed shape, whole free workers kept
+// whole and the fullest rack; only then capacity that needs no borrowing, few foreign anchors and a tight fit.
 func BestFitRack(a, b Candidate) bool {
 	switch {
 	case a.Workers != b.Workers:
 		return a.Workers < b.Workers
+	case a.Harm != b.Harm:
+		return a.Harm < b.Harm
 	case a.Broken != b.Broken:
 		return a.Broken < b.Broken
+	case a.RackFree != b.RackFree:
+		return a.RackFree < b.RackFree
+	case a.Borrowed != b.Borrowed:
+		return b.Borrowed
 	case a.Foreign != b.Foreign:
 		return a.Foreign < b.Foreign
 	case a.Leftover != b.Leftover:
 		return a.Leftover < b.Leftover
-	case a.RackFree != b.RackFree:
-		return a.RackFree < b.RackFree
 	}
 	return a.Rack < b.Rack
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -96,6 +96,22 @@
 	is.True(p.Result == Placed && p.Anchored)
 }
 
+// Guards against a guaranteed request that becomes preemptible although its own anchor is free: borrowing would do less
+// harm to whole blocks here.
+func TestShareIsUsedBeforeBorrowing(t *testing.T) {
+	is := is.New(t)
+	w := newOracle(Options{}, &bundle.Bundle{FailureDomains: domains(1, 2, "a"), Organisations: []bundle.Organisation{
+		organisation("o", shape(1, 8), 1), organisation("p", shape(1, 1), 8),
+	}})
+	_, err := w.submit(need("q", "x", shape(1, 1), true)) // breaks one of the two workers
+	is.NoErr(err)
+	for i := range 3 {
+		p, err := w.submit(need("p", fmt.Sprint(i), shape(1, 1), true))
+		is.NoErr(err)
+		is.True(p.Result == Placed && p.Anchored && !p.Borrowed)
+	}
+}
+
 // Guards against preempting the request that loses most: observed time counts, declared run times do not.
 func TestReclaimTakesLeastLostWork(t *testing.T) {
 	is := is.New(t)
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -17,7 +17,8 @@
 	modeBorrow
 )
 
-// Plan decides about one need, given the racks that the caller owns. It records reservations and reclaims but not
+// Plan decides about one need, given the racks that the caller owns. A need within its organisation's share borrows only
+// when it would have to reclaim instead; another may borrow to keep blocks whole. Plan records reservations and reclaims but not
 // placements; for those callers use Held.
 func (c *Cluster) Plan(now time.Time, n Need, racks []string) Plan {
 	if r, ok := c.reclaims[n.Key]; ok {
@@ -26,12 +27,16 @@
 		}
 	}
 	c.lapse(now)
-	if p, ok := c.place(now, n, racks, modeOwnOrOpen); ok {
+	mayBorrow := c.options.MayBorrow(n)
+	open, lent := []mode{modeOwnOrOpen}, []mode{modeBorrow}
+	if mayBorrow && !c.InShare(n, racks) {
+		open = []mode{modeOwnOrOpen, modeBorrow}
+	}
+	if p, ok := c.place(now, n, racks, open); ok {
 		return p
 	}
-	mayBorrow := c.options.MayBorrow(n)
 	if mayBorrow && !c.options.ReclaimFirst(n) {
-		if p, ok := c.place(now, n, racks, modeBorrow); ok {
+		if p, ok := c.place(now, n, racks, lent); ok {
 			return p
 		}
 	}
@@ -39,7 +44,7 @@
 		return p
 	}
 	if mayBorrow && c.options.ReclaimFirst(n) {
-		if p, ok := c.place(now, n, racks, modeBorrow); ok {
+		if p, ok := c.place(now, n, racks, lent); ok {
 			return p
 		}
 	}
@@ -59,8 +64,9 @@
 	return Plan{Result: Never}
 }
 
-// place looks for free capacity.
-func (c *Cluster) place(now time.Time, n Need, racks []string, m mode) (Plan, bool) {
+// place looks for free capacity. Within a rack the modes are tried in order, so a need borrows in a rack only when it
+// would not fit there without.
+func (c *Cluster) place(now time.Time, n Need, racks []string, modes []mode) (Plan, bool) {
 	var best Candidate
 	var chosen *rack
 	spare, block := c.portions[0], c.portions[1]
@@ -69,22 +75,27 @@
 		if !ok {
 			continue
 		}
-		spots := c.spotsOf(now, n, r, m)
-		found := pick(spots, n.Shape.Tasks, c.options.Spot, spare)
-		if found == nil {
-			continue
-		}
-		candidate := c.candidate(n, r, found)
-		if chosen == nil || c.options.Rack(candidate, best) {
-			best, chosen = candidate, r
-			spare, block = block, found
+		for _, m := range modes {
+			found := pick(c.spotsOf(now, n, r, m), n.Shape.Tasks, c.options.Spot, spare)
+			if found == nil {
+				continue
+			}
+			candidate := c.candidate(n, r, found)
+			candidate.Borrowed = m == modeBorrow
+			if chosen == nil || c.options.Rack(candidate, best) {
+				best, chosen = candidate, r
+				spare, block = block, found
+			}
+			if candidate.Harm == 0 {
+				break
+			}
 		}
 	}
 	c.portions[0], c.portions[1] = spare, block
 	if chosen == nil {
 		return Plan{}, false
 	}
-	return chosen.plan(Placed, n, block, m == modeBorrow), true
+	return chosen.plan(Placed, n, block, best.Borrowed), true
 }
 
 // spotsOf lists what each worker of the rack could take of the need.
@@ -128,26 +139,41 @@
 }
 
 func (c *Cluster) candidate(n Need, r *rack, block []portion) Candidate {
-	task := perTask(n.Shape)
-	free := 0
+	task, large := perTask(n.Shape), perTask(c.largest)
+	free, before := 0, 0
 	for _, w := range r.nodes {
 		if w.usable() {
-			free += max(0, w.free().accelerators)
+			room := w.free()
+			free += max(0, room.accelerators)
+			before += room.fits(large)
 		}
 	}
+	after := before
 	candidate := Candidate{Rack: r.name, Workers: len(block), RackFree: free - n.Shape.TotalAccelerators()}
 	for _, p := range block {
 		w := r.nodes[p.position]
-		left := w.free().minus(task.times(p.tasks)).accelerators
-		candidate.Leftover += left
+		room := w.free()
+		left := room.minus(task.times(p.tasks))
+		after += left.fits(large) - room.fits(large)
+		candidate.Leftover += left.accelerators
 		candidate.Foreign += w.foreign(n.Key.Organisation).accelerators
-		if w.held == (amount{}) && left > 0 {
+		if w.held == (amount{}) && left.accelerators > 0 {
 			candidate.Broken++
 		}
 	}
+	candidate.Harm = c.serving(before) - c.serving(after)
 	return candidate
 }
 
+// serving returns how many accelerators of a rack can serve the largest guaranteed shape, given how many of its tasks
+// the rack could host.
+func (c *Cluster) serving(hosts int) int {
+	if hosts < c.largest.Tasks {
+		return 0
+	}
+	return hosts * c.largest.Accelerators
+}
+
 // plan turns a block into a plan.
 func (r *rack) plan(result Result, n Need, block []portion, borrowed bool) Plan {
 	p := Plan{Result: result, Rack: r.name, Borrowed: borrowed, Anchored: !borrowed}
--- a/placement/reclaim.go
+++ b/placement/reclaim.go
@@ -55,21 +55,26 @@
 // need starts within the reclaim bound, whatever others borrow.
 func (c *Cluster) InShare(n Need, racks []string) bool {
 	for _, name := range racks {
-		if r, ok := c.racks[name]; ok && r.shareHosts(n) != nil {
+		if r, ok := c.racks[name]; ok && r.inShare(n) {
 			return true
 		}
 	}
 	return false
 }
 
-// shareHosts returns how many tasks fit the unused anchors of the organisation on each worker, nil when too few do.
-func (r *rack) shareHosts(n Need) []int {
+func (r *rack) inShare(n Need) bool {
 	task := perTask(n.Shape)
 	total := 0
 	for _, w := range r.nodes {
 		total += w.shareHosts(n, task)
 	}
-	if total < n.Shape.Tasks {
+	return total >= n.Shape.Tasks
+}
+
+// shareHosts returns how many tasks fit the unused anchors of the organisation on each worker, nil when too few do.
+func (r *rack) shareHosts(n Need) []int {
+	task := perTask(n.Shape)
+	if !r.inShare(n) {
 		return nil
 	}
 	hosts := make([]int, len(r.nodes))
