--- a/config/accept.go
+++ b/config/accept.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return Document{}, Accepted{}, err
 	}
-	accepted := Accepted{ChangeID: c.ID, Number: view.revision.Bundle + 1, Revision: view.revision.Sum() + 1, Digest: digest}
+	accepted := Accepted{ChangeID: c.ID, Number: view.known.Bundle + 1, Revision: view.known.Sum() + 1, Digest: digest}
 	if c.Order != nil {
 		accepted.FailureDomain, accepted.Number = c.Order.Order.FailureDomain, c.Order.Order.Sequence
 	}
@@ -96,7 +96,7 @@
 	if !slices.Contains(view.FailureDomains(), o.FailureDomain) {
 		return &ErrDomainNotExist{FailureDomain: o.FailureDomain}
 	}
-	if have := view.revision.Orders[o.FailureDomain]; o.Sequence != have+1 {
+	if have := view.known.Orders[o.FailureDomain]; o.Sequence != have+1 {
 		return newConflict(next, view, o.FailureDomain, o.Sequence, have)
 	}
 	if next.Orders == nil {
@@ -111,7 +111,7 @@
 	if err != nil {
 		return &ErrChange{ChangeID: c.ID, Reason: "the bundle is invalid", Cause: err}
 	}
-	have := view.revision.Bundle
+	have := view.known.Bundle
 	if b.Revision != have+1 {
 		return newConflict(next, view, "", b.Revision, have)
 	}
@@ -119,16 +119,17 @@
 		if len(next.PreviousDomains) > 0 {
 			return &ErrNotYetInForce{Bundle: have}
 		}
-		next.PreviousDomains = before
+		next.PreviousDomains, next.DomainsSince = before, b.Revision
 	}
 	next.Bundle = cloneSigned(*c.Bundle)
 	return nil
 }
 
-// Settle returns the document to write, at the same revision, once a change with the current failure domains is
-// acknowledged. Rollouts then no longer need a majority of the earlier set. It reports whether d needed that.
-func Settle(d Document) (Document, bool) {
-	if len(d.PreviousDomains) == 0 {
+// Settle returns the document to write, at the same revision, once a change is acknowledged everywhere that includes
+// the last change of the set of failure domains. Rollouts then no longer need a majority of the earlier set. It reports
+// whether there is anything to write. The revision must be that of a rollout whose Progress has Everywhere set.
+func Settle(d Document, everywhere Revision) (Document, bool) {
+	if len(d.PreviousDomains) == 0 || everywhere.Bundle < d.DomainsSince {
 		return d, false
 	}
 	settled := d.Clone()
@@ -138,7 +139,7 @@
 
 // newConflict names the change that took the number, or else the latest change of the same part.
 func newConflict(d *Document, view *View, domain string, number, have uint64) *ErrRevisionConflict {
-	winner := Accepted{FailureDomain: domain, Number: have, Revision: view.revision.Sum()}
+	winner := Accepted{FailureDomain: domain, Number: have, Revision: view.known.Sum()}
 	for _, a := range d.Recent {
 		if a.FailureDomain != domain || (a.Number != number && a.Number != have) {
 			continue
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -109,10 +109,10 @@
 	}
 	is.Equal(got, []string{":stale", "a:conflict", "c:invalid", "d:invalid"})
 	is.True(!Complete(err))
-	is.Equal(next.Revision(), Revision{Bundle: 2, Orders: map[string]uint64{"a": 1, "b": 4}})
+	is.Equal(next.Known(), Revision{Bundle: 2, Orders: map[string]uint64{"a": 1, "b": 4}})
+	is.Equal(next.Revision(), v.Revision()) // the mixed document is not whole
 	is.True(next.IsOut("a") && next.IsOut("b") && !next.IsOut("c"))
-	is.Equal(v.Revision().Orders["b"], uint64(0)) // the earlier view is unchanged
-	is.True(v.Digest() != next.Digest())
+	is.Equal(v.Known().Orders["b"], uint64(0)) // the earlier view is unchanged
 
 	same, err := join(testVerifier, next, d)
 	is.True(same == next)
@@ -222,12 +222,22 @@
 	is.Equal(d.PreviousDomains, []string{"a", "b", "c"})
 	_, _, err := accept(testVerifier, d, bundleChange(4, "x", "a"))
 	is.True(IsErrNotYetInForce(err))
-	d, settled := Settle(d)
+	_, settled := Settle(d, one) // acknowledged before the set changed
+	is.True(!settled)
+	d, settled = Settle(d, two)
 	is.True(settled)
 	d = mustAccept(t, d, bundleChange(4, "x", "a"))
 	is.Equal(d.PreviousDomains, []string{"a", "b"})
 }
 
+func testView(r Revision, domains []string) *View {
+	b := &bundle.Bundle{}
+	for _, domain := range domains {
+		b.FailureDomains = append(b.FailureDomains, bundle.FailureDomain{Name: domain})
+	}
+	return &View{whole: wholeDocument{revision: r, bundle: b}}
+}
+
 var none, one, two = Revision{}, Revision{Bundle: 1}, Revision{Bundle: 2}
 
 // Guards against each way in which an observation could count although it must not, or not count although it must.
@@ -239,7 +249,7 @@
 		want job.Code
 	}{
 		"nothing":           {func(f *Freshness) {}, 0, job.CodeViewNotFresh},
-		"no configuration":  {func(f *Freshness) { f.SetView(none, nil); f.StoreRead(at(1), none) }, 1, job.CodeNoConfiguration},
+		"no configuration":  {func(f *Freshness) { f.SetView(testView(none, nil)); f.StoreRead(at(1), none) }, 1, job.CodeNoConfiguration},
 		"store":             {func(f *Freshness) { f.SetSelf(false); f.StoreRead(at(1), one) }, 2.9, job.CodeOK},
 		"store too old":     {func(f *Freshness) { f.StoreRead(at(1), one) }, 3, job.CodeViewNotFresh},
 		"store names newer": {func(f *Freshness) { f.StoreRead(at(1), two) }, 1, job.CodeViewNotFresh},
@@ -258,28 +268,28 @@
 		"own domain only": {func(f *Freshness) { f.Heartbeat(at(1), "a2", "a", true, one) }, 1, job.CodeViewNotFresh},
 		"unknown domain":  {func(f *Freshness) { f.Heartbeat(at(1), "z1", "z", true, one) }, 1, job.CodeViewNotFresh},
 		"own domain not in bundle": {func(f *Freshness) {
-			f.SetView(one, []string{"b", "c"})
+			f.SetView(testView(one, []string{"b", "c"}))
 			f.Heartbeat(at(1), "b1", "b", true, one)
 			f.Heartbeat(at(1), "c1", "c", true, one)
 		}, 1, job.CodeViewNotFresh},
 		"half is no majority": {func(f *Freshness) {
-			f.SetView(one, []string{"a", "b", "c", "d"})
+			f.SetView(testView(one, []string{"a", "b", "c", "d"}))
 			f.Heartbeat(at(1), "b1", "b", true, one)
 		}, 1, job.CodeViewNotFresh},
 		"older of two": {func(f *Freshness) {
-			f.SetView(one, []string{"a", "b", "c", "d"})
+			f.SetView(testView(one, []string{"a", "b", "c", "d"}))
 			f.Heartbeat(at(1), "b1", "b", true, one)
 			f.Heartbeat(at(2), "c1", "c", true, one)
 		}, 3, job.CodeViewNotFresh},
 		"newer counts once covered": {func(f *Freshness) {
 			f.Heartbeat(at(1), "b1", "b", true, two)
-			f.SetView(two, abc)
+			f.SetView(testView(two, abc))
 		}, 2, job.CodeOK},
 		"newer, raised too little": {func(f *Freshness) {
 			f.Heartbeat(at(1), "b1", "b", true, Revision{Bundle: 3})
-			f.SetView(two, abc)
+			f.SetView(testView(two, abc))
 		}, 2, job.CodeViewNotFresh},
-		"single domain": {func(f *Freshness) { f.SetView(one, []string{"a"}) }, 1000, job.CodeOK},
+		"single domain": {func(f *Freshness) { f.SetView(testView(one, []string{"a"})) }, 1000, job.CodeOK},
 		"forgotten":     {func(f *Freshness) { f.Heartbeat(at(1), "b1", "b", true, one); f.Forget("b1") }, 1, job.CodeViewNotFresh},
 		"isolated":      {func(f *Freshness) { f.IsolatedWindow = time.Minute; f.StoreRead(at(1), one) }, 60, job.CodeOK},
 		"isolated, not registered": {func(f *Freshness) {
@@ -290,7 +300,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := &Freshness{FailureDomain: "a"}
-			f.SetView(one, abc)
+			f.SetView(testView(one, abc))
 			f.SetSelf(true)
 			c.do(f)
 			ok, code := f.MayStart(at(c.now))
@@ -304,13 +314,13 @@
 func TestFreshnessPendingIsBounded(t *testing.T) {
 	is := is.New(t)
 	f := &Freshness{FailureDomain: "a"}
-	f.SetView(one, []string{"a", "b", "c"})
+	f.SetView(testView(one, []string{"a", "b", "c"}))
 	f.SetSelf(true)
 	for i := range 1000 {
 		f.Heartbeat(at(float64(i)), "b1", "b", true, two)
 	}
 	is.Equal(len(f.sources["b1"].pending), maxPending)
-	f.SetView(two, []string{"a", "b", "c"})
+	f.SetView(testView(two, []string{"a", "b", "c"}))
 	fresh, ok := f.FreshAt()
 	is.True(ok)
 	is.Equal(fresh, at(999))
--- a/config/document.go
+++ b/config/document.go
@@ -27,6 +27,8 @@
 	// PreviousDomains are the failure domains before the last bundle that changed their set, and are empty once that
 	// bundle is acknowledged. Until then a VM with the earlier bundle may still count a majority of the earlier set.
 	PreviousDomains []string `cbor:"previous-domains,omitempty"`
+	// DomainsSince is the revision of the last bundle that changed the set of failure domains.
+	DomainsSince uint64 `cbor:"domains-since,omitempty"`
 }
 
 // Accepted is the result of an accepted change.
--- a/config/freshness.go
+++ b/config/freshness.go
@@ -63,11 +63,11 @@
 // registration was written is joined into its view, and no longer so before it sends the removal of its registration.
 func (f *Freshness) SetSelf(registered bool) { f.registered = registered }
 
-// SetView records the view's revision and the failure domains of its bundle. Observations that named a revision which
-// the view now covers start to count.
-func (f *Freshness) SetView(r Revision, domains []string) {
-	f.view = r.Clone()
-	f.domains = slices.Compact(slices.Sorted(slices.Values(domains)))
+// SetView records the view. Observations that named a revision which the view now covers start to count. Only the
+// view's latest whole document counts here: a newer bundle that came without the orders accepted before it would have
+// this VM count a majority of failure domains that none of those orders had to reach.
+func (f *Freshness) SetView(v *View) {
+	f.view, f.domains = v.whole.revision, domainNames(v.whole.bundle)
 	for _, s := range f.sources {
 		s.pending = slices.DeleteFunc(s.pending, func(o observation) bool { return f.count(s, o) })
 	}
--- a/config/rollout.go
+++ b/config/rollout.go
@@ -34,19 +34,22 @@
 type Rollout struct {
 	options  RolloutOptions
 	sets     [][]string
-	listed   bool
 	vms      map[string]Registration
 	since    map[string]time.Time
 	confirms map[string]Revision
 
 	majoritySince time.Time
+	everywhere    time.Time
 	acknowledged  time.Time
 }
 
 // Progress is the state of a rollout.
 type Progress struct {
-	// Acknowledged is the time from which on the change counts as acknowledged; zero before that.
+	// Acknowledged is the time from which on the change counts as acknowledged; zero before that. An order can be
+	// acknowledged for the VMs of its failure domain only, which are the only ones that start tasks there.
 	Acknowledged time.Time
+	// Everywhere is the time from which on the change counts as acknowledged for all VMs; zero before that.
+	Everywhere time.Time
 	// MajoritySince is when a majority of failure domains was first seen to have confirmed; zero before that.
 	MajoritySince time.Time
 	// Domains are sorted by name.
@@ -85,7 +88,6 @@
 // SetRegistered replaces the list of registered VMs. The list must have been read after the compare-and-swap; a VM that
 // registers after a read of the list reads the configuration after the change.
 func (r *Rollout) SetRegistered(now time.Time, list []Registration) {
-	r.listed = true
 	r.vms = make(map[string]Registration, len(list))
 	since := make(map[string]time.Time, len(list))
 	for _, registration := range list {
@@ -109,8 +111,8 @@
 // Progress evaluates the acknowledgement at the time given. Once acknowledged, a change stays acknowledged.
 //
 // A change is acknowledged when all registered VMs have confirmed it in a majority of failure domains, at least one in
-// each, and the isolated window has passed since then but for one window. An order is also acknowledged when all
-// registered VMs of its domain have confirmed it, and a bundle without the wait when all registered VMs have.
+// each, and the isolated window has passed since then but for one window. That wait is dropped when all registered VMs
+// have confirmed it. An order is also acknowledged when all registered VMs of its domain, at least one, have confirmed it.
 //
 // While the set of failure domains changes, a majority of the earlier set is needed as well: a VM that has the earlier
 // bundle counts a majority of that set.
@@ -122,28 +124,29 @@
 		confirmed[d.FailureDomain] = d.Confirmed
 		everyone = everyone && len(d.Waiting) == 0
 	}
-	if r.listed && r.majoritySince.IsZero() && r.hasMajority(confirmed) {
+	if r.majoritySince.IsZero() && r.hasMajority(confirmed) {
 		r.majoritySince = now
 	}
-	if r.acknowledged.IsZero() && r.listed && r.inForce(now, confirmed, everyone) {
+	if r.everywhere.IsZero() && r.isEverywhere(now, everyone) {
+		r.everywhere = now
+	}
+	own := r.options.Order != nil && confirmed[r.options.Order.FailureDomain]
+	if r.acknowledged.IsZero() && (own || !r.everywhere.IsZero()) {
 		r.acknowledged = now
 	}
-	p.Acknowledged, p.MajoritySince = r.acknowledged, r.majoritySince
+	p.Acknowledged, p.Everywhere, p.MajoritySince = r.acknowledged, r.everywhere, r.majoritySince
 	return p
 }
 
-// inForce reports whether no VM that lacks the change may start tasks one window from now.
-func (r *Rollout) inForce(now time.Time, confirmed map[string]bool, everyone bool) bool {
-	if r.options.Order != nil && confirmed[r.options.Order.FailureDomain] {
-		return true
-	}
+// isEverywhere reports whether no VM that lacks the change may start tasks one window from now.
+func (r *Rollout) isEverywhere(now time.Time, everyone bool) bool {
 	if r.majoritySince.IsZero() {
 		return false
 	}
 	// The wait counts from the majority, not from the compare-and-swap: until then a VM that lacks the change may have
 	// been fresh through other VMs that lacked it too, and its isolated window starts only when they are gone.
 	window, isolated := windows(r.options.Window, r.options.IsolatedWindow)
-	return now.Sub(r.majoritySince) >= isolated-window || (r.options.Order == nil && everyone)
+	return everyone || now.Sub(r.majoritySince) >= isolated-window
 }
 
 func (r *Rollout) hasMajority(confirmed map[string]bool) bool {
--- a/config/view.go
+++ b/config/view.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"maps"
-	"reflect"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -14,7 +13,20 @@
 )
 
 // View is what one VM knows of the configuration. It is immutable and safe for concurrent use.
+//
+// A view includes the latest document that was joined as a whole. It may also have newer good parts of a document that
+// was damaged. These apply at once, but count for nothing between VMs: a document includes every change accepted
+// before it, and a single part does not.
 type View struct {
+	// parts are the newest good parts; only Bundle and Orders are set.
+	parts  Document
+	bundle *bundle.Bundle
+	known  Revision
+	whole  wholeDocument
+}
+
+// wholeDocument is a document that was joined with every part.
+type wholeDocument struct {
 	document Document
 	bundle   *bundle.Bundle
 	revision Revision
@@ -26,17 +38,20 @@
 
 // IsOut reports whether the latest order takes the failure domain out of service.
 func (v *View) IsOut(domain string) bool {
-	return v.document.Orders[domain].Order.State == bundle.OrderOut
+	return v.parts.Orders[domain].Order.State == bundle.OrderOut
 }
 
-// Revision returns the revision of the view.
-func (v *View) Revision() Revision { return v.revision.Clone() }
+// Revision returns the revision of the latest whole document. It is what heartbeats and confirmations name.
+func (v *View) Revision() Revision { return v.whole.revision.Clone() }
 
-// Document returns the signed parts that the view was made from.
-func (v *View) Document() Document { return v.document.Clone() }
+// Known returns the revision of the newest parts. It covers Revision.
+func (v *View) Known() Revision { return v.known.Clone() }
 
-// Digest returns the hexadecimal SHA-256 of the bundle and the orders. Views with equal digests are the same.
-func (v *View) Digest() string { return v.digest }
+// Document returns the latest whole document, to send to other VMs.
+func (v *View) Document() Document { return v.whole.document.Clone() }
+
+// Digest returns the hexadecimal SHA-256 of the bundle and the orders of the latest whole document.
+func (v *View) Digest() string { return v.whole.digest }
 
 // FailureDomains returns the names of the bundle's failure domains, sorted.
 func (v *View) FailureDomains() []string { return domainNames(v.bundle) }
@@ -68,57 +83,58 @@
 
 func join(k verifier, current *View, d Document) (*View, error) {
 	if current == nil {
-		current = newView(Document{}, nil)
+		current = newView()
 	}
-	next := Document{Bundle: current.document.Bundle, Orders: maps.Clone(current.document.Orders)}
+	next := &View{bundle: current.bundle, known: current.Known(), whole: current.whole}
+	next.parts = Document{Bundle: current.parts.Bundle, Orders: maps.Clone(current.parts.Orders)}
 	var faults []*ErrPart
 	b, fault := joinBundle(k, current, d.Bundle)
 	if fault != nil {
 		faults = append(faults, fault)
 	}
 	changed := false
-	if b != nil {
-		next.Bundle, changed = cloneSigned(d.Bundle), true
-	} else {
-		b = current.bundle
+	if b != nil && b.Revision > current.known.Bundle {
+		next.parts.Bundle, next.bundle, next.known.Bundle = cloneSigned(d.Bundle), b, b.Revision
+		changed = true
 	}
 	for _, domain := range slices.Sorted(maps.Keys(d.Orders)) {
 		o := d.Orders[domain]
-		take, fault := joinOrder(k, current, domain, o)
+		fault := joinOrder(k, current, domain, o)
 		if fault != nil {
 			faults = append(faults, fault)
-		}
-		if take {
-			if next.Orders == nil {
-				next.Orders = map[string]bundle.SignedOrder{}
-			}
-			next.Orders[domain], changed = cloneOrder(o), true
+		} else if o.Order.Sequence > current.known.Orders[domain] {
+			next.parts.Orders[domain], next.known.Orders[domain] = cloneOrder(o), o.Order.Sequence
+			changed = true
 		}
 	}
 	var err error
 	if len(faults) > 0 {
 		err = &ErrParts{Parts: faults}
 	}
+	if Complete(err) {
+		if revision := revisionOf(d, b); revision.Covers(current.whole.revision) && !current.whole.revision.Covers(revision) {
+			next.whole = wholeDocument{document: d.Clone(), bundle: b, revision: revision, digest: digestOf(d)}
+			changed = true
+		}
+	}
 	if !changed {
 		return current, err
 	}
-	history := d.Clone()
-	next.ChangeID, next.Recent, next.PreviousDomains = history.ChangeID, history.Recent, history.PreviousDomains
-	return newView(next, b), err
+	return next, err
 }
 
-// joinBundle returns the bundle to take, or nil to keep the current one.
+// joinBundle returns the bundle in s if it is good, even if it is stale.
 func joinBundle(k verifier, current *View, s bundle.Signed) (*bundle.Bundle, *ErrPart) {
-	have := current.revision.Bundle
+	have := current.known.Bundle
 	if len(s.Source) == 0 {
 		if have > 0 {
 			return nil, &ErrPart{Fault: PartStale, Have: have}
 		}
 		return nil, nil
 	}
-	if have > 0 && bytes.Equal(s.Source, current.document.Bundle.Source) {
+	if have > 0 && bytes.Equal(s.Source, current.parts.Bundle.Source) {
 		// The same bundle may carry other valid signatures; the current ones are kept.
-		return nil, nil
+		return current.bundle, nil
 	}
 	b, err := k.bundle(s)
 	if err == nil && b.Revision == 0 {
@@ -128,23 +144,23 @@
 	case err != nil:
 		return nil, &ErrPart{Fault: PartInvalid, Have: have, Cause: err}
 	case b.Revision < have:
-		return nil, &ErrPart{Fault: PartStale, Have: have, Got: b.Revision}
+		return b, &ErrPart{Fault: PartStale, Have: have, Got: b.Revision}
 	case b.Revision == have:
 		return nil, &ErrPart{Fault: PartConflict, Have: have, Got: b.Revision}
 	}
 	return b, nil
 }
 
-// joinOrder reports whether to take the order.
-func joinOrder(k verifier, current *View, domain string, o bundle.SignedOrder) (bool, *ErrPart) {
-	have := current.document.Orders[domain].Order
-	if have.Sequence > 0 && reflect.DeepEqual(o.Order, have) {
-		return false, nil
+// joinOrder returns why the order is ignored, or nil if it is the current one or newer.
+func joinOrder(k verifier, current *View, domain string, o bundle.SignedOrder) *ErrPart {
+	have := current.parts.Orders[domain].Order
+	if have.Sequence > 0 && o.Order == have {
+		return nil
 	}
 	fault := &ErrPart{FailureDomain: domain, Have: have.Sequence}
 	if err := checkOrder(k, domain, o); err != nil {
 		fault.Fault, fault.Cause = PartInvalid, err
-		return false, fault
+		return fault
 	}
 	fault.Got = o.Order.Sequence
 	switch {
@@ -153,9 +169,9 @@
 	case o.Order.Sequence == have.Sequence:
 		fault.Fault = PartConflict
 	default:
-		return true, nil
+		return nil
 	}
-	return false, fault
+	return fault
 }
 
 func checkOrder(k verifier, domain string, o bundle.SignedOrder) error {
@@ -170,19 +186,31 @@
 	return k.order(o)
 }
 
-func newView(d Document, b *bundle.Bundle) *View {
-	v := &View{document: d, bundle: b, revision: Revision{Orders: make(map[string]uint64, len(d.Orders))}}
+func newView() *View {
+	return &View{
+		parts: Document{Orders: map[string]bundle.SignedOrder{}},
+		known: Revision{Orders: map[string]uint64{}},
+	}
+}
+
+// revisionOf returns the revision of a document whose parts are good; b is its bundle.
+func revisionOf(d Document, b *bundle.Bundle) Revision {
+	r := Revision{Orders: make(map[string]uint64, len(d.Orders))}
 	if b != nil {
-		v.revision.Bundle = b.Revision
+		r.Bundle = b.Revision
+	}
+	for domain, o := range d.Orders {
+		r.Orders[domain] = o.Order.Sequence
 	}
+	return r
+}
+
+func digestOf(d Document) string {
 	hash := sha256.New()
-	// The encoder writes maps in a fixed order; writing to a hash cannot fail.
+	// Writing to a hash cannot fail.
 	_ = encoding.NewEncoder(hash).Encode(d.Bundle.Source)
 	for _, domain := range slices.Sorted(maps.Keys(d.Orders)) {
-		o := d.Orders[domain].Order
-		v.revision.Orders[domain] = o.Sequence
-		_ = encoding.NewEncoder(hash).Encode(o)
+		_ = encoding.NewEncoder(hash).Encode(d.Orders[domain].Order)
 	}
-	v.digest = hex.EncodeToString(hash.Sum(nil))
-	return v
+	return hex.EncodeToString(hash.Sum(nil))
 }
