--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
 BIN := bin
 
-.PHONY: help build test unit lint fmt try bench capacity clean
+.PHONY: help build test unit lint fmt try try-faults bench capacity clean
 
 help:
 	@echo "make build     build bin/clementinepier and bin/standin"
@@ -33,6 +33,10 @@
 try: build
 	bash scripts/try.sh
 
+# try-faults adds store outages and a frozen entry VM to try.
+try-faults: build
+	STORE_FAULTS=1 bash scripts/try.sh
+
 bench:
 	go run ./bench
 
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -207,6 +207,7 @@
 	p := r.progress.Progress(now)
 	reply := message.Change{
 		ChangeID: r.accepted.ChangeID, Revision: r.accepted.Revision, Acknowledged: !p.Acknowledged.IsZero(),
+		AcknowledgedAt:    p.Acknowledged,
 		InForceEverywhere: !p.Acknowledged.IsZero(), FailureDomains: map[string]message.DomainProgress{},
 	}
 	for _, d := range p.Domains {
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -41,7 +41,7 @@
 	}
 	s.View = next
 	v.view.Store(next)
-	s.Freshness.SetView(next.Revision(), next.FailureDomains())
+	s.Freshness.SetView(next)
 	v.dispatcher.SetConfiguration(s)
 	if next.Bundle() != nil {
 		setLimits(s)
--- a/message/message.go
+++ b/message/message.go
@@ -75,9 +75,11 @@
 type Change struct {
 	ChangeID string `json:"change-id"`
 	// Acknowledged means that no entry VM starts a task against the change any more; see docs/design.md, 6.6.
-	Acknowledged      bool   `json:"acknowledged"`
-	InForceEverywhere bool   `json:"in-force-everywhere"`
-	Revision          uint64 `json:"revision"`
+	Acknowledged bool `json:"acknowledged"`
+	// AcknowledgedAt is when the entry VM that was asked first saw that; the change may have been in force before.
+	AcknowledgedAt    time.Time `json:"acknowledged-at,omitzero"`
+	InForceEverywhere bool      `json:"in-force-everywhere"`
+	Revision          uint64    `json:"revision"`
 	// FailureDomains is by failure domain.
 	FailureDomains map[string]DomainProgress `json:"failure-domains"`
 }
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -8,6 +8,8 @@
 readonly OUT=try-out
 readonly SEED=${SEED:-1}
 readonly REQUESTS=300
+readonly STORE_FAULTS=${STORE_FAULTS:-0} # 1 adds outages of the store and a frozen entry VM
+readonly ORDER_WAIT=$((5 + 20 * STORE_FAULTS))s
 readonly RATE=20 # requests per second, so the load takes 15 s without failures
 readonly MAX_RUN_TIME=2s # long enough that each entry VM has requests in flight when it is killed
 readonly DOMAINS=(tunis-a bizerte-b nabeul-c ariana-d)
@@ -61,12 +63,30 @@
 trap end_all EXIT
 trap 'exit 130' INT TERM
 
+listens() { (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; }
+
+# check_ports fails if another process has one of the ports, which would take calls meant for this trial.
+check_ports() {
+  local i address
+  local addresses=("$PLATFORM")
+  for ((i = 1; i <= ${#DOMAINS[@]} * WORKERS_PER_RACK; i++)); do addresses+=("127.0.0.1:$((WORKER_PORT + i))"); done
+  for ((i = 1; i <= ${#DOMAINS[@]} * ENTRIES_PER_DOMAIN; i++)); do
+    addresses+=("127.0.0.1:$((ENTRY_PORT + i))" "127.0.0.1:$((PEER_PORT + i))")
+  done
+  for address in "${addresses[@]}"; do
+    if listens "$address"; then
+      say "another process listens on $address"
+      return 1
+    fi
+  done
+}
+
 # await_port NAME ADDRESS waits until a process listens, and fails if it ends first.
 await_port() {
   local tries
   for ((tries = 0; tries < 100; tries++)); do
     if ! kill -0 "${PIDS[$1]}" 2>/dev/null; then break; fi
-    if (exec 3<>"/dev/tcp/${2%:*}/${2#*:}") 2>/dev/null; then return; fi
+    if listens "$2"; then return; fi
     sleep 0.1
   done
   say "$1 does not listen on $2; the end of $OUT/$1.log:"
@@ -99,9 +119,14 @@
   bin/clementinepier bundle roll "$OUT/bundle.signed" $(entry_arguments)
 }
 
-domain_order() { # out|back DOMAIN: returns when the order is in force, or when those that miss it are only lost VMs
+# domain_order STATE DOMAIN sends an order and prints the time of its acknowledgement. Entry VMs that were killed never
+# confirm, so that the command ends with an error after its wait; the acknowledgement does not need them.
+domain_order() {
+  local reply
   # shellcheck disable=SC2046 # one word per argument
-  bin/clementinepier domain "$1" "$2" --key "$OUT/operator.key" --wait 5s $(entry_arguments) || say "the order is not confirmed by every entry VM"
+  reply=$(bin/clementinepier domain "$1" "$2" --json --key "$OUT/operator.key" --wait "$ORDER_WAIT" $(entry_arguments) 2>>"$OUT/orders.log") || true
+  printf '%s\n' "$reply" >>"$OUT/orders.log"
+  sed -n 's/.*"acknowledged-at": *"\([^"]*\)".*/\1/p' <<<"$reply" | tail -n 1
 }
 
 write_settings() { # NUMBER: writes the settings file of an entry VM
@@ -211,22 +236,48 @@
 }
 
 take_domain_out_and_back() {
-  local ordered
+  local issued acknowledged
   say "$OUT_DOMAIN goes out of service"
-  # The order counts from its issue, which is stricter than from its acknowledgement.
-  record_change "$OUT_DOMAIN" out "$(now)"
-  domain_order out "$OUT_DOMAIN"
+  issued=$(now)
+  acknowledged=$(domain_order out "$OUT_DOMAIN")
+  if [[ -z $acknowledged ]]; then
+    say "the order was not acknowledged; see $OUT/orders.log"
+    return 1
+  fi
+  # With the store well, starts count as late from the issue of the order, which is stricter than its acknowledgement.
+  [[ $STORE_FAULTS == 1 ]] || acknowledged=$issued
+  record_change "$OUT_DOMAIN" out "$acknowledged"
   sleep 8 # starts count as late only after 4 s
   say "$OUT_DOMAIN comes back"
-  ordered=$(now) # starts are allowed from here on, as the order takes effect before its acknowledgement
-  domain_order back "$OUT_DOMAIN"
-  record_change "$OUT_DOMAIN" in "$ordered"
+  issued=$(now) # starts are allowed from here on, as the order takes effect before its acknowledgement
+  domain_order back "$OUT_DOMAIN" >/dev/null
+  record_change "$OUT_DOMAIN" in "$issued"
+}
+
+# store_faults makes the store lose answers, fail and answer slowly, and then freezes one entry VM past its leases.
+store_faults() {
+  say "the store loses answers"
+  platform_call /admin/faults '{"lose-replies": true}'
+  sleep 3
+  say "the store is down"
+  platform_call /admin/faults '{"down": true}'
+  sleep 5
+  say "the store is slow"
+  platform_call /admin/faults '{"slow": "300ms"}'
+  sleep 3
+  platform_call /admin/faults '{}'
+  say "the store is well; entry-7 is frozen"
+  signal entry-7 STOP
+  sleep 10
+  signal entry-7 CONT
+  say "entry-7 goes on"
 }
 
 main() {
-  local status=0
+  local status=0 faults
   rm -rf "$OUT"
   mkdir "$OUT"
+  check_ports
   : >"$OUT/domain-changes.jsonl"
   start platform bin/standin platform --address "$PLATFORM" --lag 1s
   await_port platform "$PLATFORM"
@@ -245,7 +296,12 @@
   kill_entry 2
   sleep 1
   begin_stop 4
-  take_domain_out_and_back
+  if [[ $STORE_FAULTS == 1 ]]; then
+    store_faults &
+    faults=$!
+  fi
+  take_domain_out_and_back || status=1
+  [[ $STORE_FAULTS != 1 ]] || wait "$faults"
   finish_stop 4 || status=1
   await_end load || status=1
   tail -n 1 "$OUT/load.log"
