--- /dev/null
+++ b/config/fuzz_test.go
@@ -0,0 +1,42 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"clementinepier/bundle"
+)
+
+// Guards against outside bytes that crash Decode or Join, that take a view back, or that decode to a document which
+// encodes to something else.
+func FuzzDecodeAndJoin(f *testing.F) {
+	d := mustAccept(f, Document{}, bundleChange(1, "x", "a", "b"), orderChange("a", 1, bundle.OrderOut), bundleChange(2, "x", "a", "b"))
+	current, err := join(testVerifier, nil, d)
+	is.New(f).NoErr(err)
+	for _, next := range []Document{{}, d, mustAccept(f, d, orderChange("b", 1, bundle.OrderOut)), damaged(d)} {
+		data, err := Encode(next)
+		is.New(f).NoErr(err)
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+	}
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		is := is.New(t)
+		d, err := Decode(data)
+		if err != nil {
+			is.True(IsErrDocument(err))
+			return
+		}
+		again, err := Encode(d)
+		is.NoErr(err)
+		same, err := Decode(again)
+		is.NoErr(err)
+		canonical, err := Encode(same)
+		is.NoErr(err)
+		is.Equal(again, canonical)
+		next, err := join(testVerifier, current, d)
+		is.True(err == nil || IsErrParts(err))
+		is.True(next.Known().Covers(current.Known()) && next.Revision().Covers(current.Revision()))
+	})
+}
