--- a/config/accept.go
+++ b/config/accept.go
@@ -127,7 +127,7 @@
 
 // Settle returns the document to write, at the same revision, once a change is acknowledged everywhere that includes
 // the last change of the set of failure domains. Rollouts then no longer need a majority of the earlier set. It reports
-// whether there is anything to write. The revision must be that of a rollout whose Progress has Everywhere set.
+// whether there is anything to write. The revision is that of a document whose change has a rollout with Progress.Everywhere.
 func Settle(d Document, everywhere Revision) (Document, bool) {
 	if len(d.PreviousDomains) == 0 || everywhere.Bundle < d.DomainsSince {
 		return d, false
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -189,6 +189,8 @@
 	is.NoErr(err)
 	is.Equal(again, d)
 	is.Equal(result, d.Recent[0])
+	is.Equal(result.Part(), one)
+	is.Equal(d.Recent[1].Part(), Revision{Orders: map[string]uint64{"a": 1}})
 	d = mustAccept(t, d, orderChange("a", 2, bundle.OrderIn))
 	is.Equal(len(d.Recent), RecentChanges)
 	_, _, err = accept(testVerifier, d, first) // the id is no longer known
--- a/config/document.go
+++ b/config/document.go
@@ -44,6 +44,15 @@
 	Digest []byte `cbor:"digest" json:"-"`
 }
 
+// Part returns the revision that has only the changed part. A rollout of the change can be made from it, also by a VM
+// that learns of the change from a retry.
+func (a Accepted) Part() Revision {
+	if a.FailureDomain == "" {
+		return Revision{Bundle: a.Number}
+	}
+	return Revision{Orders: map[string]uint64{a.FailureDomain: a.Number}}
+}
+
 // Clone returns a copy that shares nothing with d.
 func (d Document) Clone() Document {
 	c := d
--- a/config/freshness.go
+++ b/config/freshness.go
@@ -61,6 +61,7 @@
 
 // SetSelf records whether this VM is registered. It is registered once a store read that was sent after its
 // registration was written is joined into its view, and no longer so before it sends the removal of its registration.
+// Every registration must write the key, also if it exists, so that a delayed removal of an earlier boot fails.
 func (f *Freshness) SetSelf(registered bool) { f.registered = registered }
 
 // SetView records the view. Observations that named a revision which the view now covers start to count. Only the
--- a/config/model_test.go
+++ b/config/model_test.go
@@ -83,10 +83,10 @@
 
 type modelRollout struct {
 	*Rollout
-	options RolloutOptions
-	swapped time.Time
-	number  uint64
-	domain  string // of an order
+	revision Revision
+	swapped  time.Time
+	number   uint64
+	domain   string // of an order
 	// own and everywhere are when the change was acknowledged to the VMs of its domain and to all VMs.
 	own, everywhere time.Time
 }
@@ -279,14 +279,14 @@
 	}
 	m.winners[key] = c.ID
 	m.setHead(next, view)
-	options := RolloutOptions{Change: view.Revision(), Domains: view.FailureDomains(), PreviousDomains: next.PreviousDomains, IsolatedWindow: m.isolated}
+	options := RolloutOptions{Change: accepted.Part(), Domains: view.FailureDomains(), PreviousDomains: next.PreviousDomains, IsolatedWindow: m.isolated}
 	if m.rule == ruleOneSet {
 		options.PreviousDomains = nil
 	}
 	if c.Order != nil {
 		options.Order = &c.Order.Order
 	}
-	r := &modelRollout{Rollout: NewRollout(options), options: options, swapped: m.now, number: accepted.Number, domain: accepted.FailureDomain}
+	r := &modelRollout{Rollout: NewRollout(options), revision: view.Revision(), swapped: m.now, number: accepted.Number, domain: accepted.FailureDomain}
 	m.rollouts = append(m.rollouts, r)
 }
 
@@ -337,7 +337,7 @@
 	if m.rule == ruleSettleOnOwnOrder {
 		everywhere = own
 	}
-	if d, ok := Settle(m.head, r.options.Change); ok && !everywhere.IsZero() {
+	if d, ok := Settle(m.head, r.revision); ok && !everywhere.IsZero() {
 		m.setHead(d, m.headView)
 	}
 }
--- a/config/rollout.go
+++ b/config/rollout.go
@@ -16,11 +16,11 @@
 
 // RolloutOptions describe the change whose acknowledgement a Rollout decides.
 type RolloutOptions struct {
-	// Change is the revision that includes the change.
+	// Change is a revision that includes the change, such as Accepted.Part.
 	Change Revision
-	// Domains are the failure domains of the bundle at that revision.
+	// Domains are the failure domains of the bundle in the document that the change was written with, or a later one.
 	Domains []string
-	// PreviousDomains are those of the document at that revision.
+	// PreviousDomains are those of the same document.
 	PreviousDomains []string
 	// Order is the order that the change made, or nil for a bundle.
 	Order *bundle.Order
