Stop only members whose hold was confirmed

A second owner of a rack that was refused a hold because the task id was known there sent a stop for that id. A stop names only the id, so it ended the running task of the first owner.

Seen failing before: go test ./dispatch -run 'TestFailures/same_request_through_two_owners' (single and gang, not idempotent): result unknown, code worker-lost, instead of done. Ruled out: the claim (attempt 1 was claimed by the first owner only) and the settler (it was not asked).

The renewal of such a hold that shows the task of another nonce counts as a refusal.

--- a/gang/member.go
+++ b/gang/member.go
@@ -55,10 +55,12 @@
 	// checkpoint is awaited beside call, because leases are renewed meanwhile.
 	checkpoint   call
 	checkpointed bool
-	holds        int
-	stops        int
-	answered     uint64
-	workerLost   bool
+	// admitted is true once the worker has confirmed a hold under the attempt's own nonce.
+	admitted   bool
+	holds      int
+	stops      int
+	answered   uint64
+	workerLost bool
 }
 
 // confirmed reports whether the worker has said that the member was started and did not end badly.
--- a/gang/phases.go
+++ b/gang/phases.go
@@ -190,7 +190,9 @@
 		return
 	}
 	for _, m := range g.members {
-		if m.holds > 0 {
+		// Without a confirmed hold the id may be that of a task of another owner, which a stop would end. A hold whose
+		// reply was lost lapses.
+		if m.admitted {
 			g.issue(m, KindStop, 0).Reason = string(code)
 		}
 	}
--- a/gang/step.go
+++ b/gang/step.go
@@ -159,6 +159,12 @@
 
 func (g *Gang) reply(r Reply) {
 	c := r.Command
+	if g.names(c.ID) && g.heldByOther(r) {
+		m := g.byIndex[c.ID.Member]
+		m.call, m.answered = call{}, c.Number
+		g.refuse(m, worker.RefusedKnown)
+		return
+	}
 	if !g.names(c.ID) || c.Nonce != g.options.Spec.Nonce ||
 		(r.Status.Spec.Nonce != "" && (r.Status.Spec.Nonce != c.Nonce || r.Status.Spec.ID != c.ID)) {
 		g.ignored.Crossed++
@@ -193,6 +199,15 @@
 	g.accept(m, c, r, sent)
 }
 
+// heldByOther reports whether the reply to the renewal of a hold, which may not have been admitted, shows that the id
+// belongs to the task of another owner.
+func (g *Gang) heldByOther(r Reply) bool {
+	c, s := r.Command, r.Status.Spec
+	m := g.byIndex[c.ID.Member]
+	return !g.startIssued && c.Kind == KindRenew && c.Number != 0 && c.Number == m.call.number && r.Err == nil &&
+		m.state == stateUnsure && s.ID == c.ID && s.Nonce != "" && s.Nonce != c.Nonce
+}
+
 // accept handles a usable reply to a command that was issued at the time sent.
 func (g *Gang) accept(m *member, c Command, r Reply, sent time.Time) {
 	switch c.Kind {
@@ -213,7 +228,7 @@
 func (g *Gang) holdReply(m *member, refused worker.Refusal, sent time.Time) {
 	switch {
 	case refused == worker.RefusedNone:
-		m.state, m.renewed, m.until = stateHeld, sent, sent.Add(g.options.Limits.HoldLength)
+		m.state, m.renewed, m.until, m.admitted = stateHeld, sent, sent.Add(g.options.Limits.HoldLength), true
 	case refused == worker.RefusedKnown && m.holds > 1:
 		// An earlier hold whose reply was lost may have been admitted; a renewal tells.
 		m.state = stateUnsure
@@ -250,7 +265,7 @@
 	}
 	switch {
 	case s.State == worker.StateHeld:
-		m.state, m.renewed, m.until = stateHeld, sent, sent.Add(c.Length)
+		m.state, m.renewed, m.until, m.admitted = stateHeld, sent, sent.Add(c.Length), true
 	case s.State == worker.StateUnknown && m.state == stateUnsure:
 		m.state = stateIdle
 	default:
