Test the rack owner under failures and fix what was found

The dispatcher's goroutines go through function fields, so that a test runs commands in order and steps the board by hand; questions about a claim are asked from the tick instead of a sleeping goroutine, and calls to workers are timed by the clock. The ledger's Do is exported for the same reason.

Each fault was seen failing with go test ./dispatch -run TestFailures/<case>: - 'rack moved while running', 'rack moved away and back', 'worker leaves the list while running' (all kinds): the accelerators of a run that was moved stayed counted as running for ever (a plain runs 8 or 16 instead of 0). They are released, and holds without a start are dropped. - 'worker leaves the list while running/gang': the run was given up although the rack had not moved, and the gang's other members went on for a lease. The gang is told that the worker is lost. - the same case: a final unknown of an adopted gang had the code owner-lost, which receivers take for a moved rack, so that they asked until the deadline. - 'preempted and cancelled' (idempotent): a cancellation that came while a preempted attempt ended was forgotten, and the request was started again. - 'deadline passes in the queue after a start' (idempotent): not-run although an attempt had been started. It is unknown now.

Found by reading, covered by later tests where noted there: a run that resolves a claim stayed for ever once its deadline had passed; a late claim answer took the gang of a later or adopted attempt out of the control loop; the model had tasks of two owners with one id under one entry; an adopted run without a payload was placed again after a preemption; a retry of a run past its deadline got unknown at once; a submission whose context ended before it was accepted stayed queued; Cancel and Find read a result that the control goroutine might still write.

--- a/board/board.go
+++ b/board/board.go
@@ -56,6 +56,18 @@
 	}
 }
 
+// Step applies the next change if one waits, and reports whether one did. It is for callers that drive the board
+// themselves instead of calling Run.
+func (b *Board) Step() bool {
+	select {
+	case change := <-b.mailbox:
+		change(b.State)
+		return true
+	default:
+		return false
+	}
+}
+
 // Do queues a change and waits until it is applied. It must not be called from within a change.
 func (b *Board) Do(ctx context.Context, change Change) error {
 	applied := make(chan struct{})
--- a/claim/book_test.go
+++ b/claim/book_test.go
@@ -147,7 +147,7 @@
 func (r *bookRun) submit(owner int, f func(l *Ledger) error, done func(error)) {
 	l := *r.ledgers[owner]
 	l.Clock = fixedClock{now: r.now}
-	l.do = func(_ context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
+	l.Do = func(_ context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
 		c := &change{key: key, decide: decide}
 		c.resolve = func(err error) { delete(r.open, c); done(err) }
 		r.open[c] = true
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -46,8 +46,9 @@
 	withdrawn chan withdrawal
 	landed    chan reply
 	done      chan struct{}
-	// do makes a change and returns its result. Tests replace it to drive a book without goroutines.
-	do func(ctx context.Context, key job.Key, decide func(*Record) (*Record, error)) error
+	// Do makes a change and returns its result. NewLedger sets it to the queue that Run works on; tests replace it to
+	// drive a ledger without goroutines.
+	Do func(ctx context.Context, key job.Key, decide func(*Record) (*Record, error)) error
 }
 
 type withdrawal struct {
@@ -76,7 +77,7 @@
 		// Every shard can have a reply without a reader when Run ends.
 		landed: make(chan reply, Shards), done: make(chan struct{}),
 	}
-	l.do = l.queue
+	l.Do = l.queue
 	return l
 }
 
@@ -185,7 +186,7 @@
 // nil, nil if the claim is written. Other errors are *ErrStoreUnavailable and *ErrFull.
 func (l *Ledger) Claim(ctx context.Context, r Record) (*Record, error) {
 	r.State, r.At = StateClaimed, l.now()
-	err := l.do(ctx, r.Key, func(current *Record) (*Record, error) {
+	err := l.Do(ctx, r.Key, func(current *Record) (*Record, error) {
 		switch {
 		case current == nil:
 			return &r, nil
@@ -203,7 +204,7 @@
 func (l *Ledger) Advance(ctx context.Context, key job.Key, fromAttempt int, next Record) (*Record, error) {
 	next.Key, next.State, next.At = key, StateClaimed, l.now()
 	next.Attempt = max(next.Attempt, fromAttempt+1)
-	err := l.do(ctx, key, func(current *Record) (*Record, error) {
+	err := l.Do(ctx, key, func(current *Record) (*Record, error) {
 		switch {
 		case current == nil:
 			return nil, &ErrClaimNotExist{Key: key}
@@ -221,7 +222,7 @@
 // changes. It returns *ErrConflict, *ErrClaimNotExist or *ErrStoreUnavailable.
 func (l *Ledger) Settle(ctx context.Context, key job.Key, attempt int, state RecordState) error {
 	now := l.now()
-	return l.do(ctx, key, func(current *Record) (*Record, error) {
+	return l.Do(ctx, key, func(current *Record) (*Record, error) {
 		switch {
 		case current == nil:
 			return nil, &ErrClaimNotExist{Key: key}
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
 	"clementinepier/board"
@@ -37,12 +36,12 @@
 	r.claiming = true
 	r.claimNonces = append(r.claimNonces, r.nonce)
 	earlier, g := r.claimed, r.gang
-	go func() {
-		ctx, cancel := clockwork.WithTimeout(d.ctx, d.Clock, claimTimeout)
+	d.spawn(func() {
+		ctx, cancel := d.timeout(d.ctx, claimTimeout)
 		defer cancel()
 		existing, err := d.makeClaim(ctx, record, earlier)
 		d.Board.Post(func(s *board.State) { d.claimed(s, r, g, record, existing, err) })
-	}()
+	})
 }
 
 // makeClaim claims a first attempt, or the attempt after an earlier one of this run that never started.
@@ -60,7 +59,8 @@
 // claimed applies the result of a claim.
 func (d *Dispatcher) claimed(s *board.State, r *run, g *gang.Gang, record claim.Record, existing *claim.Record, err error) {
 	r.claiming = false
-	if r.phase == phaseEnded {
+	if r.phase == phaseEnded || r.gang != nil && r.gang.StartIssued() {
+		// The run has ended or adopted an attempt, which the claim is not about.
 		return
 	}
 	switch {
@@ -74,11 +74,10 @@
 		// An earlier claim of this run took effect although its answer was lost. That attempt never started.
 		r.claimed = existing.Attempt
 	case existing.RequestDigest != r.digest:
-		r.cancelled = true
-		d.gangEvent(s, r, g, gang.Cancel{Code: job.CodeRequestIDConflict})
+		d.cancel(s, r, job.CodeRequestIDConflict, "the request id was used with another body")
 	default:
 		d.Metrics.Add(metrics.ClaimsExisting, 1)
-		d.resolve(s, r, g, *existing)
+		d.resolve(s, r, *existing)
 	}
 }
 
@@ -92,46 +91,37 @@
 }
 
 // resolve drops the run's own holds and finds out what became of the attempt that the ledger names.
-func (d *Dispatcher) resolve(s *board.State, r *run, g *gang.Gang, record claim.Record) {
-	if r.phase == phaseActive && r.gang == g {
+func (d *Dispatcher) resolve(s *board.State, r *run, record claim.Record) {
+	if r.phase == phaseActive {
+		// The gang may be that of a later attempt than the one that asked for the claim. Without a claim it has no start.
 		r.phase = phaseResolving
-		d.gangEvent(s, r, g, gang.Cancel{Code: job.CodeClaimedElsewhere})
+		d.gangEvent(s, r, r.gang, gang.Cancel{Code: job.CodeClaimedElsewhere})
 	}
 	if r.phase == phaseQueued {
 		s.Queue.Remove(r.key())
 	}
-	r.phase = phaseResolving
-	go d.settle(r, record)
+	r.phase, r.record, r.askAt = phaseResolving, record, d.Clock.Now()
 }
 
-// settle asks about the named attempt until its end is known or the run has been taken over by an adoption.
-func (d *Dispatcher) settle(r *run, record claim.Record) {
-	ctx, cancel := clockwork.WithDeadline(d.ctx, d.Clock, r.deadline.Add(deadlineGrace))
-	defer cancel()
-	for ctx.Err() == nil {
+// ask asks once about the attempt that is being resolved. It is repeated until the end of the attempt is known or the
+// run has been taken over by an adoption.
+func (d *Dispatcher) ask(r *run) {
+	r.asking = true
+	key, record, deadline := r.key(), r.record, r.deadline.Add(deadlineGrace)
+	d.spawn(func() {
+		ctx, cancel := d.timeout(d.ctx, d.Clock.Until(deadline))
+		defer cancel()
 		settlement, err := d.Settler.Settle(ctx, record)
-		record = settlement.Record
 		outcome, final := job.Outcome{}, false
 		if err == nil {
-			outcome, final = d.conclude(ctx, r, settlement)
-		}
-		resolving := false
-		if doErr := d.Board.Do(ctx, func(s *board.State) { resolving = d.settled(s, r, settlement, err, outcome, final) }); doErr != nil {
-			return
-		}
-		if !resolving {
-			return
+			outcome, final = d.conclude(ctx, key, settlement)
 		}
-		select {
-		case <-ctx.Done():
-		case <-d.Clock.After(resolveInterval):
-		}
-	}
+		d.Board.Post(func(s *board.State) { d.settled(s, r, settlement, err, outcome, final) })
+	})
 }
 
 // conclude derives an outcome from a settlement. It returns false while the attempt runs or may be tried again.
-func (d *Dispatcher) conclude(ctx context.Context, r *run, settlement claim.Settlement) (job.Outcome, bool) {
-	key := r.key()
+func (d *Dispatcher) conclude(ctx context.Context, key job.Key, settlement claim.Settlement) (job.Outcome, bool) {
 	switch settlement.Verdict {
 	case claim.VerdictUnknown:
 		return job.NewUnknown(key, job.CodeWorkerLost, "an earlier attempt may have run and its workers have no answer"), true
@@ -166,22 +156,19 @@
 	if !ok {
 		return nil, errors.New("worker is not known")
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.CallTimeout)
+	ctx, cancel := d.timeout(ctx, d.CallTimeout)
 	defer cancel()
 	return client.Answer(ctx, job.TaskID{Organisation: record.Key.Organisation, RequestID: record.Key.ID, Attempt: record.Attempt})
 }
 
-// settled applies one settlement; it reports whether the run is still to be resolved.
-func (d *Dispatcher) settled(s *board.State, r *run, found claim.Settlement, err error, outcome job.Outcome, final bool) bool {
+// settled applies one settlement.
+func (d *Dispatcher) settled(s *board.State, r *run, found claim.Settlement, err error, outcome job.Outcome, final bool) {
+	r.asking = false
 	switch {
 	case r.phase != phaseResolving:
-		return false
-	case err != nil:
-		return true
-	case final:
+	case err == nil && final:
 		d.end(s, r, outcome)
-		return false
-	case found.Verdict == claim.VerdictNotRun:
+	case err == nil && found.Verdict == claim.VerdictNotRun:
 		r.claimed = found.Record.Attempt
 		r.attempt = max(r.attempt, r.claimed)
 		if r.cancelled {
@@ -189,9 +176,9 @@
 		} else {
 			d.enqueue(s, r)
 		}
-		return false
+	default:
+		r.record, r.askAt = found.Record, d.Clock.Now().Add(resolveInterval)
 	}
-	return true
 }
 
 // settleClaim records the end of the current attempt, if it was claimed.
@@ -207,11 +194,11 @@
 		state = claim.StateNotRun
 	}
 	key, attempt := r.key(), r.attempt
-	go func() {
-		ctx, cancel := clockwork.WithTimeout(d.ctx, d.Clock, settleTimeout)
+	d.spawn(func() {
+		ctx, cancel := d.timeout(d.ctx, settleTimeout)
 		defer cancel()
 		if err := d.Ledger.Settle(ctx, key, attempt, state); err != nil {
 			d.Metrics.Add(metrics.ClaimsFailed, 1)
 		}
-	}()
+	})
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -51,14 +51,19 @@
 	CallTimeout time.Duration
 	PoolSize    int
 
-	ctx  context.Context
-	pool *ants.Pool
+	ctx context.Context
+	// traffic runs calls to workers on the bounded pool, spawn other work that may block, and follower follows a worker
+	// until its context ends. Tests replace them to choose the order. timeout bounds a call by the clock.
+	traffic  func(work func()) error
+	spawn    func(work func())
+	follower func(ctx context.Context, w *watcher)
+	timeout  func(ctx context.Context, length time.Duration) (context.Context, context.CancelFunc)
 	// The fields below are touched only by the control goroutine.
 	runs     map[job.Key]*run
 	renewals map[string][]owned
 	watchers map[string]*watcher
 	// orphans are started tasks of the watched workers that no run here owns.
-	orphans map[job.TaskID]worker.Status
+	orphans map[orphan]worker.Status
 	// running counts the accelerators in use per organisation; a request without accelerators counts as one.
 	running map[string]int
 	// anchors, guaranteed and weights follow the bundle; guaranteed counts the accelerators of anchors on owned racks.
@@ -77,10 +82,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create pool for worker calls")
 	}
-	d.ctx, d.pool = ctx, pool
-	d.runs, d.renewals = map[job.Key]*run{}, map[string][]owned{}
-	d.watchers, d.orphans = map[string]*watcher{}, map[job.TaskID]worker.Status{}
-	d.running, d.random = map[string]int{}, newRandom()
+	d.traffic, d.spawn, d.follower = pool.Submit, func(work func()) { go work() }, d.follow
+	d.init(ctx)
 	done := make(chan error, 1)
 	go func() {
 		ticker := d.Clock.NewTicker(tick)
@@ -99,6 +102,16 @@
 	return done, nil
 }
 
+func (d *Dispatcher) init(ctx context.Context) {
+	d.ctx = ctx
+	d.timeout = func(ctx context.Context, length time.Duration) (context.Context, context.CancelFunc) {
+		return clockwork.WithTimeout(ctx, d.Clock, length)
+	}
+	d.runs, d.renewals = map[job.Key]*run{}, map[string][]owned{}
+	d.watchers, d.orphans = map[string]*watcher{}, map[orphan]worker.Status{}
+	d.running, d.random = map[string]int{}, newRandom()
+}
+
 // onTick does the control work that is due.
 func (d *Dispatcher) onTick(s *board.State) {
 	now := d.Clock.Now()
@@ -110,6 +123,8 @@
 			}
 		case r.phase == phaseDelayed && !now.Before(r.retryAt):
 			d.enqueue(s, r)
+		case r.phase == phaseResolving && !r.asking && !now.Before(r.askAt):
+			d.ask(r)
 		case r.phase == phaseActive && !r.wake.IsZero() && !now.Before(r.wake):
 			d.gangEvent(s, r, r.gang, gang.Tick{})
 		}
@@ -132,6 +147,8 @@
 		conflict = d.accept(s, req, digest, trace.Inject(ctx), waiter)
 	})
 	if err != nil {
+		// The request may still be accepted after ctx has ended.
+		d.Board.Post(func(s *board.State) { d.abandon(s, req.Key(), waiter) })
 		return job.Outcome{}, err
 	}
 	if conflict != nil {
@@ -186,6 +203,10 @@
 	if !r.known {
 		r.request, r.known = req, true
 	}
+	// A retry of a run that goes on after its deadline waits for its own timeout.
+	if deadline := d.Clock.Now().Add(req.Timeout.Std()); deadline.After(r.deadline) {
+		r.deadline = deadline
+	}
 	r.waiters = append(r.waiters, waiter)
 }
 
@@ -209,16 +230,20 @@
 
 // Cancel ends a request as soon as its state allows. It reports whether the request is known here.
 func (d *Dispatcher) Cancel(ctx context.Context, key job.Key) (bool, error) {
-	found := false
+	known := false
 	err := d.Board.Do(ctx, func(s *board.State) {
 		r, ok := d.runs[key]
 		if !ok {
 			return
 		}
-		found = true
+		known = true
 		d.cancel(s, r, job.CodeCancelled, "cancelled by the caller")
 	})
-	return found, err
+	if err != nil {
+		// The change may still be applied and must not be read meanwhile.
+		return false, err
+	}
+	return known, nil
 }
 
 // cancel ends a run. A running request that is not idempotent goes on: stopping it half way would leave its effects
@@ -243,13 +268,18 @@
 	if r.phase == phaseEnded || now.Before(r.deadline) {
 		return
 	}
-	if !r.cancelled {
-		d.cancel(s, r, job.CodeDeadlineExceeded, "the deadline passed")
+	d.cancel(s, r, job.CodeDeadlineExceeded, "the deadline passed")
+	if r.phase == phaseEnded || now.Before(r.deadline.Add(deadlineGrace)) {
+		return
 	}
-	if r.phase != phaseEnded && !now.Before(r.deadline.Add(deadlineGrace)) {
-		// The run goes on here, but its waiters must hear something.
-		d.notify(r, job.NewUnknown(r.key(), job.CodeDeadlineExceeded, "the request was still running at its deadline"))
+	outcome := job.NewUnknown(r.key(), job.CodeDeadlineExceeded, "the request was still running at its deadline")
+	if r.phase == phaseResolving {
+		// A later retry resolves the claim again, because by then the attempt may have ended.
+		d.drop(r, outcome)
+		return
 	}
+	// The run goes on here, but its waiters must hear something.
+	d.notify(r, outcome)
 }
 
 // deadlineGrace is the time that a started run gets for being stopped or settled before its waiters are told that
@@ -258,12 +288,17 @@
 
 // Find returns the outcome of a request, or whether it is in progress here.
 func (d *Dispatcher) Find(ctx context.Context, key job.Key) (outcome job.Outcome, found, ended bool, err error) {
+	var result job.Outcome
+	var known, over bool
 	err = d.Board.Do(ctx, func(*board.State) {
 		if r, ok := d.runs[key]; ok {
-			found, ended, outcome = true, r.phase == phaseEnded, r.outcome
+			known, over, result = true, r.phase == phaseEnded, r.outcome
 		}
 	})
-	return outcome, found, ended, err
+	if err != nil {
+		return job.Outcome{}, false, false, err
+	}
+	return result, known, over, nil
 }
 
 // Running returns the number of requests with an attempt in progress. It is called by the control goroutine.
@@ -295,7 +330,7 @@
 
 // callContext bounds a call to a worker that no command times.
 func (d *Dispatcher) callContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(d.ctx, d.CallTimeout)
+	return d.timeout(d.ctx, d.CallTimeout)
 }
 
 func (d *Dispatcher) newNonce() string {
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -46,10 +46,13 @@
 	parent := r.trace
 	current := r.gang
 	post := func(reply gang.Reply) {
-		d.Board.Post(func(s *board.State) { d.gangEvent(s, r, current, reply) })
+		d.Board.Post(func(s *board.State) {
+			d.dropLateHold(r, current, reply)
+			d.gangEvent(s, r, current, reply)
+		})
 	}
-	err := d.pool.Submit(func() {
-		ctx, cancel := context.WithTimeout(trace.Extract(d.ctx, parent), d.CallTimeout)
+	err := d.traffic(func() {
+		ctx, cancel := d.timeout(trace.Extract(d.ctx, parent), d.CallTimeout)
 		defer cancel()
 		ctx, span := d.Tracer.Start(ctx, "worker-"+string(c.Kind), "worker", c.Worker, "task", c.ID.String())
 		reply := d.call(ctx, c, spec, payload)
@@ -58,10 +61,30 @@
 	})
 	if err != nil {
 		// Posting from the control goroutine must not block on a full mailbox.
-		go post(gang.Reply{Command: c, Err: &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errPoolFull}})
+		d.spawn(func() {
+			post(gang.Reply{Command: c, Err: &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errPoolFull}})
+		})
 	}
 }
 
+// dropLateHold gives a hold back that was admitted after its attempt had ended.
+func (d *Dispatcher) dropLateHold(r *run, g *gang.Gang, reply gang.Reply) {
+	c := reply.Command
+	if c.Kind != gang.KindHold || reply.Err != nil || reply.Refused != worker.RefusedNone || r.gang == g {
+		return
+	}
+	client, ok := d.Workers(c.Worker)
+	if !ok {
+		return
+	}
+	// When no goroutine is free the hold lapses by itself.
+	_ = d.traffic(func() {
+		ctx, cancel := d.callContext()
+		defer cancel()
+		_, _ = client.Stop(ctx, []job.TaskID{c.ID}, "the attempt has ended")
+	})
+}
+
 func reason(err error) string {
 	if err == nil {
 		return ""
@@ -119,9 +142,9 @@
 func (d *Dispatcher) flushRenewals() {
 	for name, batch := range d.renewals {
 		delete(d.renewals, name)
-		if err := d.pool.Submit(func() { d.renew(name, batch) }); err != nil {
+		if err := d.traffic(func() { d.renew(name, batch) }); err != nil {
 			cause := &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errPoolFull}
-			go d.postRenewals(batch, nil, cause)
+			d.spawn(func() { d.postRenewals(batch, nil, cause) })
 		}
 	}
 }
@@ -136,7 +159,7 @@
 	for _, o := range batch {
 		leases = append(leases, worker.Lease{ID: o.command.ID, Nonce: o.command.Nonce, Length: job.Duration(o.command.Length)})
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, renewTimeout)
+	ctx, cancel := d.timeout(d.ctx, renewTimeout)
 	defer cancel()
 	d.Metrics.Add(metrics.WorkerCalls, 1)
 	statuses, err := client.Renew(ctx, leases)
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -39,8 +39,12 @@
 func (d *Dispatcher) finish(s *board.State, r *run) {
 	g := r.gang
 	r.gang, r.wake = nil, time.Time{}
+	if result := g.Result(); result == gang.ResultDone || result == gang.ResultFailed {
+		s.Queue.Observed(r.request.Organisation, r.request.Shape, d.Clock.Since(r.placedAt))
+	}
 	d.release(s, r)
-	if g.StartIssued() {
+	// An attempt whose members all confirmed that they never started has not run, although starts were issued.
+	if g.StartIssued() && g.Result() != gang.ResultNeverStarted {
 		r.started++
 	}
 	switch g.Result() {
@@ -49,8 +53,7 @@
 	case gang.ResultFailed:
 		d.finishFailed(s, r, g)
 	case gang.ResultPreempted:
-		d.Metrics.Add(metrics.AttemptsPreempted, 1)
-		d.enqueue(s, r)
+		d.finishPreempted(s, r, g)
 	case gang.ResultNeverStarted:
 		d.finishNeverStarted(s, r, g)
 	default:
@@ -85,6 +88,17 @@
 	})
 }
 
+// finishPreempted makes the run wait for capacity again. A run that was cancelled meanwhile ends, and so does one
+// without a payload, whose receiver sends the request again.
+func (d *Dispatcher) finishPreempted(s *board.State, r *run, g *gang.Gang) {
+	d.Metrics.Add(metrics.AttemptsPreempted, 1)
+	if r.cancelled || !r.known {
+		d.end(s, r, job.NewUnknown(r.key(), g.Code(), g.Detail()))
+		return
+	}
+	d.enqueue(s, r)
+}
+
 // finishNeverStarted tries again later, since nothing ran.
 func (d *Dispatcher) finishNeverStarted(s *board.State, r *run, g *gang.Gang) {
 	if r.cancelled {
@@ -122,13 +136,22 @@
 		return
 	}
 	d.settleClaim(r, job.Unknown)
-	outcome := job.NewUnknown(r.key(), g.Code(), g.Detail())
+	code := g.Code()
+	if code == job.CodeOwnerLost {
+		// Receivers take this code for a rack that has moved, and ask again until the deadline.
+		code = job.CodeWorkerLost
+	}
+	outcome := job.NewUnknown(r.key(), code, g.Detail())
 	outcome.Attempts = r.started
 	d.end(s, r, outcome)
 }
 
-// end records the outcome and tells the waiters.
+// end records the outcome and tells the waiters. "Not run" becomes "unknown" when an earlier attempt was started.
 func (d *Dispatcher) end(s *board.State, r *run, outcome job.Outcome) {
+	if outcome.Result == job.NotRun && r.started > 0 {
+		outcome = job.NewUnknown(r.key(), outcome.Code, "an attempt was started and has no answer: "+outcome.Detail)
+		outcome.Attempts = r.started
+	}
 	s.Queue.Remove(r.key())
 	s.Cluster.Forget(r.key())
 	r.phase, r.outcome, r.endedAt = phaseEnded, outcome, d.Clock.Now()
@@ -143,8 +166,8 @@
 	r.waiters = nil
 }
 
-// move gives a run up because its rack has another owner. Its waiters
-// send the request there. A run without a start is not run here any more, so its holds are dropped.
+// move gives a run up because its rack has another owner. Its waiters send the request there. A run without a start
+// is not run here any more, so its holds are dropped.
 func (d *Dispatcher) move(s *board.State, r *run) {
 	s.Queue.Remove(r.key())
 	s.Cluster.Forget(r.key())
@@ -152,6 +175,15 @@
 	if r.started > 0 || r.gang != nil && r.gang.StartIssued() {
 		outcome = job.NewUnknown(r.key(), job.CodeOwnerLost, "the rack has another owner, who goes on with the request")
 	}
+	if r.gang != nil && !r.gang.StartIssued() {
+		d.execute(r, r.gang.Step(d.Clock.Now(), gang.Cancel{Code: job.CodeOwnerLost}))
+	}
+	d.release(s, r)
+	d.drop(r, outcome)
+}
+
+// drop tells the waiters and forgets the run, so that a caller that asks again gets a new one.
+func (d *Dispatcher) drop(r *run, outcome job.Outcome) {
 	d.notify(r, outcome)
 	r.phase = phaseEnded
 	delete(d.runs, r.key())
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"clementinepier/claim"
 	"clementinepier/gang"
 	"clementinepier/job"
 	"clementinepier/worker"
@@ -55,8 +56,16 @@
 	// cancelled is set when the caller cancelled; the run ends as soon as its state allows.
 	cancelled bool
 
+	// record is the claim that is being resolved, askAt the time of the next question about it, and asking is true while
+	// one is in flight.
+	record claim.Record
+	askAt  time.Time
+	asking bool
+
 	gang     *gang.Gang
 	borrowed bool
+	// rack and workers are those of the current attempt.
+	rack     string
 	workers  []string
 	nonce    string
 	queuedAt time.Time
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -197,7 +197,7 @@
 	now := d.Clock.Now()
 	r.attempt++
 	r.preempting = false
-	r.phase, r.workers, r.borrowed, r.nonce = phaseActive, plan.Workers, plan.Borrowed, d.newNonce()
+	r.phase, r.rack, r.workers, r.borrowed, r.nonce = phaseActive, plan.Rack, plan.Workers, plan.Borrowed, d.newNonce()
 	for member, name := range plan.Workers {
 		id := r.spec().ID
 		id.Member = member
@@ -239,7 +239,6 @@
 	}
 	if !r.placedAt.IsZero() {
 		d.running[r.request.Organisation] -= accelerators(r)
-		s.Queue.Observed(r.request.Organisation, r.request.Shape, d.Clock.Since(r.placedAt))
 		r.placedAt = time.Time{}
 	}
 }
@@ -281,7 +280,7 @@
 // acknowledge lets the workers of the last attempt drop its answer.
 func (d *Dispatcher) acknowledge(r *run) {
 	spec := r.spec()
-	_ = d.pool.Submit(func() {
+	_ = d.traffic(func() {
 		for member, name := range spec.Workers {
 			client, ok := d.Workers(name)
 			if !ok {
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -61,10 +61,10 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	w := &watcher{name: name, rack: rack, cancel: cancel, done: make(chan struct{}), since: d.Clock.Now()}
 	d.watchers[name] = w
-	go func() {
-		d.follow(ctx, w)
+	d.spawn(func() {
+		d.follower(ctx, w)
 		close(w.done)
-	}()
+	})
 }
 
 // unwatch stops following a worker. The goroutine ends by itself; its last posts are ignored.
@@ -80,10 +80,14 @@
 	for _, r := range d.runs {
 		switch r.phase {
 		case phaseActive:
+			if !s.Owned[r.rack] {
+				d.move(s, r)
+				continue
+			}
 			for _, name := range r.workers {
-				if _, ok := d.watchers[name]; !ok {
-					d.move(s, r)
-					break
+				if _, ok := d.watchers[name]; !ok && r.phase == phaseActive {
+					// A worker leaves the platform's list only after it has stopped.
+					d.gangEvent(s, r, r.gang, gang.WorkerLost{Worker: name})
 				}
 			}
 		case phaseQueued, phaseDelayed:
@@ -122,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	listCtx, cancel := d.timeout(ctx, listTimeout)
 	info, statuses, err := client.Tasks(listCtx)
 	cancel()
 	if err != nil {
@@ -145,7 +149,7 @@
 }
 
 func (d *Dispatcher) poll(ctx context.Context, client *worker.Client, after uint64, wait time.Duration) (worker.Events, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := d.timeout(ctx, pollTimeout)
 	defer cancel()
 	d.Metrics.Add(metrics.WorkerCalls, 1)
 	return client.Events(ctx, after, wait)
@@ -212,24 +216,43 @@
 		return
 	}
 	if status.State.Ended() {
-		s.Cluster.Released(id)
-		delete(d.orphans, id)
+		s.Cluster.Released(foreign(status.Spec))
+		delete(d.orphans, orphanOf(name, status))
 		if status.State != worker.StateDone {
 			return
 		}
 	} else {
 		now := d.Clock.Now()
 		s.Cluster.Held(placement.Allocation{
-			Task: id, Worker: name, Accelerators: status.Spec.Shape.Accelerators, Slots: status.Spec.Shape.Slots,
+			Task: foreign(status.Spec), Worker: name, Accelerators: status.Spec.Shape.Accelerators, Slots: status.Spec.Shape.Slots,
 			Idempotent: status.Spec.Idempotent, Borrowed: status.Spec.Borrowed,
 			StartedAt: now.Add(-status.RanFor.Std()), Checkpoint: now.Add(-status.SinceCheckpoint.Std()),
 		})
 	}
 	if status.Started {
-		d.orphans[id] = status
+		d.orphans[orphanOf(name, status)] = status
 	}
 }
 
+// orphan names a started task that no run here owns. Two owners of one rack may start tasks with the same id.
+type orphan struct {
+	id     job.TaskID
+	nonce  string
+	worker string
+}
+
+func orphanOf(name string, status worker.Status) orphan {
+	return orphan{id: status.Spec.ID, nonce: status.Spec.Nonce, worker: name}
+}
+
+// foreign is the id under which the model has a task that no run here owns. It differs from the task's own id, so that
+// a task of another owner never replaces, or releases, what an attempt with the same number holds here.
+func foreign(spec worker.Spec) job.TaskID {
+	id := spec.ID
+	id.RequestID += "\x00" + spec.Nonce
+	return id
+}
+
 // adopt takes over started tasks without an owner here, once every worker of their rack has been listed or has had
 // the time for it. A gang is adopted as a whole, so that a member that is gone ends the others.
 func (d *Dispatcher) adopt(s *board.State, rack string) {
@@ -237,10 +260,10 @@
 		return
 	}
 	groups := map[job.Key][]worker.Status{}
-	for id, status := range d.orphans {
-		if info, ok := s.Workers[status.Spec.Workers[id.Member]]; ok && info.Rack == rack {
-			groups[id.Key()] = append(groups[id.Key()], status)
-			delete(d.orphans, id)
+	for o, status := range d.orphans {
+		if info, ok := s.Workers[o.worker]; ok && info.Rack == rack {
+			groups[o.id.Key()] = append(groups[o.id.Key()], status)
+			delete(d.orphans, o)
 		}
 	}
 	for key, statuses := range groups {
@@ -253,7 +276,7 @@
 		case r.phase == phaseActive, r.phase == phaseEnded, r.digest != statuses[0].Spec.RequestDigest:
 			continue
 		}
-		d.adoptRun(s, r, statuses)
+		d.adoptRun(s, r, rack, statuses)
 	}
 }
 
@@ -269,30 +292,41 @@
 }
 
 // adoptRun continues an attempt of another owner as the run's own.
-func (d *Dispatcher) adoptRun(s *board.State, r *run, statuses []worker.Status) {
+func (d *Dispatcher) adoptRun(s *board.State, r *run, rack string, statuses []worker.Status) {
 	spec := statuses[0].Spec
 	s.Queue.Remove(r.key())
 	r.phase, r.attempt, r.nonce = phaseActive, spec.ID.Attempt, spec.Nonce
-	r.workers, r.borrowed = spec.Workers, spec.Borrowed
+	r.rack, r.workers, r.borrowed = rack, spec.Workers, spec.Borrowed
 	if !spec.Idempotent {
 		r.claimed = spec.ID.Attempt
 	}
-	r.placedAt = d.Clock.Now()
+	r.placedAt = d.Clock.Now().Add(-statuses[0].RanFor.Std())
+	for _, status := range statuses {
+		// From now on the model has the task under its own id.
+		if held, ok := s.Cluster.Allocation(foreign(status.Spec)); ok {
+			s.Cluster.Released(held.Task)
+			held.Task = status.Spec.ID
+			s.Cluster.Held(held)
+		}
+	}
 	d.running[r.request.Organisation] += accelerators(r)
 	r.gang = gang.Adopt(d.gangOptions(s, r), statuses)
 	d.Metrics.Add(metrics.RequestsAdopted, 1)
 	d.gangEvent(s, r, r.gang, gang.Tick{})
 }
 
-// latestAttempt returns the statuses of the highest attempt. Earlier attempts have ended or lapse.
+// latestAttempt returns the statuses of the highest attempt, and of one nonce when two owners began attempts with the
+// same number. The others have ended or lapse.
 func latestAttempt(statuses []worker.Status) []worker.Status {
-	highest := 0
+	highest, nonce := 0, ""
 	for _, status := range statuses {
-		highest = max(highest, status.Spec.ID.Attempt)
+		if n := status.Spec.ID.Attempt; n > highest || n == highest && status.Spec.Nonce > nonce {
+			highest, nonce = n, status.Spec.Nonce
+		}
 	}
 	var latest []worker.Status
 	for _, status := range statuses {
-		if status.Spec.ID.Attempt == highest {
+		if status.Spec.ID.Attempt == highest && status.Spec.Nonce == nonce {
 			latest = append(latest, status)
 		}
 	}
