Add make path-cost: time that the system adds to one short request

The bare hop makes the calls that a worker needs for one task: hold, start, the event of its end from one long poll that all tasks share, and answer. The run time is 0 and the answer has 64 bytes. The platform, the worker, the rack owner and an entry VM that passes requests on are processes of their own.

The worker stand-in no longer looks at all kept events in each poll, which would grow into a part of every figure.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,13 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
 BIN := bin
 
-.PHONY: help build test unit lint fmt try bench capacity clean
+.PHONY: help build test unit lint fmt try bench capacity clean path-cost
 
 help:
 	@echo "make build     build bin/clementinepier and bin/standin"
 	@echo "make test      formatter, linter and all tests"
 	@echo "make try       whole system as separate processes on loopback, with failures"
+	@echo "make path-cost time that the system adds to one short request"
 	@echo "make bench     seeded experiments on the decision code"
 	@echo "make capacity  slopes behind docs/CAPACITY.md"
 
@@ -33,6 +34,10 @@
 try: build
 	bash scripts/try.sh
 
+# PROFILE=1 also writes a processor profile of each entry VM, from a build that serves profiles on loopback.
+path-cost: build
+	bash scripts/path-cost.sh
+
 bench:
 	go run ./bench
 
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,7 @@
 	Call     *callCommand     `arg:"subcommand:call" help:"send one call to a stand-in and print the reply"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send requests to entry VMs and check the answers"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"compare the results of a load with the run logs of the workers"`
+	PathCost *pathCostCommand `arg:"subcommand:path-cost" help:"measure the time that the system adds to a short request"`
 }
 
 // Description implements arg.Described.
@@ -35,6 +36,8 @@
 		return a.Load
 	case a.Check != nil:
 		return a.Check
+	case a.PathCost != nil:
+		return a.PathCost
 	}
 	return nil
 }
--- a/standin/worker/running.go
+++ b/standin/worker/running.go
@@ -95,10 +95,10 @@
 		w.mu.Lock()
 		w.settle()
 		reply, changed := worker.Events{Info: w.info, Next: w.last}, w.changed
-		for _, e := range w.events {
-			if e.Sequence > after {
-				reply.Events = append(reply.Events, e)
-			}
+		// Sequences have no gaps, so the events after one are the last ones.
+		if after < w.last {
+			unseen := min(w.last-after, uint64(len(w.events)))
+			reply.Events = append(reply.Events, w.events[len(w.events)-int(unseen):]...) //nolint:gosec // at most eventsKept
 		}
 		w.mu.Unlock()
 		if passed || reply.Next != after || reply.Info.Leaving != leaving {
