--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -567,7 +567,7 @@
 func (o *simOwner) with(p *proc) *Ledger {
 	l := *o.ledger
 	l.Clock = fixedClock{now: o.sim.now}
-	l.do = func(_ context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
+	l.Do = func(_ context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
 		err, _ := p.await(func(done func(any)) {
 			c := &change{key: key, decide: decide}
 			c.resolve = func(err error) { o.resume(done, err) }
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -21,6 +22,8 @@
 	// delay of ownership, and the listing of the workers.
 	takeoverTime = 4 * time.Second
 	findInterval = 300 * time.Millisecond
+	// liveInterval is how often an open call looks whether its owner is still live.
+	liveInterval = 500 * time.Millisecond
 	findTimeout  = time.Second
 	// replyMargin is the time after the deadline within which an owner may still report the outcome.
 	replyMargin = 1500 * time.Millisecond
@@ -212,7 +215,9 @@
 		outcome, err = r.Submit(ctx, call.Request, call.Digest)
 	} else {
 		r.Metrics.Add(metrics.RequestsForwarded, 1)
-		err = r.Call(ctx, owner, peer.KindRun, call, &outcome)
+		watched, stop := r.whileLive(ctx, owner)
+		err = r.Call(watched, owner, peer.KindRun, call, &outcome)
+		stop()
 	}
 	if err != nil {
 		span.End(err.Error())
@@ -222,6 +227,27 @@
 	return outcome, nil
 }
 
+// whileLive returns a context that ends when the owner has been silent. The connection to a frozen VM stays up, so
+// the call itself would wait until the deadline.
+func (r *Router) whileLive(ctx context.Context, owner string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := r.Clock.NewTicker(liveInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.Chan():
+			}
+			if !slices.Contains(r.Owners().names(), owner) {
+				cancel()
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 func (r *Router) pause(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
