Fix calls to the in-process stand-ins that block on a fake clock's context

clockwork's fake contexts block in Err until they are done, so the gate asks Done first. The trial script now refuses to start when a port is taken.

--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -60,11 +60,29 @@
 trap end_all EXIT
 trap 'exit 130' INT TERM
 
+listens() { (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; }
+
+# check_ports fails if another process has one of the ports, which would take calls meant for this trial.
+check_ports() {
+  local i address
+  local addresses=("$PLATFORM")
+  for ((i = 1; i <= ${#DOMAINS[@]} * WORKERS_PER_RACK; i++)); do addresses+=("127.0.0.1:$((WORKER_PORT + i))"); done
+  for ((i = 1; i <= ${#DOMAINS[@]} * ENTRIES_PER_DOMAIN; i++)); do
+    addresses+=("127.0.0.1:$((ENTRY_PORT + i))" "127.0.0.1:$((PEER_PORT + i))")
+  done
+  for address in "${addresses[@]}"; do
+    if listens "$address"; then
+      say "another process listens on $address"
+      return 1
+    fi
+  done
+}
+
 # await_port NAME ADDRESS waits until a process listens, and fails if it ends first.
 await_port() {
   local tries
   for ((tries = 0; tries < 100; tries++)); do
-    if (exec 3<>"/dev/tcp/${2%:*}/${2#*:}") 2>/dev/null; then return; fi
+    if listens "$2"; then return; fi
     if ! kill -0 "${PIDS[$1]}" 2>/dev/null; then break; fi
     sleep 0.1
   done
@@ -213,6 +231,7 @@
 
 main() {
   local status=0
+  check_ports
   rm -rf "$OUT"
   mkdir "$OUT"
   : >"$OUT/domain-changes.jsonl"
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -88,11 +88,22 @@
 	return g.faults
 }
 
+// ended reports whether ctx has ended. It does not call Err first, which blocks on a context that clockwork made
+// for a fake clock.
+func ended(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // Do runs effect as one call under the faults. A nil error means that the caller gets the reply; delivered is
 // false only when effect did not run and never will.
 func (g *Gate) Do(ctx context.Context, call string, effect func()) (delivered bool, err error) {
-	if err := ctx.Err(); err != nil {
-		return false, err
+	if ended(ctx) {
+		return false, ctx.Err()
 	}
 	g.count(call)
 	before := g.active(call)
@@ -111,7 +122,7 @@
 	effect()
 	after := g.active(call)
 	switch {
-	case ctx.Err() != nil:
+	case ended(ctx):
 		return true, ctx.Err()
 	case after.Down || after.Refused || after.LoseReplies:
 		return true, ErrLost
--- a/standin/platform/contract_test.go
+++ b/standin/platform/contract_test.go
@@ -52,6 +52,7 @@
 		"watch sees a write":               watchSeesWrite,
 		"watch ends after its wait":        watchEnds,
 		"VM list lags":                     vmListLags,
+		"context of a fake clock":          fakeDeadline,
 		"down takes no effect":             downTakesNoEffect,
 		"lost reply takes effect":          lostReplyTakesEffect,
 		"slow call takes effect":           slowCallTakesEffect,
@@ -253,6 +254,14 @@
 	f.Equal(string(entry.Value), "a")
 }
 
+// Guards against a call that blocks on the state of a context made for a fake clock.
+func fakeDeadline(f *fixture) {
+	ctx, cancel := clockwork.WithTimeout(f.ctx, f.clock, time.Second)
+	defer cancel()
+	_, err := f.store.Get(ctx, "k")
+	f.NoErr(err)
+}
+
 // Guards against a needless doubt about a call that surely went nowhere.
 func refusedIsNotDelivered(f *fixture) {
 	ctx, cancel := context.WithCancel(f.ctx)
--- a/standin/worker/contract_test.go
+++ b/standin/worker/contract_test.go
@@ -70,6 +70,7 @@
 		"failures are reported":              failuresAreReported,
 		"gang answer comes from member 0":    gangAnswer,
 		"damaged answers are refused":        damagedAnswers,
+		"context of a fake clock":            fakeDeadline,
 		"down takes no effect":               downTakesNoEffect,
 		"lost reply takes effect":            lostReplyTakesEffect,
 		"delayed start misses its hold":      delayedStart,
@@ -504,6 +505,14 @@
 	f.True(events.Events[0].Status.Started)
 }
 
+// Guards against a call that blocks on the state of a context made for a fake clock.
+func fakeDeadline(f *fixture) {
+	ctx, cancel := clockwork.WithTimeout(f.ctx, f.clock, time.Second)
+	defer cancel()
+	_, err := f.client.Info(ctx)
+	f.NoErr(err)
+}
+
 // Guards against a needless doubt about a start that surely went nowhere.
 func refusedIsNotDelivered(f *fixture) {
 	ctx, cancel := context.WithCancel(f.ctx)
