--- a/standin/worker/running.go
+++ b/standin/worker/running.go
@@ -86,11 +86,11 @@
 
 // await returns early for new events, for a change of the leaving mark, and for a sequence from an earlier boot.
 func (w *Worker) await(ctx context.Context, after uint64, wait time.Duration) worker.Events {
-	timer := w.clock.NewTimer(wait)
-	defer timer.Stop()
 	w.mu.Lock()
 	leaving := w.info.Leaving
 	w.mu.Unlock()
+	timer := w.clock.NewTimer(wait)
+	defer timer.Stop()
 	for passed := wait <= 0; ; {
 		w.mu.Lock()
 		w.settle()
