--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -137,7 +137,7 @@
 	for _, o := range []*owner{r.a, r.b} {
 		if o != nil {
 			o.s.View = view
-			o.s.Freshness.SetView(view.Revision(), view.FailureDomains())
+			o.s.Freshness.SetView(view)
 			o.d.SetConfiguration(o.s)
 		}
 	}
@@ -162,7 +162,7 @@
 		Cluster: placement.New(placement.Options{}), Queue: queue.New(queue.Options{}),
 		Breaker: &breaker.Breaker{}, Retries: &breaker.RetryBudget{},
 	}
-	o.s.Freshness.SetView(r.view.Revision(), r.view.FailureDomains())
+	o.s.Freshness.SetView(r.view)
 	for worker := range r.workers {
 		o.s.Workers[worker] = platform.VM{Name: worker, Kind: platform.KindWorker, FailureDomain: "d", Rack: "r1"}
 	}
