--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"clementinepier/claim"
 	"clementinepier/job"
 	"clementinepier/placement"
@@ -189,7 +191,7 @@
 	third := r.a.submit(req)
 	r.Equal([]int{len(first), len(second), len(third)}, []int{0, 1, 1})
 	r.Equal((<-second).Answer, (<-third).Answer)
-	r.True(r.a.d.accept(r.a.s, req, "another digest", "", make(chan job.Outcome, 1)) == ErrRequestConflict)
+	r.True(errors.Is(r.a.d.accept(r.a.s, req, "another digest", "", make(chan job.Outcome, 1)), ErrRequestConflict))
 	r.a.d.cancel(r.a.s, r.a.d.runs[req.Key()], job.CodeCancelled, "") // after the end: no effect
 	r.ticks(outcomeRetention + time.Second)
 	r.Equal(len(r.a.d.runs), 0) // an outcome is not kept for ever
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -160,7 +160,7 @@
 		Self: peer.Identity{VM: name, FailureDomain: "d"}, View: r.view, Freshness: &config.Freshness{FailureDomain: "d"},
 		Workers: map[string]platform.VM{}, Leaving: map[string]bool{}, Owned: map[string]bool{},
 		Cluster: placement.New(placement.Options{}), Queue: queue.New(queue.Options{}),
-		Breaker: &breaker.Breaker{}, Retries: &breaker.RetryBudget{},
+		Breaker: breaker.New(), Retries: breaker.NewRetryBudget(),
 	}
 	o.s.Freshness.SetView(r.view)
 	for worker := range r.workers {
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -13,6 +13,9 @@
 	"clementinepier/worker"
 )
 
+// connectionsPerWorker is this VM's part of the 64 connections of a worker, which 8 entry VMs share.
+const connectionsPerWorker = 8
+
 // workerClients has a client for every worker that the platform has listed. A worker that the list drops keeps its
 // client, because the list lags and a claim may name the worker.
 type workerClients struct {
@@ -43,7 +46,7 @@
 			continue
 		}
 		w.addresses[vm.Name] = vm.Address
-		w.clients[vm.Name] = worker.NewClient(worker.Options{Name: vm.Name, Address: vm.Address, Clock: w.clock})
+		w.clients[vm.Name] = worker.NewClient(worker.Options{Name: vm.Name, Address: vm.Address, MaxConnections: connectionsPerWorker, Clock: w.clock})
 	}
 }
 
