Say in force everywhere once no VM without a change may start tasks

Cause: an order waited for the confirmation of a killed VM until its registration was removed, 30 s after the platform's list dropped it, although such a VM starts nothing without a fresh view. The rollout's own rule decides now, and VMs that have not confirmed are still named. The majority of an earlier set of failure domains is given up once a change of the set is in force everywhere. Commands to workers are no longer sent after the time their gang waits for them.

--- a/cmd/change.go
+++ b/cmd/change.go
@@ -145,6 +145,9 @@
 		if !c.arguments.JSON {
 			c.print("in force everywhere at revision %d", last.Revision)
 		}
+		if names := missingNames(last); len(names) > 0 {
+			c.note("not confirmed by %s; entry VMs without the change start no task", strings.Join(names, ", "))
+		}
 		return nil
 	case last.Acknowledged:
 		return exitf(ExitNotEverywhere, "acknowledged at revision %d, but %s", last.Revision, missing(last))
@@ -154,14 +157,19 @@
 
 // missing names every entry VM that has not confirmed a change, as part of a sentence.
 func missing(c message.Change) string {
+	names := missingNames(c)
+	if len(names) == 0 {
+		return "no entry VM is named as missing"
+	}
+	return "not confirmed by " + strings.Join(names, ", ")
+}
+
+func missingNames(c message.Change) []string {
 	var names []string
 	for _, domain := range slices.Sorted(maps.Keys(c.FailureDomains)) {
 		for _, vm := range c.FailureDomains[domain].Missing {
 			names = append(names, fmt.Sprintf("%s/%s (since %s)", domain, vm.Name, vm.Since.UTC().Format(time.RFC3339)))
 		}
 	}
-	if len(names) == 0 {
-		return "no entry VM is named as missing"
-	}
-	return "not confirmed by " + strings.Join(names, ", ")
+	return names
 }
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -15,8 +15,8 @@
 	"clementinepier/worker"
 )
 
-// errLateStart is the reply to a start whose hold may have lapsed before it could be sent.
-var errLateStart = errors.New("the hold may have lapsed before the start was sent")
+// errLate is the reply to a command that waited so long for a goroutine that its gang has given it up.
+var errLate = errors.New("the time to send the command has passed")
 
 // errPoolFull is the reply to a command that no goroutine was free for. It was not sent.
 var errPoolFull = errors.New("too many calls to workers are in flight")
@@ -93,6 +93,11 @@
 	return err.Error()
 }
 
+// late reports whether a command must no longer be sent.
+func (d *Dispatcher) late(c gang.Command) bool {
+	return !c.NotAfter.IsZero() && !d.Clock.Now().Before(c.NotAfter)
+}
+
 // call carries out one command.
 func (d *Dispatcher) call(ctx context.Context, c gang.Command, spec worker.Spec, payload []byte) gang.Reply {
 	reply := gang.Reply{Command: c}
@@ -101,15 +106,15 @@
 		reply.Err = &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errors.New("worker is not known")}
 		return reply
 	}
+	if d.late(c) {
+		reply.Err = &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errLate}
+		return reply
+	}
 	d.Metrics.Add(metrics.WorkerCalls, 1)
 	switch c.Kind {
 	case gang.KindHold:
 		_, reply.Refused, reply.Err = client.Hold(ctx, spec, c.Length)
 	case gang.KindStart:
-		if !d.Clock.Now().Before(c.NotAfter) {
-			reply.Err = &worker.ErrCall{Worker: c.Worker, Call: string(c.Kind), Cause: errLateStart}
-			return reply
-		}
 		reply.Refused, reply.Err = client.Start(ctx, c.ID, c.Nonce, payload, c.Length)
 	case gang.KindCheckpoint:
 		reply.Err = client.Checkpoint(ctx, c.ID)
@@ -163,6 +168,10 @@
 	}
 	leases := make([]worker.Lease, 0, len(batch))
 	for _, o := range batch {
+		if d.late(o.command) {
+			d.postRenewals(batch, nil, &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errLate})
+			return
+		}
 		leases = append(leases, worker.Lease{ID: o.command.ID, Nonce: o.command.Nonce, Length: job.Duration(o.command.Length)})
 	}
 	ctx, cancel := d.timeout(d.ctx, renewTimeout)
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -112,6 +112,8 @@
 	accepted config.Accepted
 	revision config.Revision
 	progress *config.Rollout
+	// changesDomains is true while majorities of an earlier set of failure domains are needed, too.
+	changesDomains bool
 }
 
 // maxRollouts bounds the changes that are followed; older ones are started again when asked about.
@@ -145,7 +147,37 @@
 	if err != nil {
 		return message.Change{}, err
 	}
-	return describe(r, list, v.Clock.Now()), nil
+	reply := describe(r, list, v.Clock.Now(), v.Settings.FreshnessWindow())
+	if reply.InForceEverywhere && r.changesDomains {
+		v.settleDomains(ctx, r.revision)
+	}
+	return reply, nil
+}
+
+// settleDomains ends the time in which majorities of the earlier set of failure domains are needed, too. Another
+// change may win the compare-and-swap; the next question about a change tries again.
+func (v *VM) settleDomains(ctx context.Context, everywhere config.Revision) {
+	v.Metrics.Add(metrics.StoreReads, 1)
+	head, err := v.Store.Get(ctx, headKey)
+	if err != nil || head.Version == 0 {
+		return
+	}
+	current, err := config.Decode(head.Value)
+	if err != nil {
+		return
+	}
+	settled, needed := config.Settle(current, everywhere)
+	if !needed {
+		return
+	}
+	value, err := config.Encode(settled)
+	if err != nil {
+		return
+	}
+	v.Metrics.Add(metrics.StoreWrites, 1)
+	if _, err := v.Store.CompareAndSwap(ctx, headKey, value, head.Version); err != nil {
+		v.Metrics.Add(metrics.StoreErrors, 1)
+	}
 }
 
 // rollout returns the rollout of a change, starting it from the document in the store.
@@ -197,26 +229,31 @@
 			order := document.Orders[a.FailureDomain].Order
 			options.Order = &order
 		}
-		return &rollout{accepted: a, revision: view.Revision(), progress: config.NewRollout(options)}, nil
+		return &rollout{
+			accepted: a, revision: view.Revision(), progress: config.NewRollout(options),
+			changesDomains: len(document.PreviousDomains) > 0,
+		}, nil
 	}
 	return nil, &api.ErrChangeNotExist{ID: id}
 }
 
-// describe puts the progress of a rollout into the form for operators.
-func describe(r *rollout, list []membership.Registration, now time.Time) message.Change {
+// describe puts the progress of a rollout into the form for operators. A change is in force everywhere once every VM
+// has confirmed it or may start no task without it; the VMs that have not confirmed are listed all the same.
+func describe(r *rollout, list []membership.Registration, now time.Time, window time.Duration) message.Change {
 	p := r.progress.Progress(now)
 	reply := message.Change{
 		ChangeID: r.accepted.ChangeID, Revision: r.accepted.Revision, Acknowledged: !p.Acknowledged.IsZero(),
 		AcknowledgedAt:    p.Acknowledged,
-		InForceEverywhere: !p.Acknowledged.IsZero(), FailureDomains: map[string]message.DomainProgress{},
+		InForceEverywhere: !p.Everywhere.IsZero() && now.Sub(p.Everywhere) >= window, FailureDomains: map[string]message.DomainProgress{},
 	}
+	everyone := true
 	for _, d := range p.Domains {
+		everyone = everyone && len(d.Waiting) == 0
 		progress := message.DomainProgress{Confirmed: []string{}, Missing: []message.MissingVM{}}
 		waiting := map[string]bool{}
 		for _, w := range d.Waiting {
 			waiting[w.VM] = true
 			progress.Missing = append(progress.Missing, message.MissingVM{Name: w.VM, Since: w.Since})
-			reply.InForceEverywhere = false
 		}
 		for _, registered := range list {
 			if registered.FailureDomain == d.FailureDomain && !waiting[registered.VM] {
@@ -225,5 +262,6 @@
 		}
 		reply.FailureDomains[d.FailureDomain] = progress
 	}
+	reply.InForceEverywhere = reply.InForceEverywhere || reply.Acknowledged && everyone
 	return reply
 }
