Test rack owners under shared work and random failures

A caller that asks again after an outcome that allows another run gets one that goes on with the attempt numbers, so that ids are not used twice, and with the count of started attempts.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -169,7 +169,10 @@
 	if ok && r.digest != digest {
 		return ErrRequestConflict
 	}
+	// A new run goes on with the numbers of the ended one: task ids are not used twice, and what was started stays so.
+	attempt, started := 0, 0
 	if ok && r.phase == phaseEnded && mayRunAgain(r) {
+		attempt, started = r.attempt, r.started
 		d.forget(r)
 		ok = false
 	}
@@ -181,7 +184,7 @@
 	now := d.Clock.Now()
 	r = &run{
 		request: req, digest: digest, deadline: now.Add(req.Timeout.Std()), known: true, trace: traceparent,
-		waiters: []chan<- job.Outcome{waiter},
+		waiters: []chan<- job.Outcome{waiter}, attempt: attempt, started: started,
 	}
 	d.runs[req.Key()] = r
 	d.enqueue(s, r)
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -88,6 +88,7 @@
 	calls    map[string]int
 	hooks    map[string]func() (lost bool) // by "before" or "after", kind and number
 	followed map[*watcher]*events
+	started  map[job.Key]int // starts that took effect
 }
 
 type pending struct {
@@ -154,7 +155,7 @@
 
 func (r *rig) newOwner(name string) *owner {
 	o := &owner{
-		rig: r, name: name, calls: map[string]int{}, hooks: map[string]func() bool{}, followed: map[*watcher]*events{},
+		rig: r, name: name, calls: map[string]int{}, started: map[job.Key]int{}, hooks: map[string]func() bool{}, followed: map[*watcher]*events{},
 	}
 	o.s = &board.State{
 		Self: peer.Identity{VM: name, FailureDomain: "d"}, View: r.view, Freshness: &config.Freshness{FailureDomain: "d"},
@@ -229,7 +230,12 @@
 		return held, refused, err
 	}
 	c.Start = func(ctx context.Context, id job.TaskID, nonce string, payload []byte, length time.Duration) (refused worker.Refusal, err error) {
-		err = o.hooked("start", func() (err error) { refused, err = start(ctx, id, nonce, payload, length); return err })
+		err = o.hooked("start", func() (err error) {
+			before := o.starts(id.Key())[id.Member]
+			refused, err = start(ctx, id, nonce, payload, length)
+			o.started[id.Key()] += o.starts(id.Key())[id.Member] - before
+			return err
+		})
 		return refused, err
 	}
 	c.Stop = func(ctx context.Context, ids []job.TaskID, reason string) (s []worker.Status, err error) {
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -23,13 +23,14 @@
 // enqueue makes a run wait for capacity.
 func (d *Dispatcher) enqueue(s *board.State, r *run) {
 	now := d.Clock.Now()
-	if r.queuedAt.IsZero() {
+	first := r.queuedAt.IsZero()
+	if first {
 		r.queuedAt = now
 	}
 	item := queue.Item{
 		Request: r.request, Deadline: r.deadline, Enqueued: r.queuedAt, Attempt: r.attempt + 1, Avoid: r.avoids(),
 	}
-	if r.attempt == 0 {
+	if first {
 		if retryAfter, refuse := s.Queue.Refuse(now, item, d.share(s, r.request.Organisation)); refuse {
 			d.end(s, r, job.NewNotRun(r.key(), job.CodeOverloaded, "the expected wait exceeds the timeout", job.Duration(retryAfter)))
 			return
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -211,24 +211,29 @@
 	id := status.Spec.ID
 	r, ok := d.runs[id.Key()]
 	mine := ok && r.phase == phaseActive && r.gang != nil && r.nonce == status.Spec.Nonce
+	held := foreign(status.Spec)
 	if mine {
-		d.gangEvent(s, r, r.gang, gang.Changed{Status: status})
-		return
+		held = id
 	}
 	if status.State.Ended() {
+		// A member that was only held when its gang was adopted is in the model as a foreign task.
 		s.Cluster.Released(foreign(status.Spec))
 		delete(d.orphans, orphanOf(name, status))
-		if status.State != worker.StateDone {
-			return
-		}
-	} else {
+	} else if _, ok := s.Cluster.Allocation(held); !ok || !mine {
 		now := d.Clock.Now()
 		s.Cluster.Held(placement.Allocation{
-			Task: foreign(status.Spec), Worker: name, Accelerators: status.Spec.Shape.Accelerators, Slots: status.Spec.Shape.Slots,
+			Task: held, Worker: name, Accelerators: status.Spec.Shape.Accelerators, Slots: status.Spec.Shape.Slots,
 			Idempotent: status.Spec.Idempotent, Borrowed: status.Spec.Borrowed,
 			StartedAt: now.Add(-status.RanFor.Std()), Checkpoint: now.Add(-status.SinceCheckpoint.Std()),
 		})
 	}
+	if mine {
+		d.gangEvent(s, r, r.gang, gang.Changed{Status: status})
+		return
+	}
+	if status.State.Ended() && status.State != worker.StateDone {
+		return
+	}
 	if status.Started {
 		d.orphans[orphanOf(name, status)] = status
 	}
@@ -301,11 +306,12 @@
 		r.claimed = spec.ID.Attempt
 	}
 	r.placedAt = d.Clock.Now().Add(-statuses[0].RanFor.Std())
-	for _, status := range statuses {
-		// From now on the model has the task under its own id.
-		if held, ok := s.Cluster.Allocation(foreign(status.Spec)); ok {
+	for member := range spec.Workers {
+		// From now on the model has the tasks under their own ids.
+		spec.ID.Member = member
+		if held, ok := s.Cluster.Allocation(foreign(spec)); ok {
 			s.Cluster.Released(held.Task)
-			held.Task = status.Spec.ID
+			held.Task = spec.ID
 			s.Cluster.Held(held)
 		}
 	}
