Report a store outage as the reason when a claim could not be made

Seen failing before: go test ./dispatch -run 'TestFailures/store_down_before_the_claim', deadline-exceeded without a retry time instead of store-unavailable.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -63,6 +63,7 @@
 		// The run has ended or adopted an attempt, which the claim is not about.
 		return
 	}
+	r.storeDown = err != nil
 	switch {
 	case err != nil:
 		d.Metrics.Add(metrics.ClaimsFailed, 1)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -254,7 +254,7 @@
 func (d *Dispatcher) cancel(s *board.State, r *run, code job.Code, detail string) {
 	switch r.phase {
 	case phaseQueued, phaseDelayed:
-		d.end(s, r, job.NewNotRun(r.key(), code, detail, 0))
+		d.end(s, r, job.NewNotRun(r.key(), code, detail, retryAfter(code)))
 	case phaseActive:
 		if r.gang.StartIssued() && !r.request.Idempotent {
 			return
@@ -271,7 +271,11 @@
 	if r.phase == phaseEnded || now.Before(r.deadline) {
 		return
 	}
-	d.cancel(s, r, job.CodeDeadlineExceeded, "the deadline passed")
+	if r.storeDown {
+		d.cancel(s, r, job.CodeStoreUnavailable, "the request could not be claimed before its deadline")
+	} else {
+		d.cancel(s, r, job.CodeDeadlineExceeded, "the deadline passed")
+	}
 	if r.phase == phaseEnded || now.Before(r.deadline.Add(deadlineGrace)) {
 		return
 	}
--- a/dispatch/failures_test.go
+++ b/dispatch/failures_test.go
@@ -119,6 +119,8 @@
 	after func(s *scenario)
 	// want is the result that must come out, by kind; empty allows every truthful one.
 	want [4]job.Result
+	// code is that of the requests that are not idempotent, with a retry time.
+	code job.Code
 }{
 	{name: "no failure", want: all(job.Done)},
 	{name: "owner dies after a hold", prepare: kill("after hold 1"), want: all(job.Done)},
@@ -147,7 +149,7 @@
 	}, after: func(s *scenario) { s.ticks(4 * time.Second); s.a.slow = 0 }, want: all(job.Done)},
 	{
 		name: "store down before the claim", prepare: func(s *scenario) { s.a.down, s.b.down = true, true },
-		want: [4]job.Result{job.NotRun, job.NotRun, job.Done, job.Done},
+		want: [4]job.Result{job.NotRun, job.NotRun, job.Done, job.Done}, code: job.CodeStoreUnavailable,
 	},
 	{
 		name: "store down for a while", prepare: func(s *scenario) { s.a.down = true },
@@ -290,6 +292,10 @@
 					c.after(s)
 				}
 				outcome := s.run()
+				if c.code != "" && !kind.idempotent {
+					s.Equal(outcome.Code, c.code)
+					s.True(outcome.RetryAfter > 0)
+				}
 				if c.want[i] != "" {
 					s.Equal(outcome.Result, c.want[i])
 				}
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -103,7 +103,7 @@
 func (d *Dispatcher) finishNeverStarted(s *board.State, r *run, g *gang.Gang) {
 	if r.cancelled {
 		d.settleClaim(r, job.NotRun)
-		d.end(s, r, job.NewNotRun(r.key(), g.Code(), g.Detail(), 0))
+		d.end(s, r, job.NewNotRun(r.key(), g.Code(), g.Detail(), retryAfter(g.Code())))
 		return
 	}
 	if r.phase == phaseResolving {
@@ -120,6 +120,14 @@
 	d.delay(r, delay)
 }
 
+// retryAfter is the hint for a request that was cancelled with the code.
+func retryAfter(code job.Code) job.Duration {
+	if code == job.CodeStoreUnavailable {
+		return retryHint
+	}
+	return 0
+}
+
 // refusalDelay grows with the number of attempts and is jittered, so that two owners that contend for one rack do not
 // collide again and again.
 func (d *Dispatcher) refusalDelay(r *run) time.Duration {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -45,6 +45,8 @@
 	claimed int
 	// claimNonces are the nonces of the claims that this run has asked for.
 	claimNonces []string
+	// storeDown is true when the last try at a claim brought no reply.
+	storeDown bool
 	// claiming is true while a ledger call is in flight.
 	claiming bool
 	// started counts the attempts of which a start was issued.
