--- a/entry/journal.go
+++ b/entry/journal.go
@@ -34,22 +34,33 @@
 	defer cancel()
 	v.Metrics.Add(metrics.StoreWrites, 1)
 	record := journal.Record{Request: h.request, Digest: h.digest, Deadline: h.deadline}
-	if err := v.journal.Add(ctx, record); err != nil {
+	err := v.journal.Add(ctx, record)
+	if !journal.IsErrTooLarge(err) {
+		// A write whose reply was lost may have taken effect, so its record is dropped in the end, too.
+		v.directory.setKept(h, h.deadline)
+	}
+	if err != nil {
 		v.Metrics.Add(metrics.StoreErrors, 1)
-		return false
 	}
-	v.directory.setKept(h)
-	return true
+	return err == nil
 }
 
 // release drops the journal records of requests whose outcome was kept long enough.
 func (v *VM) release(ctx context.Context) {
-	for _, key := range v.directory.prune() {
+	v.unreleased = v.drop(ctx, append(v.unreleased, v.directory.prune()...))
+}
+
+// drop drops records and returns those that it could not drop.
+func (v *VM) drop(ctx context.Context, records []keptRecord) []keptRecord {
+	var failed []keptRecord
+	for _, record := range records {
 		v.Metrics.Add(metrics.StoreWrites, 1)
-		if err := v.journal.Remove(ctx, key); err != nil {
+		if err := v.journal.Remove(ctx, record.key, record.deadline); err != nil {
 			v.Metrics.Add(metrics.StoreErrors, 1)
+			failed = append(failed, record)
 		}
 	}
+	return failed
 }
 
 // adoptRequests goes on with the kept requests of receivers that are gone, until ctx ends.
@@ -135,10 +146,13 @@
 	req := record.Request
 	left := record.Deadline.Sub(v.Clock.Now())
 	h, created := v.directory.take(req, record.Digest, record.Deadline)
-	if h == nil || !created {
+	if h == nil {
+		return
+	}
+	v.directory.setKept(h, record.Deadline)
+	if !created {
 		return
 	}
-	v.directory.setKept(h)
 	v.Metrics.Add(metrics.JournalAdopted, 1)
 	klog.InfoS("Took over a request", "request", req.Key().String(), "time-left", left)
 	if left <= 0 {
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -35,9 +35,10 @@
 	request  job.Request
 	digest   string
 	deadline time.Time
-	// kept is true once the journal has the request; it is guarded by the directory.
-	kept  bool
-	ended chan struct{}
+	// keptUntil is the latest deadline of the records that the journal may have of the request, zero if none; it is guarded
+	// by the directory.
+	keptUntil time.Time
+	ended     chan struct{}
 	// outcome is set before ended is closed.
 	outcome job.Outcome
 	endedAt time.Time
@@ -116,26 +117,34 @@
 	return len(d.byKey) >= maxRequests
 }
 
-// setKept records that the journal has the request.
-func (d *requestDirectory) setKept(h *inHand) {
+// setKept records that the journal may have the request.
+func (d *requestDirectory) setKept(h *inHand, deadline time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h.kept = true
+	if deadline.After(h.keptUntil) {
+		h.keptUntil = deadline
+	}
+}
+
+// keptRecord names the journal record of a request that has ended.
+type keptRecord struct {
+	key      job.Key
+	deadline time.Time
 }
 
-// prune drops outcomes that were kept long enough and returns the keys of those that the journal has.
-func (d *requestDirectory) prune() []job.Key {
+// prune drops outcomes that were kept long enough and returns the records that the journal may have of them.
+func (d *requestDirectory) prune() []keptRecord {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var kept []job.Key
+	var kept []keptRecord
 	now := d.clock.Now()
 	for key, h := range d.byKey {
 		if !h.isEnded() || now.Sub(h.endedAt) <= outcomeRetention {
 			continue
 		}
 		delete(d.byKey, key)
-		if h.kept {
-			kept = append(kept, key)
+		if !h.keptUntil.IsZero() {
+			kept = append(kept, keptRecord{key: key, deadline: h.keptUntil})
 		}
 	}
 	return kept
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -61,6 +61,8 @@
 	workers    *workerClients
 	directory  *requestDirectory
 	journal    *journal.Journal
+	// unreleased are the journal records of ended requests that could not be dropped yet; only release touches it.
+	unreleased []keptRecord
 	// owners is replaced by the control goroutine and read by traffic.
 	owners atomic.Pointer[router.Owners]
 	// view is the board's view, for traffic.
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -3,6 +3,7 @@
 package journal
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"time"
@@ -49,8 +50,11 @@
 	return prefix + receiver + "/" + key.Organisation + "/" + key.ID
 }
 
-// Add writes a record. When it returns nil the request survives the death of its receiver. A record that is there
-// already counts as written.
+// addTries bounds the tries to write over a record that another entry VM changes at the same time.
+const addTries = 3
+
+// Add writes a record. When it returns nil the request survives the death of its receiver. A record with the same
+// request and no earlier deadline counts as written; one of an earlier use of the id is replaced.
 func (j *Journal) Add(ctx context.Context, record Record) error {
 	value, err := cbor.Marshal(record)
 	if err != nil {
@@ -59,23 +63,40 @@
 	if len(value) > platform.MaxValueSize {
 		return &ErrTooLarge{Size: len(value)}
 	}
-	_, err = j.Store.CompareAndSwap(ctx, keyOf(j.Receiver, record.Request.Key()), value, 0)
-	if platform.IsErrVersionDiffers(err) {
-		return nil
+	name, version := keyOf(j.Receiver, record.Request.Key()), uint64(0)
+	for range addTries {
+		_, err = j.Store.CompareAndSwap(ctx, name, value, version)
+		if !platform.IsErrVersionDiffers(err) {
+			return err
+		}
+		current, getErr := j.Store.Get(ctx, name)
+		if getErr != nil {
+			return getErr
+		}
+		var there Record
+		if current.Version > 0 && cbor.Unmarshal(current.Value, &there) == nil && there.Deadline.After(record.Deadline) {
+			return nil
+		}
+		if bytes.Equal(current.Value, value) {
+			return nil
+		}
+		version = current.Version
 	}
 	return err
 }
 
-// Remove drops the record of a request. A record that is not there counts as dropped.
-func (j *Journal) Remove(ctx context.Context, key job.Key) error {
-	return j.remove(ctx, keyOf(j.Receiver, key))
-}
-
-func (j *Journal) remove(ctx context.Context, name string) error {
+// Remove drops the record of a request with the deadline given. A record that is not there counts as dropped; one with
+// a later deadline belongs to a later use of the id and stays.
+func (j *Journal) Remove(ctx context.Context, key job.Key, deadline time.Time) error {
+	name := keyOf(j.Receiver, key)
 	current, err := j.Store.Get(ctx, name)
 	if err != nil || current.Version == 0 {
 		return err
 	}
+	var there Record
+	if cbor.Unmarshal(current.Value, &there) == nil && there.Deadline.After(deadline) {
+		return nil
+	}
 	err = j.Store.Delete(ctx, name, current.Version)
 	if platform.IsErrVersionDiffers(err) {
 		return nil
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,134 @@
+package journal_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"clementinepier/job"
+	"clementinepier/journal"
+	platformapi "clementinepier/platform"
+	"clementinepier/standin/fault"
+	"clementinepier/standin/platform"
+)
+
+var ctx = context.Background()
+
+var deadline = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+
+func record(id string, at time.Time) journal.Record {
+	return journal.Record{
+		Request: job.Request{Organisation: "org", ID: id, Payload: []byte("payload of " + id)}, Digest: "digest of " + id, Deadline: at,
+	}
+}
+
+func newJournals() (store *platform.Platform, a, b *journal.Journal) {
+	store = platform.New(platform.Options{Clock: clockwork.NewFakeClock()})
+	return store, &journal.Journal{Store: store.Store(), Receiver: "a"}, &journal.Journal{Store: store.Store(), Receiver: "b"}
+}
+
+func ids(records []journal.Record) string {
+	text := ""
+	for _, r := range records {
+		text += r.Request.ID + " " + r.Deadline.Sub(deadline).String() + ";"
+	}
+	return text
+}
+
+// Guards against a record that is lost, changed, or taken over twice when its receiver dies.
+func TestTakeOver(t *testing.T) {
+	is := is.New(t)
+	store, a, b := newJournals()
+	c := &journal.Journal{Store: store.Store(), Receiver: "c"}
+	for _, id := range []string{"q1", "q2"} {
+		is.NoErr(a.Add(ctx, record(id, deadline)))
+	}
+	other := &journal.Journal{Store: store.Store(), Receiver: "a2"} // a name that begins with the other's
+	is.NoErr(other.Add(ctx, record("q3", deadline)))
+	names, err := b.Receivers(ctx)
+	is.NoErr(err)
+	is.Equal(names, []string{"a", "a2"})
+	taken, err := b.Take(ctx, "a")
+	is.NoErr(err)
+	is.Equal(ids(taken), "q1 0s;q2 0s;")
+	is.Equal(string(taken[0].Request.Payload), "payload of q1")
+	is.Equal(taken[0].Digest, "digest of q1")
+	taken, err = c.Take(ctx, "a")
+	is.NoErr(err)
+	is.Equal(len(taken), 0)
+	taken, err = c.Take(ctx, "b") // b dies, too
+	is.NoErr(err)
+	is.Equal(ids(taken), "q1 0s;q2 0s;")
+	taken, err = c.Take(ctx, "c") // c restarts
+	is.NoErr(err)
+	is.Equal(ids(taken), "q1 0s;q2 0s;")
+	is.NoErr(c.Remove(ctx, taken[0].Request.Key(), taken[0].Deadline))
+	is.NoErr(c.Remove(ctx, taken[0].Request.Key(), taken[0].Deadline))
+	taken, err = c.Take(ctx, "c")
+	is.NoErr(err)
+	is.Equal(ids(taken), "q2 0s;")
+}
+
+// Guards against a record that is in neither journal when a store call of the takeover fails.
+func TestTakeOverWithStoreFailures(t *testing.T) {
+	for _, f := range []fault.Faults{
+		{Down: true},
+		{LoseReplies: true, Calls: []string{"compare-and-swap"}},
+		{Down: true, Calls: []string{"compare-and-swap"}},
+		{Down: true, Calls: []string{"delete"}},
+		{LoseReplies: true, Calls: []string{"delete"}},
+	} {
+		is := is.New(t)
+		store, a, b := newJournals()
+		is.NoErr(a.Add(ctx, record("q", deadline)))
+		store.SetFaults(f)
+		_, _ = b.Take(ctx, "a")
+		store.SetFaults(fault.Faults{})
+		fromA, err := b.Take(ctx, "a")
+		is.NoErr(err)
+		own, err := b.Take(ctx, "b")
+		is.NoErr(err)
+		is.Equal(ids(own), "q 0s;") // the record is under its new receiver
+		is.True(len(fromA) <= 1)
+		left, err := b.Take(ctx, "a")
+		is.NoErr(err)
+		is.Equal(len(left), 0)
+	}
+}
+
+// Guards against a request that counts as kept although the journal has an earlier one with its id, whose deadline has
+// passed, and against the removal of the later one with the earlier.
+func TestIDUsedAgain(t *testing.T) {
+	is := is.New(t)
+	_, a, b := newJournals()
+	later := deadline.Add(time.Minute)
+	is.NoErr(a.Add(ctx, record("q", deadline)))
+	is.NoErr(a.Add(ctx, record("q", later)))
+	is.NoErr(a.Add(ctx, record("q", deadline))) // late
+	is.NoErr(a.Remove(ctx, record("q", later).Request.Key(), deadline))
+	taken, err := b.Take(ctx, "a")
+	is.NoErr(err)
+	is.Equal(ids(taken), "q 1m0s;")
+}
+
+// Guards against a lost reply that makes a record look written when it is not, and against one that cannot be decoded
+// hiding the others.
+func TestBadRecords(t *testing.T) {
+	is := is.New(t)
+	store, a, b := newJournals()
+	store.SetFaults(fault.Faults{LoseReplies: true})
+	is.True(a.Add(ctx, record("q", deadline)) != nil)
+	store.SetFaults(fault.Faults{})
+	is.NoErr(a.Add(ctx, record("q", deadline)))
+	_, err := store.Store().CompareAndSwap(ctx, "requests/a/org/bad", []byte{0xff}, 0)
+	is.NoErr(err)
+	taken, err := b.Take(ctx, "a")
+	is.True(err != nil)
+	is.Equal(ids(taken), "q 0s;")
+	large := record("large", deadline)
+	large.Request.Payload = make([]byte, platformapi.MaxValueSize)
+	is.True(journal.IsErrTooLarge(a.Add(ctx, large)))
+}
--- a/router/router.go
+++ b/router/router.go
@@ -143,7 +143,8 @@
 	}
 	a.excluded[owner] = true
 	r.Metrics.Add(metrics.RequestsRerouted, 1)
-	if refused, ok := asRefused(err); ok {
+	// A peer answers with CodeBadRequest when its handler failed for any other reason, which may be after the start.
+	if refused, ok := asRefused(err); ok && refused.Code != job.CodeBadRequest {
 		if refused.Code == job.CodeRequestIDConflict {
 			return a.qualify(job.NewNotRun(req.Key(), refused.Code, refused.Detail, 0)), true
 		}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -146,6 +146,7 @@
 		{"owner lost, then no rack", false, answers{lost(true)}, answers{notRun(job.CodeNoRack)}, false, job.Unknown, "", ""},
 		{"owner lost, then refused", false, answers{lost(true)}, answers{refused(job.CodeRequestIDConflict)}, true, job.Unknown, job.CodeRequestIDConflict, "a b"},
 		{"refused for the id", false, answers{refused(job.CodeRequestIDConflict)}, nil, false, job.NotRun, job.CodeRequestIDConflict, "a"},
+		{"owner failed within the call, then not run", false, answers{refused(job.CodeBadRequest)}, answers{notRun(job.CodeCancelled)}, true, job.Unknown, job.CodeCancelled, "a b"},
 		{"refused for the owner", false, answers{refused(job.CodeStopping)}, answers{done}, false, job.Done, "", "a b"},
 		{"answer to another request", false, answers{crossed}, answers{done}, true, job.Done, "", "a b"},
 		{"answers to other requests only", false, answers{crossed}, answers{crossed}, true, job.Unknown, "", ""},
