--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -169,7 +169,10 @@
 	if ok && r.digest != digest {
 		return ErrRequestConflict
 	}
+	// A new run goes on with the numbers of the ended one: task ids are not used twice, and what was started stays so.
+	attempt, started := 0, 0
 	if ok && r.phase == phaseEnded && mayRunAgain(r) {
+		attempt, started = r.attempt, r.started
 		d.forget(r)
 		ok = false
 	}
@@ -182,7 +185,7 @@
 	s.Retries.Request()
 	r = &run{
 		request: req, digest: digest, deadline: now.Add(req.Timeout.Std()), known: true, trace: traceparent,
-		waiters: []chan<- job.Outcome{waiter},
+		waiters: []chan<- job.Outcome{waiter}, attempt: attempt, started: started,
 	}
 	d.runs[req.Key()] = r
 	d.enqueue(s, r)
@@ -252,7 +255,7 @@
 func (d *Dispatcher) cancel(s *board.State, r *run, code job.Code, detail string) {
 	switch r.phase {
 	case phaseQueued, phaseDelayed:
-		d.end(s, r, job.NewNotRun(r.key(), code, detail, 0))
+		d.end(s, r, job.NewNotRun(r.key(), code, detail, retryAfter(code)))
 	case phaseActive:
 		if r.gang.StartIssued() && !r.request.Idempotent {
 			return
@@ -269,7 +272,11 @@
 	if r.phase == phaseEnded || now.Before(r.deadline) {
 		return
 	}
-	d.cancel(s, r, job.CodeDeadlineExceeded, "the deadline passed")
+	if r.storeDown {
+		d.cancel(s, r, job.CodeStoreUnavailable, "the request could not be claimed before its deadline")
+	} else {
+		d.cancel(s, r, job.CodeDeadlineExceeded, "the deadline passed")
+	}
 	if r.phase == phaseEnded || now.Before(r.deadline.Add(deadlineGrace)) {
 		return
 	}
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -1,11 +1,10 @@
 package dispatch
 
 import (
+	"errors"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"clementinepier/claim"
 	"clementinepier/job"
 	"clementinepier/placement"
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -62,6 +62,8 @@
 	workers    *workerClients
 	directory  *requestDirectory
 	journal    *journal.Journal
+	// unreleased are the journal records of ended requests that could not be dropped yet; only release touches it.
+	unreleased []keptRecord
 	// owners is replaced by the control goroutine and read by traffic.
 	owners atomic.Pointer[router.Owners]
 	// view is the board's view, for traffic.
@@ -146,7 +148,7 @@
 	v.buildDispatcher()
 	v.router = &router.Router{
 		Self: v.self.VM, Clock: v.Clock, Metrics: v.Metrics, Tracer: v.Tracer, Owners: v.owners.Load,
-		Submit: v.dispatcher.Submit, Find: v.find, Cancel: v.dispatcher.Cancel, Call: v.hub.Call,
+		Submit: v.runHere, Find: v.find, Cancel: v.dispatcher.Cancel, Call: v.hub.Call,
 	}
 	return nil
 }
