bench: add up three seeds and compare the domain change with a reference

The reference run has the domain out from the beginning, so the measure shows what leaving and returning cost; the share of all accelerators in service is printed beside it.

--- a/bench/main.go
+++ b/bench/main.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"os"
 	"slices"
+	"sync"
 	"text/tabwriter"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
+	"clementinepier/bundle"
 	"clementinepier/placement"
 	"clementinepier/queue"
 )
@@ -31,21 +33,22 @@
 
 func main() {
 	var args struct {
-		Seed     uint64 `default:"1" help:"seed of the workloads"`
+		Seed     uint64 `default:"1" help:"first seed of the workloads"`
+		Seeds    int    `default:"3" help:"number of seeds, whose results are added up"`
 		Capacity bool   `help:"print only how the decision cost grows with the number of workers"`
 	}
 	arg.MustParse(&args)
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	if !args.Capacity {
-		table(out, args.Seed)
+		table(out, args.Seed, args.Seeds)
 	}
 	slopes(out)
 	_ = out.Flush()
 }
 
 // table prints one row per measure and one column per policy.
-func table(out *tabwriter.Writer, seed uint64) {
-	_, _ = fmt.Fprintf(out, "seed %d\t\t", seed)
+func table(out *tabwriter.Writer, seed uint64, seeds int) {
+	_, _ = fmt.Fprintf(out, "seeds %d to %d\t\t", seed, seed+uint64(seeds)-1)
 	for _, p := range policies() {
 		_, _ = fmt.Fprintf(out, "%s\t", p.name)
 	}
@@ -53,10 +56,12 @@
 	for _, f := range fleets {
 		for _, s := range scenarios {
 			b := bundleFor(f)
-			var columns []*stats
-			for _, p := range policies() {
-				columns = append(columns, newSimulation(p, s, b, seed).run(workload(b, s, seed)))
+			columns := make([]*stats, len(policies()))
+			var group sync.WaitGroup
+			for i, p := range policies() {
+				group.Go(func() { columns[i] = results(p, s, b, seed, seeds) })
 			}
+			group.Wait()
 			label := f.name + " " + s.name
 			for o := range b.Organisations {
 				for c := range sizes {
@@ -75,6 +80,21 @@
 	}
 }
 
+// results adds up the runs of one policy over the seeds.
+func results(p policy, s scenario, b *bundle.Bundle, seed uint64, seeds int) *stats {
+	sum := newStats(len(b.Organisations))
+	for i := range uint64(seeds) {
+		st := newSimulation(p, s, b, seed+i).run(workload(b, s, seed+i))
+		if s.out > 0 {
+			reference := s
+			reference.early = true
+			st.reference = newSimulation(p, reference, b, seed+i).run(workload(b, reference, seed+i)).windowWork
+		}
+		sum.add(st)
+	}
+	return sum
+}
+
 func row(out *tabwriter.Writer, label, name string, columns []*stats, cell func(*stats) string) {
 	_, _ = fmt.Fprintf(out, "%s\t%s\t", label, name)
 	for _, st := range columns {
@@ -108,7 +128,10 @@
 		return fmt.Sprintf("%d/%d", s.inShareLate, s.inShare)
 	}},
 	{"wasted work (preempted, retried)", false, func(s *stats) string { return percent(s.wasted, s.useful+s.wasted) }},
-	{"work in the domain change, of remaining capacity", true, func(s *stats) string {
+	{"work in the domain change, of what the remaining racks did without it", true, func(s *stats) string {
+		return percent(s.windowWork, s.reference)
+	}},
+	{"work in the domain change, of all accelerators in service", true, func(s *stats) string {
 		return percent(s.windowWork, s.windowRoom)
 	}},
 	{"the same before the change", true, func(s *stats) string { return percent(s.steadyWork, s.steadyRoom) }},
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -32,6 +32,8 @@
 	checkpointSuccess = 0.8
 	// After a domain's return the window of the work measure stays open for a minute.
 	afterReturn = time.Minute
+	// The backlog of a saturated fleet has built up by then.
+	warmUp = 3 * time.Minute
 	// A pass looks at this many requests at most.
 	passLimit = 100
 )
@@ -128,18 +130,56 @@
 	inShare, inShareLate   int
 	useful, wasted         float64
 	windowWork, windowRoom float64
+	reference              float64 // windowWork without the change
 	steadyWork, steadyRoom float64
 	decisions              int
 	decisionTime           time.Duration
 	refused                int
 }
 
+func newStats(organisations int) *stats {
+	s := &stats{total: make([][sizes]int, organisations), within: make([][sizes]int, organisations)}
+	for range organisations {
+		var h [sizes]*hdrhistogram.Histogram
+		for c := range h {
+			h[c] = hdrhistogram.New(1, int64(6*time.Hour/time.Millisecond), 3)
+		}
+		s.completion = append(s.completion, h)
+	}
+	return s
+}
+
+// add adds what another run has measured.
+func (s *stats) add(t *stats) {
+	for o := range t.completion {
+		for c := range sizes {
+			s.completion[o][c].Merge(t.completion[o][c])
+			s.total[o][c] += t.total[o][c]
+			s.within[o][c] += t.within[o][c]
+		}
+	}
+	s.fragmentation += t.fragmentation
+	s.samples += t.samples
+	s.inShare += t.inShare
+	s.inShareLate += t.inShareLate
+	s.useful += t.useful
+	s.wasted += t.wasted
+	s.windowWork += t.windowWork
+	s.windowRoom += t.windowRoom
+	s.reference += t.reference
+	s.steadyWork += t.steadyWork
+	s.steadyRoom += t.steadyRoom
+	s.decisions += t.decisions
+	s.decisionTime += t.decisionTime
+	s.refused += t.refused
+}
+
 func newSimulation(p policy, s scenario, b *bundle.Bundle, seed uint64) *simulation {
 	m := &simulation{
 		policy: p, scenario: s, bundle: b, cluster: placement.New(p.placement), queue: queue.New(p.queue),
 		random: rand.New(rand.NewPCG(seed, 2)), now: start, requests: map[job.Key]*request{}, running: map[job.Key]*running{},
 		out: map[string]bool{}, rackOf: map[string]string{}, bad: map[string]bool{}, failed: map[string]int{},
-		used: map[string]int{}, share: map[string]int{}, waiting: map[string]int{}, stats: &stats{},
+		used: map[string]int{}, share: map[string]int{}, waiting: map[string]int{}, stats: newStats(len(b.Organisations)),
 	}
 	index := 0
 	for _, d := range b.FailureDomains {
@@ -158,14 +198,7 @@
 		for _, g := range o.Guarantees {
 			m.share[o.Name] += g.Count * g.Shape.TotalAccelerators()
 		}
-		var h [sizes]*hdrhistogram.Histogram
-		for c := range h {
-			h[c] = hdrhistogram.New(1, int64(6*time.Hour/time.Millisecond), 3)
-		}
-		m.stats.completion = append(m.stats.completion, h)
 	}
-	m.stats.total = make([][sizes]int, len(b.Organisations))
-	m.stats.within = make([][sizes]int, len(b.Organisations))
 	return m
 }
 
@@ -451,8 +484,12 @@
 		return
 	}
 	d := m.bundle.FailureDomains[0]
+	leaves := m.scenario.out
+	if m.scenario.early {
+		leaves = 0
+	}
 	switch m.now.Sub(start) {
-	case m.scenario.out:
+	case leaves:
 		m.out[d.Name] = true
 		m.setAnchors()
 		m.recount()
@@ -465,7 +502,9 @@
 		delete(m.out, d.Name)
 		m.setAnchors()
 		m.recount()
-		m.ramp = &placement.Ramp{Back: m.now, Window: 10 * time.Second, First: 5, Last: 50}
+		if !m.scenario.early {
+			m.ramp = &placement.Ramp{Back: m.now, Window: 10 * time.Second, First: 5, Last: 50}
+		}
 	default:
 		return
 	}
@@ -506,7 +545,7 @@
 	case m.inWindow():
 		m.stats.windowWork += float64(m.busy) * tick.Seconds()
 		m.stats.windowRoom += float64(room) * tick.Seconds()
-	case passed >= time.Minute && passed < m.scenario.out:
+	case passed >= warmUp && passed < m.scenario.out:
 		m.stats.steadyWork += float64(m.busy) * tick.Seconds()
 		m.stats.steadyRoom += float64(room) * tick.Seconds()
 	}
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -105,6 +105,9 @@
 	badWorkers bool
 	// out and back are when the first failure domain leaves and returns; 0 for never.
 	out, back time.Duration
+	// early is true when the first failure domain is out from the beginning, which shows what the remaining capacity
+	// can do without the change.
+	early bool
 	// patience multiplies the time to the deadline.
 	patience time.Duration
 }
