queue: bound the requests that one organisation may have returned in a pass

Cause of the last late guaranteed request: the pass ended among the waiting requests of another organisation.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -40,6 +40,9 @@
 	Aging time.Duration
 	// AgeEvery makes one pick in that many go to the request that has waited longest.
 	AgeEvery int
+	// MaxReturned is the number of requests that one organisation may have returned in a pass; then the others get
+	// their turn.
+	MaxReturned int
 	// Before orders organisations; the default puts those below their guaranteed share first, then the smaller
 	// weighted share of running accelerators.
 	Before func(a, b Usage) int
@@ -54,6 +57,9 @@
 	defaultAging = 30 * time.Second
 	// A quarter of the picks bounds the wait of an aged request and leaves guaranteed shares three quarters.
 	defaultAgeEvery = 4
+	// Without a bound, a pass that stops after 100 requests sees only those of the organisation with the longest
+	// queue; with 25, four organisations get a turn in it.
+	defaultMaxReturned = 25
 )
 
 // Queue holds the waiting requests of one VM.
@@ -83,6 +89,8 @@
 type waiting struct {
 	ready  entryHeap
 	length int
+	// returned counts the requests returned in this pass.
+	returned int
 	// backlog counts accelerators by urgency and size class.
 	backlog [2][classes]int
 }
@@ -92,6 +100,7 @@
 	o.MaxLength = cmp.Or(o.MaxLength, defaultMaxLength)
 	o.Aging = cmp.Or(o.Aging, defaultAging)
 	o.AgeEvery = cmp.Or(o.AgeEvery, defaultAgeEvery)
+	o.MaxReturned = cmp.Or(o.MaxReturned, defaultMaxReturned)
 	if o.Before == nil {
 		o.Before = FairShare
 	}
@@ -156,12 +165,17 @@
 // NewPass, and is admitted even when the queue is full.
 func (q *Queue) Return(i Item) {
 	if _, ok := q.entries[i.Request.Key()]; !ok {
-		q.returned = append(q.returned, q.add(q.organisation(i.Request.Organisation), i))
+		w := q.organisation(i.Request.Organisation)
+		w.returned++
+		q.returned = append(q.returned, q.add(w, i))
 	}
 }
 
 // NewPass makes the returned requests available again. Callers begin a pass whenever capacity may have become free.
 func (q *Queue) NewPass() {
+	for _, w := range q.organisations {
+		w.returned = 0
+	}
 	for i, e := range q.returned {
 		if q.entries[e.item.Request.Key()] == e {
 			q.makeReady(e)
@@ -237,7 +251,7 @@
 // Next takes out the request to try next. Urgent requests go first, then organisations in the order of Before, then
 // the order of ItemBefore. One pick in AgeEvery goes to the request that has waited longest, if beyond Aging.
 func (q *Queue) Next(now time.Time, usage func(organisation string) Usage) (Item, bool) {
-	if e := q.age.first(); e != nil && now.Sub(e.item.Enqueued) > q.options.Aging {
+	if e := q.age.first(); e != nil && now.Sub(e.item.Enqueued) > q.options.Aging && q.hasTurn(e) {
 		if q.picks++; q.picks >= q.options.AgeEvery {
 			q.picks = 0
 			q.drop(e)
@@ -248,7 +262,7 @@
 	var bestUsage Usage
 	for _, name := range q.names {
 		e := q.organisations[name].ready.first()
-		if e == nil {
+		if e == nil || !q.hasTurn(e) {
 			continue
 		}
 		u := usage(name)
@@ -265,6 +279,11 @@
 	return best.item, true
 }
 
+// hasTurn reports whether the entry's organisation may try more requests in this pass.
+func (q *Queue) hasTurn(e *entry) bool {
+	return q.organisations[e.item.Request.Organisation].returned < q.options.MaxReturned
+}
+
 // Expired takes out the requests whose deadline has passed, the earliest first.
 func (q *Queue) Expired(now time.Time) []Item {
 	var expired []Item
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -142,6 +142,27 @@
 	is.Equal(waited(1<<30), -1)
 }
 
+// Guards against a pass that ends before it has reached a small organisation behind the queue of a large one.
+func TestEveryOrganisationGetsATurn(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{MaxReturned: 5})
+	for n := range 100 {
+		is.NoErr(q.Push(item("large", fmt.Sprint(n), false, 0, 10)))
+	}
+	is.NoErr(q.Push(item("small", "x", false, 0, 1000)))
+	usage := func(string) Usage { return Usage{} }
+	for range 3 {
+		tried := 0
+		for i, ok := q.Next(start, usage); ok; i, ok = q.Next(start, usage) {
+			q.Return(i)
+			tried++
+		}
+		is.Equal(tried, 6)
+		is.Equal(q.Len(), 101)
+		q.NewPass()
+	}
+}
+
 // Guards against refusals that follow declared run times, or that happen without any observed service time.
 func TestRefusalFollowsObservedTimes(t *testing.T) {
 	is := is.New(t)
