--- a/bench/sim.go
+++ b/bench/sim.go
@@ -32,6 +32,8 @@
 	checkpointSuccess = 0.8
 	// After a domain's return the window of the work measure stays open for a minute.
 	afterReturn = time.Minute
+	// The backlog of a saturated fleet has built up by then.
+	warmUp = 3 * time.Minute
 	// A pass looks at this many requests at most.
 	passLimit = 100
 )
@@ -112,10 +114,12 @@
 	used     map[string]int
 	share    map[string]int
 	waiting  map[string]int // requests in the queue by organisation
-	largest  job.Shape
-	dirty    bool
-	busy     int // accelerators in service that run
-	stats    *stats
+	// reclaiming has the requests whose victims are stopping; they are planned first in every pass.
+	reclaiming []queue.Item
+	largest    job.Shape
+	dirty      bool
+	busy       int // accelerators in service that run
+	stats      *stats
 }
 
 // stats is what a run has measured.
@@ -128,18 +132,56 @@
 	inShare, inShareLate   int
 	useful, wasted         float64
 	windowWork, windowRoom float64
+	reference              float64 // windowWork without the change
 	steadyWork, steadyRoom float64
 	decisions              int
 	decisionTime           time.Duration
 	refused                int
 }
 
+func newStats(organisations int) *stats {
+	s := &stats{total: make([][sizes]int, organisations), within: make([][sizes]int, organisations)}
+	for range organisations {
+		var h [sizes]*hdrhistogram.Histogram
+		for c := range h {
+			h[c] = hdrhistogram.New(1, int64(6*time.Hour/time.Millisecond), 3)
+		}
+		s.completion = append(s.completion, h)
+	}
+	return s
+}
+
+// add adds what another run has measured.
+func (s *stats) add(t *stats) {
+	for o := range t.completion {
+		for c := range sizes {
+			s.completion[o][c].Merge(t.completion[o][c])
+			s.total[o][c] += t.total[o][c]
+			s.within[o][c] += t.within[o][c]
+		}
+	}
+	s.fragmentation += t.fragmentation
+	s.samples += t.samples
+	s.inShare += t.inShare
+	s.inShareLate += t.inShareLate
+	s.useful += t.useful
+	s.wasted += t.wasted
+	s.windowWork += t.windowWork
+	s.windowRoom += t.windowRoom
+	s.reference += t.reference
+	s.steadyWork += t.steadyWork
+	s.steadyRoom += t.steadyRoom
+	s.decisions += t.decisions
+	s.decisionTime += t.decisionTime
+	s.refused += t.refused
+}
+
 func newSimulation(p policy, s scenario, b *bundle.Bundle, seed uint64) *simulation {
 	m := &simulation{
 		policy: p, scenario: s, bundle: b, cluster: placement.New(p.placement), queue: queue.New(p.queue),
 		random: rand.New(rand.NewPCG(seed, 2)), now: start, requests: map[job.Key]*request{}, running: map[job.Key]*running{},
 		out: map[string]bool{}, rackOf: map[string]string{}, bad: map[string]bool{}, failed: map[string]int{},
-		used: map[string]int{}, share: map[string]int{}, waiting: map[string]int{}, stats: &stats{},
+		used: map[string]int{}, share: map[string]int{}, waiting: map[string]int{}, stats: newStats(len(b.Organisations)),
 	}
 	index := 0
 	for _, d := range b.FailureDomains {
@@ -158,14 +200,7 @@
 		for _, g := range o.Guarantees {
 			m.share[o.Name] += g.Count * g.Shape.TotalAccelerators()
 		}
-		var h [sizes]*hdrhistogram.Histogram
-		for c := range h {
-			h[c] = hdrhistogram.New(1, int64(6*time.Hour/time.Millisecond), 3)
-		}
-		m.stats.completion = append(m.stats.completion, h)
 	}
-	m.stats.total = make([][sizes]int, len(b.Organisations))
-	m.stats.within = make([][sizes]int, len(b.Organisations))
 	return m
 }
 
@@ -178,7 +213,7 @@
 // run feeds the requests in and returns what was measured.
 func (m *simulation) run(requests []*request) *stats {
 	end := start.Add(m.scenario.length + time.Hour)
-	for next := 0; m.now.Before(end) && (next < len(requests) || len(m.running) > 0 || m.queue.Len() > 0); m.now = m.now.Add(tick) {
+	for next := 0; m.now.Before(end) && (next < len(requests) || len(m.running) > 0 || m.queue.Len()+len(m.reclaiming) > 0); m.now = m.now.Add(tick) {
 		m.changeDomains()
 		for ; next < len(requests) && !requests[next].arrival.After(m.now); next++ {
 			m.arrive(requests[next])
@@ -257,7 +292,13 @@
 	m.queue.NewPass()
 	waiting := map[kindOf]bool{}
 	racks := m.racks()
+	reclaiming := m.reclaiming
+	m.reclaiming = nil
+	for _, item := range reclaiming {
+		m.try(item, racks)
+	}
 	for range passLimit {
+		racks = m.racks()
 		item, ok := m.queue.Next(m.now, m.usage)
 		if !ok {
 			return
@@ -268,25 +309,7 @@
 			m.queue.Return(item)
 			continue
 		}
-		before := time.Now()
-		p := m.cluster.Plan(m.now, r.need, racks)
-		m.stats.decisionTime += time.Since(before)
-		m.stats.decisions++
-		switch p.Result {
-		case placement.Placed:
-			m.start(r, p)
-			racks = m.racks()
-		case placement.Reclaim:
-			m.preempt(p.Victims)
-			m.queue.Return(item)
-		case placement.Never:
-			m.stats.refused++
-			m.waiting[r.need.Key.Organisation]--
-			if !r.impossible {
-				m.finish(r, false)
-			}
-		default:
-			m.queue.Return(item)
+		if m.try(item, racks) == placement.Wait {
 			waiting[kind] = len(r.need.Avoid) == 0 || waiting[kind]
 			if m.policy.strict {
 				return
@@ -295,6 +318,33 @@
 	}
 }
 
+// try plans one request and carries the plan out.
+func (m *simulation) try(item queue.Item, racks []string) placement.Result {
+	r := m.requests[item.Request.Key()]
+	before := time.Now()
+	p := m.cluster.Plan(m.now, r.need, racks)
+	m.stats.decisionTime += time.Since(before)
+	m.stats.decisions++
+	switch p.Result {
+	case placement.Placed:
+		m.start(r, p)
+	case placement.Reclaim:
+		m.preempt(p.Victims)
+		m.reclaiming = append(m.reclaiming, item)
+	case placement.Never:
+		m.stats.refused++
+		m.waiting[r.need.Key.Organisation]--
+		if !r.impossible {
+			m.finish(r, false)
+		}
+	default:
+		// Another request of the organisation may have taken the share first, for example one with an earlier deadline.
+		r.inShare = r.inShare && m.cluster.InShare(r.need, racks)
+		m.queue.Return(item)
+	}
+	return p.Result
+}
+
 func (m *simulation) start(r *request, p placement.Plan) {
 	r.attempt++
 	m.waiting[r.need.Key.Organisation]--
@@ -451,8 +501,12 @@
 		return
 	}
 	d := m.bundle.FailureDomains[0]
+	leaves := m.scenario.out
+	if m.scenario.early {
+		leaves = 0
+	}
 	switch m.now.Sub(start) {
-	case m.scenario.out:
+	case leaves:
 		m.out[d.Name] = true
 		m.setAnchors()
 		m.recount()
@@ -465,7 +519,9 @@
 		delete(m.out, d.Name)
 		m.setAnchors()
 		m.recount()
-		m.ramp = &placement.Ramp{Back: m.now, Window: 10 * time.Second, First: 5, Last: 50}
+		if !m.scenario.early {
+			m.ramp = &placement.Ramp{Back: m.now, Window: 10 * time.Second, First: 5, Last: 50}
+		}
 	default:
 		return
 	}
@@ -506,7 +562,7 @@
 	case m.inWindow():
 		m.stats.windowWork += float64(m.busy) * tick.Seconds()
 		m.stats.windowRoom += float64(room) * tick.Seconds()
-	case passed >= time.Minute && passed < m.scenario.out:
+	case passed >= warmUp && passed < m.scenario.out:
 		m.stats.steadyWork += float64(m.busy) * tick.Seconds()
 		m.stats.steadyRoom += float64(room) * tick.Seconds()
 	}
