--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -8,11 +8,13 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"clementinepier/board"
 	"clementinepier/job"
 	"clementinepier/journal"
 	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/placement"
+	"clementinepier/quota"
 	"clementinepier/router"
 	"clementinepier/standin/fault"
 	"clementinepier/standin/platform"
@@ -38,8 +40,15 @@
 	r := &receiver{answer: make(chan struct{}), runs: make(chan job.Request, 8)}
 	r.VM = &VM{
 		Clock: clock, Metrics: &metrics.Set{}, Tracer: tracer, self: peer.Identity{VM: name}, directory: newRequestDirectory(clock),
-		journal: &journal.Journal{Store: store.Store(), Receiver: name},
+		journal: &journal.Journal{Store: store.Store(), Receiver: name}, limitWaits: map[quota.Key]int{},
+		board: board.New(&board.State{Quota: quota.New(name)}),
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	boardDone := r.board.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-boardDone)
+	})
 	r.router = &router.Router{
 		Self: name, Clock: clock, Metrics: r.Metrics, Tracer: tracer,
 		Owners: func() *router.Owners {
