--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -71,6 +71,8 @@
 	guaranteed map[string]int
 	weights    map[string]int
 	random     *rand.Rand
+	// ramp limits the starts after the failure domain came back; nil before that.
+	ramp *placement.Ramp
 }
 
 // Run starts the dispatcher and returns a channel that reports its end.
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -157,6 +157,13 @@
 	plan := s.Cluster.Plan(now, need, racks)
 	switch plan.Result {
 	case placement.Placed:
+		if !d.rampAllows(s, now) {
+			s.Queue.Return(item)
+			return false
+		}
+		if d.ramp != nil {
+			d.ramp.Started(r.request.Shape.Tasks)
+		}
 		d.begin(s, r, plan)
 		return true
 	case placement.Never:
@@ -177,6 +184,25 @@
 	return false
 }
 
+const (
+	// The ramp after a failure domain has come back is steep enough to cost little work, and flat enough that the
+	// requests that waited do not hit cold workers at once. Both rates are requests a second of one rack owner.
+	rampWindow = 5 * time.Second
+	rampFirst  = 10
+	rampLast   = 200
+)
+
+// rampAllows reports whether a request may start now, given how long ago the failure domain came back.
+func (d *Dispatcher) rampAllows(s *board.State, now time.Time) bool {
+	if s.Back.IsZero() {
+		return true
+	}
+	if d.ramp == nil || !d.ramp.Back.Equal(s.Back) {
+		d.ramp = &placement.Ramp{Back: s.Back, Window: rampWindow, First: rampFirst, Last: rampLast}
+	}
+	return d.ramp.Allows(now)
+}
+
 // everFitsElsewhere reports whether the bundle has a rack that could run the request.
 func (d *Dispatcher) everFitsElsewhere(s *board.State, r *run) bool {
 	return placement.EverFits(s.View.Bundle(), d.anchors, r.request.Organisation, r.request.Shape, r.request.Idempotent)
