--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
 BIN := bin
 
-.PHONY: help build test unit lint fmt try try-faults path-cost bench capacity clean
+.PHONY: help build test unit lint fmt try try-faults path-cost bench isolation capacity clean
 
 help:
 	@echo "make build     build bin/clementinepier and bin/standin"
@@ -45,6 +45,10 @@
 bench:
 	go run ./bench
 
+# isolation prints what the freshness windows give up when a region is cut off.
+isolation:
+	go run ./bench --isolation
+
 capacity:
 	go run ./bench -capacity
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -33,12 +33,18 @@
 
 func main() {
 	var args struct {
-		Seed     uint64 `default:"1" help:"first seed of the workloads"`
-		Seeds    int    `default:"3" help:"number of seeds, whose results are added up"`
-		Capacity bool   `help:"print only how the decision cost grows with the number of workers"`
+		Seed      uint64 `default:"1" help:"first seed of the workloads"`
+		Seeds     int    `default:"3" help:"number of seeds, whose results are added up"`
+		Isolation bool   `help:"print only what the freshness windows give up when a region is cut off"`
+		Capacity  bool   `help:"print only how the decision cost grows with the number of workers"`
 	}
 	arg.MustParse(&args)
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	if args.Isolation {
+		isolation(out)
+		_ = out.Flush()
+		return
+	}
 	if !args.Capacity {
 		table(out, args.Seed, args.Seeds)
 	}
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -210,8 +210,7 @@
 	return r, nil
 }
 
-// newRollout waits for the whole revision of the document. It includes the change, and later changes of the same part
-// replace it.
+// newRollout follows the part of the configuration that the change replaced.
 func (v *VM) newRollout(document config.Document, id string) (*rollout, error) {
 	view, err := config.Join(v.Settings.Keyring(), nil, document)
 	if err != nil {
@@ -222,7 +221,7 @@
 			continue
 		}
 		options := config.RolloutOptions{
-			Change: view.Revision(), Domains: view.FailureDomains(), PreviousDomains: document.PreviousDomains,
+			Change: a.Part(), Domains: view.FailureDomains(), PreviousDomains: document.PreviousDomains,
 			Window: v.Settings.FreshnessWindow(), IsolatedWindow: v.Settings.IsolatedWindow(),
 		}
 		if a.FailureDomain != "" {
@@ -230,7 +229,7 @@
 			options.Order = &order
 		}
 		return &rollout{
-			accepted: a, revision: view.Revision(), progress: config.NewRollout(options),
+			accepted: a, revision: a.Part(), progress: config.NewRollout(options),
 			changesDomains: len(document.PreviousDomains) > 0,
 		}, nil
 	}
