Wait for slow workers at a takeover and bound the kept answers

Seen failing before with go test ./dispatch -run <test>: - TestAdoptionWaitsForSlowWorker: a gang whose members all ran was ended when one worker answered its new owner after more than a second (unknown instead of done). The adoption waits for up to 3 s, which the members' leases allow, and the request is not placed a second time meanwhile. - TestResolvingAsksAgain: one unanswered call of a worker made a claimed attempt unknown that was running (unknown instead of done). The worker is asked again for 4 s. - TestKeptAnswersAreBounded: answers were kept for 5 minutes whatever their size (3 runs instead of 2). The oldest beyond 64 MB are dropped here and stay on their workers.

--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -22,6 +22,9 @@
 	settleTimeout = 30 * time.Second
 	// resolveInterval is the pause between two questions about an attempt that runs under another owner.
 	resolveInterval = 500 * time.Millisecond
+	// resolvePatience is how long a worker that does not answer is asked about an attempt before its end is unknown. It
+	// leaves room for three calls that time out after a second.
+	resolvePatience = 4 * time.Second
 )
 
 // claim makes the claim of the current attempt, whose members are all held. It does nothing for idempotent requests.
@@ -101,7 +104,7 @@
 	if r.phase == phaseQueued {
 		s.Queue.Remove(r.key())
 	}
-	r.phase, r.record, r.askAt = phaseResolving, record, d.Clock.Now()
+	r.phase, r.record, r.askAt, r.resolvingSince = phaseResolving, record, d.Clock.Now(), d.Clock.Now()
 }
 
 // ask asks once about the attempt that is being resolved. It is repeated until the end of the attempt is known or the
@@ -167,7 +170,7 @@
 	r.asking = false
 	switch {
 	case r.phase != phaseResolving:
-	case err == nil && final:
+	case err == nil && final && !d.mayLearnMore(r, found):
 		d.end(s, r, outcome)
 	case err == nil && found.Verdict == claim.VerdictNotRun:
 		r.claimed = found.Record.Attempt
@@ -182,6 +185,13 @@
 	}
 }
 
+// mayLearnMore reports whether a worker that gave no answer about the attempt is asked again. One lost call must not turn
+// an attempt that runs into an unknown one.
+func (d *Dispatcher) mayLearnMore(r *run, found claim.Settlement) bool {
+	return found.Verdict == claim.VerdictUnknown && len(found.Statuses) < len(found.Record.Workers) &&
+		d.Clock.Since(r.resolvingSince) < resolvePatience
+}
+
 // settleClaim records the end of the current attempt, if it was claimed.
 func (d *Dispatcher) settleClaim(r *run, result job.Result) {
 	if r.claimed == 0 || r.claimed != r.attempt {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	crand "crypto/rand"
 	"encoding/hex"
@@ -31,6 +32,8 @@
 	// maxFailures is the number of attempts with a failure of their own after which a request is not retried.
 	maxFailures = 3
 	nonceBytes  = 12
+	// defaultMaxKept is a small part of an entry VM's memory.
+	defaultMaxKept = 64 << 20
 )
 
 // ErrRequestConflict means that the request id is in use for another request.
@@ -50,6 +53,8 @@
 	// CallTimeout bounds one call to a worker.
 	CallTimeout time.Duration
 	PoolSize    int
+	// MaxKept bounds the bytes of the answers that are kept for callers that ask again; 0 means 64 MB.
+	MaxKept int
 
 	ctx context.Context
 	// traffic runs calls to workers on the bounded pool, spawn other work that may block, and follower follows a worker
@@ -64,6 +69,8 @@
 	watchers map[string]*watcher
 	// orphans are started tasks of the watched workers that no run here owns.
 	orphans map[orphan]worker.Status
+	// kept counts the bytes of the answers of ended runs.
+	kept int
 	// running counts the accelerators in use per organisation; a request without accelerators counts as one.
 	running map[string]int
 	// anchors, guaranteed and weights follow the bundle; guaranteed counts the accelerators of anchors on owned racks.
@@ -104,6 +111,7 @@
 
 func (d *Dispatcher) init(ctx context.Context) {
 	d.ctx = ctx
+	d.MaxKept = cmp.Or(d.MaxKept, defaultMaxKept)
 	d.timeout = func(ctx context.Context, length time.Duration) (context.Context, context.CancelFunc) {
 		return clockwork.WithTimeout(ctx, d.Clock, length)
 	}
@@ -133,6 +141,7 @@
 	for rack := range s.Owned {
 		d.adopt(s, rack)
 	}
+	d.trim()
 	d.schedule(s)
 	d.flushRenewals()
 }
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -164,6 +164,7 @@
 	s.Cluster.Forget(r.key())
 	r.phase, r.outcome, r.endedAt = phaseEnded, outcome, d.Clock.Now()
 	r.request.Payload = nil
+	d.kept += len(outcome.Answer)
 	d.notify(r, outcome)
 }
 
@@ -200,11 +201,33 @@
 // forget drops an ended run and lets its workers drop the answer.
 func (d *Dispatcher) forget(r *run) {
 	delete(d.runs, r.key())
+	d.kept -= len(r.outcome.Answer)
 	if r.outcome.Result == job.Done {
 		d.acknowledge(r)
 	}
 }
 
+// trim drops the oldest answers beyond the bound. Their workers keep them, so that a retry can fetch them again.
+func (d *Dispatcher) trim() {
+	if d.kept <= d.MaxKept {
+		return
+	}
+	var ended []*run
+	for _, r := range d.runs {
+		if r.phase == phaseEnded && len(r.outcome.Answer) > 0 {
+			ended = append(ended, r)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *run) int { return a.endedAt.Compare(b.endedAt) })
+	for _, r := range ended {
+		if d.kept <= d.MaxKept {
+			return
+		}
+		delete(d.runs, r.key())
+		d.kept -= len(r.outcome.Answer)
+	}
+}
+
 func (d *Dispatcher) delay(r *run, wait time.Duration) {
 	r.phase, r.retryAt = phaseDelayed, d.Clock.Now().Add(wait)
 }
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -9,6 +9,8 @@
 	"clementinepier/job"
 	"clementinepier/placement"
 	"clementinepier/platform"
+	"clementinepier/standin/fault"
+	standin "clementinepier/standin/worker"
 )
 
 // hide makes the worker unknown to the owner, which therefore neither places on it nor adopts its tasks.
@@ -204,3 +206,74 @@
 	r.Equal(outcome.Result, job.NotRun)
 	r.Equal(r.a.s.Cluster.Plan(r.clock.Now(), placement.Need{Key: outcome.Key, Shape: job.Shape{Tasks: 1, Slots: 1}}, []string{"r1"}).Result, placement.Placed)
 }
+
+// Guards against a gang that a new owner ends because one of its workers answers a little later than the others.
+func TestAdoptionWaitsForSlowWorker(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		r := newRig(t)
+		req := r.newRequest("q", 2, idempotent, `{"run-time": "9s", "size": 10}`)
+		r.a.submit(req)
+		r.ticks(4 * time.Second)
+		slow := r.workers[r.a.d.runs[req.Key()].workers[1]]
+		r.a.dead = true
+		slow.SetFaults(standin.Faults{Faults: fault.Faults{Down: true}})
+		r.b.own(true)
+		r.ticks(1500 * time.Millisecond)
+		waiter := r.b.submit(req)
+		r.ticks(500 * time.Millisecond)
+		slow.SetFaults(standin.Faults{})
+		r.ticks(8 * time.Second)
+		r.Equal(r.result(waiter), job.Done)
+		r.Equal(r.starts(req.Key()), map[int]int{0: 1, 1: 1})
+		r.checkEnd()
+	}
+}
+
+// Guards against a claimed attempt that is given up as unknown because its worker did not answer one question.
+func TestResolvingAsksAgain(t *testing.T) {
+	r := newRig(t)
+	req := r.newRequest("q", 1, false, `{"run-time": "9s", "size": 10}`)
+	r.a.submit(req)
+	name := r.a.firstOn(req)
+	r.b.hide(name)
+	r.b.own(true)
+	r.ticks(time.Second)
+	r.workers[name].SetFaults(standin.Faults{Faults: fault.Faults{Down: true, Calls: []string{"tasks"}}})
+	waiter := r.b.submit(req)
+	r.ticks(time.Second)
+	r.workers[name].SetFaults(standin.Faults{})
+	r.ticks(9 * time.Second)
+	r.Equal(r.result(waiter), job.Done)
+	r.Equal(r.starts(req.Key()), map[int]int{0: 1})
+}
+
+// Guards against a worker that is gone for good keeping a caller waiting until its deadline.
+func TestResolvingEndsWithoutWorker(t *testing.T) {
+	r := newRig(t)
+	req := testRequest("q", 1, false)
+	r.records[req.Key()] = claim.Record{
+		Key: req.Key(), Attempt: 1, Workers: []string{"gone"}, RequestDigest: "digest of q", Nonce: "n", State: claim.StateClaimed,
+	}
+	waiter := r.a.submit(req)
+	r.ticks(5 * time.Second)
+	r.Equal(r.result(waiter), job.Unknown)
+	r.Equal(len(r.starts(req.Key())), 0)
+}
+
+// Guards against answers that are kept without a bound on their memory, and against the loss of a dropped one.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	r := newRig(t)
+	r.a.d.MaxKept = 1000 // two answers
+	var requests []job.Request
+	for _, id := range []string{"q1", "q2", "q3"} {
+		req := r.newRequest(id, 1, false, `{"run-time": "100ms", "size": 400}`)
+		requests = append(requests, req)
+		r.a.submit(req)
+		r.ticks(time.Second)
+	}
+	r.Equal(len(r.a.d.runs), 2)
+	waiter := r.a.submit(requests[0])
+	r.ticks(2 * time.Second)
+	r.Equal(r.result(waiter), job.Done) // fetched from its worker again
+	r.Equal(r.starts(requests[0].Key()), map[int]int{0: 1})
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -63,6 +63,8 @@
 	record claim.Record
 	askAt  time.Time
 	asking bool
+	// resolvingSince is when the run began to resolve.
+	resolvingSince time.Time
 
 	gang     *gang.Gang
 	borrowed bool
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -16,6 +16,10 @@
 // adoptWait is how long a gained rack waits for workers that do not answer before it is used without them.
 const adoptWait = time.Second
 
+// memberWait is how long the adoption of a gang waits for workers that do not answer. A lease of 9 s, less a renewal
+// interval and the 3 s in which a lost owner is replaced, leaves 3 s before the gang's members lapse.
+const memberWait = 3 * time.Second
+
 // maxWaiting bounds the requests looked at in one pass that cannot be placed. Later ones are looked at when capacity
 // has become free; the bound keeps a pass cheap when many wait.
 const maxWaiting = 64
@@ -148,6 +152,10 @@
 
 // place tries to place one run. It returns false when the run has to wait.
 func (d *Dispatcher) place(s *board.State, r *run, item queue.Item, racks []string) bool {
+	if d.awaitsAdoption(r.key()) {
+		s.Queue.Return(item)
+		return false
+	}
 	now := d.Clock.Now()
 	need := placement.Need{
 		Key: r.key(), Shape: r.request.Shape, Idempotent: r.request.Idempotent, Urgent: r.request.Urgent,
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -266,7 +266,7 @@
 	}
 	groups := map[job.Key][]worker.Status{}
 	for o, status := range d.orphans {
-		if info, ok := s.Workers[o.worker]; ok && info.Rack == rack {
+		if info, ok := s.Workers[o.worker]; ok && info.Rack == rack && !d.awaitsMember(status.Spec) {
 			groups[o.id.Key()] = append(groups[o.id.Key()], status)
 			delete(d.orphans, o)
 		}
@@ -285,6 +285,26 @@
 	}
 }
 
+// awaitsMember reports whether a worker of the gang has not been listed yet and still has the time for it.
+func (d *Dispatcher) awaitsMember(spec worker.Spec) bool {
+	for _, name := range spec.Workers {
+		if w := d.watchers[name]; w != nil && !w.listed && d.Clock.Since(w.since) < memberWait {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitsAdoption reports whether tasks of the request run here and are adopted once their gang is complete.
+func (d *Dispatcher) awaitsAdoption(key job.Key) bool {
+	for o, status := range d.orphans {
+		if o.id.Key() == key && d.awaitsMember(status.Spec) {
+			return true
+		}
+	}
+	return false
+}
+
 // adoptedRun returns a run for tasks whose request this VM has not seen. It has no payload, so it cannot be retried
 // here before a receiver sends the request.
 func adoptedRun(spec worker.Spec) *run {
