Bound the answers that a receiver keeps

Seen failing before: go test ./entry -run TestKeptOutcomesAreBounded; up to 20,000 outcomes were kept for 5 minutes whatever the size of their answers. The oldest beyond 64 MB are dropped; rack owners and workers still have them.

--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -140,6 +140,23 @@
 	is.Equal(records(t, store, "a")+records(t, store, "b"), 0)
 }
 
+// Guards against outcomes that are kept without a bound on their memory.
+func TestKeptOutcomesAreBounded(t *testing.T) {
+	is, clock := is.New(t), clockwork.NewFakeClock()
+	d := newRequestDirectory(clock)
+	for _, id := range []string{"q1", "q2", "q3"} {
+		req := keptRequest
+		req.ID = id
+		h, _ := d.take(req, "digest", clock.Now())
+		clock.Advance(time.Second)
+		d.end(h, job.Outcome{Key: req.Key(), Result: job.Done, Answer: make([]byte, maxKeptAnswers/2)})
+	}
+	is.Equal(len(d.prune()), 0) // none of them is in the journal
+	_, first := d.find(job.Key{Organisation: "org", ID: "q1"})
+	_, last := d.find(job.Key{Organisation: "org", ID: "q3"})
+	is.True(!first && last)
+}
+
 // Guards against a record that is dropped with the outcome of an earlier request of the same id.
 func TestIDUsedAgainIsKept(t *testing.T) {
 	is, clock := is.New(t), clockwork.NewFakeClock()
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,9 @@
 	outcomeRetention = 5 * time.Minute
 	// maxRequests bounds the requests that one receiver has in hand or keeps the outcome of.
 	maxRequests = 20_000
+	// maxKeptAnswers bounds the bytes of the answers kept for callers that ask again; the rack owners and the workers
+	// have them, too.
+	maxKeptAnswers = 64 << 20
 )
 
 // inHand is one request that this VM received.
@@ -132,22 +136,32 @@
 	deadline time.Time
 }
 
-// prune drops outcomes that were kept long enough and returns the records that the journal may have of them.
+// prune drops outcomes that were kept long enough, and the oldest of those with too many answers in all. It returns the
+// records that the journal may have of them.
 func (d *requestDirectory) prune() []keptRecord {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var kept []keptRecord
-	now := d.clock.Now()
-	for key, h := range d.byKey {
-		if !h.isEnded() || now.Sub(h.endedAt) <= outcomeRetention {
+	var ended []*inHand
+	for _, h := range d.byKey {
+		if h.isEnded() {
+			ended = append(ended, h)
+		}
+	}
+	// The latest come first and are kept as far as their answers fit.
+	slices.SortFunc(ended, func(a, b *inHand) int { return b.endedAt.Compare(a.endedAt) })
+	var dropped []keptRecord
+	now, size := d.clock.Now(), 0
+	for _, h := range ended {
+		size += len(h.outcome.Answer)
+		if now.Sub(h.endedAt) <= outcomeRetention && size <= maxKeptAnswers {
 			continue
 		}
-		delete(d.byKey, key)
+		delete(d.byKey, h.request.Key())
 		if !h.keptUntil.IsZero() {
-			kept = append(kept, keptRecord{key: key, deadline: h.keptUntil})
+			dropped = append(dropped, keptRecord{key: h.request.Key(), deadline: h.keptUntil})
 		}
 	}
-	return kept
+	return dropped
 }
 
 // submit takes a request in hand. The request goes on when the caller's connection breaks, so that its retry finds
