--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -169,6 +169,7 @@
 	s.Cluster.Forget(r.key())
 	r.phase, r.outcome, r.endedAt = phaseEnded, outcome, d.Clock.Now()
 	r.request.Payload = nil
+	d.kept += len(outcome.Answer)
 	d.notify(r, outcome)
 }
 
@@ -205,21 +206,47 @@
 // forget drops an ended run and lets its workers drop the answer.
 func (d *Dispatcher) forget(r *run) {
 	delete(d.runs, r.key())
+	d.kept -= len(r.outcome.Answer)
 	if r.outcome.Result == job.Done {
 		d.acknowledge(r)
 	}
 }
 
+// trim drops the oldest answers beyond the bound. Their workers keep them, so that a retry can fetch them again.
+func (d *Dispatcher) trim() {
+	if d.kept <= d.MaxKept {
+		return
+	}
+	var ended []*run
+	for _, r := range d.runs {
+		if r.phase == phaseEnded && len(r.outcome.Answer) > 0 {
+			ended = append(ended, r)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *run) int { return a.endedAt.Compare(b.endedAt) })
+	for _, r := range ended {
+		if d.kept <= d.MaxKept {
+			return
+		}
+		delete(d.runs, r.key())
+		d.kept -= len(r.outcome.Answer)
+	}
+}
+
 func (d *Dispatcher) delay(r *run, wait time.Duration) {
 	r.phase, r.retryAt = phaseDelayed, d.Clock.Now().Add(wait)
 }
 
-// avoids returns the workers that the next attempt must not use. When so many have failed that the request could
-// not be placed any more, only the latest is avoided.
-func (r *run) avoids() []string {
-	const most = 4
-	if len(r.avoid) > most {
-		return slices.Clone(r.avoid[len(r.avoid)-1:])
+// avoids returns the workers that the next attempt must not use: those that have failed or, when too few others are left
+// here for another attempt, those of the last failure, or none.
+func (d *Dispatcher) avoids(r *run) []string {
+	size := len(r.distinctWorkers())
+	last := r.avoid[max(0, len(r.avoid)-size):]
+	for _, names := range [][]string{r.avoid, last} {
+		names = slices.Compact(slices.Sorted(slices.Values(names)))
+		if len(d.watchers)-len(names) >= max(1, size) {
+			return names
+		}
 	}
-	return r.avoid
+	return nil
 }
