--- a/api/api.go
+++ b/api/api.go
@@ -3,7 +3,10 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -27,8 +30,16 @@
 	// defaultWait is how long a caller that names no wait is kept waiting before it is told to ask again.
 	defaultWait = 30 * time.Second
 	maxWait     = 10 * time.Minute
-	// maxBundleBody has room for the largest bundle in base64; request bodies have their own bound.
-	maxBundleBody = 4 << 20
+	// maxBundleBody has room for the largest signed bundle with its change id and revision.
+	maxBundleBody = bundle.MaxSignedSize + 4096
+	maxOrderBody  = 16 << 10
+	// prefetchedBody is how much of a body is read before the call is authenticated.
+	prefetchedBody = 8 << 10
+	// drainedBody is how much of an overlong chunked body is discarded, so that its sender reads the reply.
+	drainedBody = 64 << 20
+	// extraHeader lets headers somewhat above the limit reach the handlers, which refuse them with a JSON body. The
+	// library refuses longer ones with a plain text.
+	extraHeader = 64 << 10
 )
 
 // Submission is a request in the hands of this entry VM.
@@ -46,6 +57,8 @@
 	View func() *config.View
 	// EverFits reports whether some rack of the bundle could run the request when empty.
 	EverFits func(req job.Request) bool
+	// VerifyRead checks the Authorization header of a call that reads what only operators may see.
+	VerifyRead func(path, authorization string) error
 	// Submit takes a request in hand. A second call for the same request returns the same submission. The code is set
 	// when the request is refused.
 	Submit func(ctx context.Context, req job.Request, digest string) (Submission, job.Outcome)
@@ -79,12 +92,16 @@
 	hlog.SetLevel(hlog.LevelFatal)
 	a.server = server.New(
 		server.WithListener(newLimitListener(listener, a.MaxConnections)),
+		// Handlers read bodies themselves, each within its own bound.
+		server.WithStreamBody(true),
+		server.WithMaxRequestBodySize(prefetchedBody),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithHandleMethodNotAllowed(true),
+		server.WithRedirectTrailingSlash(false),
 		server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxBundleBody),
-		server.WithMaxHeaderBytes(a.MaxHeaderSize),
+		server.WithMaxHeaderBytes(a.MaxHeaderSize+extraHeader),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
-		server.WithWriteTimeout(writeTimeout),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(time.Second),
 		hertzconfig.Option{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
@@ -99,6 +116,7 @@
 func (a *API) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
 
 func (a *API) route() {
+	a.server.Use(a.check)
 	a.server.POST(message.PathRequests, a.submitRequest)
 	a.server.GET(message.PathRequests+"/:id", a.showRequest)
 	a.server.DELETE(message.PathRequests+"/:id", a.cancelRequest)
@@ -108,8 +126,58 @@
 	a.server.GET("/api/v1/changes/:id", a.showChange)
 	a.server.GET(message.PathStatus, a.showStatus)
 	a.server.NoRoute(func(_ context.Context, c *app.RequestContext) {
-		a.fail(c, 404, job.CodeBadRequest, "no such path")
+		a.fail(c, http.StatusNotFound, job.CodeBadRequest, "no such path")
 	})
+	a.server.NoMethod(func(_ context.Context, c *app.RequestContext) {
+		a.fail(c, http.StatusMethodNotAllowed, job.CodeBadRequest, "the path does not have this method")
+	})
+}
+
+// check refuses headers above the limit, and gives a body to the library's own refusals.
+func (a *API) check(ctx context.Context, c *app.RequestContext) {
+	if size := len(c.Request.Header.RequestURI()) + len(c.Request.Header.RawHeaders()); size > a.MaxHeaderSize {
+		c.Response.Header.Set("Connection", "close")
+		a.fail(c, http.StatusRequestHeaderFieldsTooLarge, job.CodeBadRequest,
+			fmt.Sprintf("the header has %d bytes, at most %d are allowed", size, a.MaxHeaderSize))
+		c.Abort()
+		return
+	}
+	c.Next(ctx)
+	if c.Response.StatusCode() == http.StatusBadRequest && !c.Response.HasBodyBytes() {
+		a.fail(c, http.StatusBadRequest, job.CodeBadRequest, "the request line or the Host header cannot be used")
+	}
+}
+
+// body reads the body of a call, or returns why it cannot be used.
+func (a *API) body(c *app.RequestContext, limit int) ([]byte, *refusal) {
+	if !c.Request.IsBodyStream() {
+		return c.Request.Body(), nil
+	}
+	tooLarge := &refusal{
+		status: http.StatusRequestEntityTooLarge, code: job.CodeBodyTooLarge,
+		detail: fmt.Sprintf("the body has more than %d bytes", limit),
+	}
+	most, length := int64(limit)+1, c.Request.Header.ContentLength()
+	if length > limit {
+		return nil, tooLarge
+	}
+	if length >= 0 {
+		// Reading further would take bytes of the connection's next request.
+		most = int64(length)
+	}
+	stream := c.RequestBodyStream()
+	body, err := io.ReadAll(io.LimitReader(stream, most))
+	switch {
+	case err != nil:
+		c.Response.Header.Set("Connection", "close")
+		return nil, badRequest("body cannot be read: %v", err)
+	case len(body) > limit:
+		c.Response.Header.Set("Connection", "close")
+		// The sender reads the reply only once it has sent its body; an error here means that it is gone.
+		_, _ = io.CopyN(io.Discard, stream, drainedBody)
+		return nil, tooLarge
+	}
+	return body, nil
 }
 
 // fail writes an error body.
--- a/api/listener.go
+++ b/api/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // limitListener accepts at most a number of connections at a time. Further ones wait in the backlog.
@@ -26,12 +27,21 @@
 	return &limitConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
 }
 
-// limitConn returns its slot when it is closed.
+// limitConn returns its slot when it is closed, and bounds the time of each write. The library's standard transport has
+// no bound on writes, so a caller that stops reading would keep its connection for ever.
 type limitConn struct {
 	net.Conn
 	release func()
 }
 
+// Write implements net.Conn.
+func (c *limitConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
 // Close implements net.Conn.
 func (c *limitConn) Close() error {
 	defer c.release()
--- a/api/operators.go
+++ b/api/operators.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/pkg/errors"
 
+	"clementinepier/board"
 	"clementinepier/bundle"
 	"clementinepier/config"
 	"clementinepier/job"
@@ -30,11 +31,24 @@
 	return nil
 }
 
+// decodeChange reads and decodes the body of a change, or writes the error.
+func (a *API) decodeChange(c *app.RequestContext, limit int, into any) bool {
+	body, refused := a.body(c, limit)
+	if refused == nil {
+		if err := decodeStrict(body, into); err != nil {
+			refused = badRequest("body: %v", err)
+		}
+	}
+	if refused != nil {
+		a.fail(c, refused.status, refused.code, refused.detail)
+	}
+	return refused == nil
+}
+
 // rollBundle takes a signed bundle. Its signatures authenticate the operators.
 func (a *API) rollBundle(ctx context.Context, c *app.RequestContext) {
 	var change message.BundleChange
-	if err := decodeStrict(c.Request.Body(), &change); err != nil {
-		a.fail(c, http.StatusBadRequest, job.CodeBadRequest, err.Error())
+	if !a.decodeChange(c, maxBundleBody, &change) {
 		return
 	}
 	accepted, err := a.Roll(ctx, change)
@@ -44,8 +58,7 @@
 // orderDomain takes a signed order for the failure domain in the path.
 func (a *API) orderDomain(ctx context.Context, c *app.RequestContext) {
 	var order bundle.SignedOrder
-	if err := decodeStrict(c.Request.Body(), &order); err != nil {
-		a.fail(c, http.StatusBadRequest, job.CodeBadRequest, err.Error())
+	if !a.decodeChange(c, maxOrderBody, &order) {
 		return
 	}
 	if order.Order.FailureDomain != c.Param("name") {
@@ -83,30 +96,43 @@
 	case config.IsErrDomainNotExist(err):
 		body.Code = job.CodeUnknownDomain
 		return http.StatusNotFound, body
-	case bundle.IsErrSignatureInvalid(err), bundle.IsErrKeyNotTrusted(err):
+	case bundle.IsErrSignatureInvalid(err), bundle.IsErrKeyNotTrusted(err), bundle.IsErrSameSigner(err):
 		body.Code = job.CodeSignatureInvalid
 		return http.StatusForbidden, body
-	case platform.IsErrUnavailable(err):
-		body.Code = job.CodeStoreUnavailable
+	case platform.IsErrVersionDiffers(err):
+		body.Code = job.CodeOverloaded
+		return http.StatusServiceUnavailable, body
+	case config.IsErrChange(err), bundle.IsErrOrderInvalid(err), platform.IsErrValueTooLarge(err):
+		body.Code = job.CodeBadRequest
+		return http.StatusBadRequest, body
+	case errors.Is(err, board.ErrStopped):
+		body.Code = job.CodeStopping
 		return http.StatusServiceUnavailable, body
 	}
-	body.Code = job.CodeBadRequest
-	return http.StatusBadRequest, body
+	// Whatever else fails is no fault of the caller: the store does not answer, or what it holds cannot be read.
+	body.Code = job.CodeStoreUnavailable
+	return http.StatusServiceUnavailable, body
 }
 
-// showConfig tells which configuration this entry VM has in force.
+// showConfig tells which configuration this entry VM has in force. The bundle itself is for signed calls only.
 func (a *API) showConfig(_ context.Context, c *app.RequestContext) {
 	view := a.View()
 	document := view.Document()
 	reply := message.Config{
 		Revision: view.Revision().Sum(), ChangeID: document.ChangeID, BundleRevision: view.Revision().Bundle,
-		Orders: map[string]message.DomainOrder{},
+		Orders: map[string]message.DomainOrder{}, FailureDomains: append([]string{}, view.FailureDomains()...),
 	}
 	for domain, order := range document.Orders {
 		reply.Orders[domain] = message.DomainOrder{State: order.Order.State, Sequence: order.Order.Sequence}
 	}
-	if view.Bundle() != nil {
-		reply.Bundle = &document.Bundle
+	if authorization := string(c.GetHeader("Authorization")); authorization != "" {
+		if err := a.VerifyRead(message.PathConfig, authorization); err != nil {
+			a.fail(c, http.StatusForbidden, job.CodeSignatureInvalid, err.Error())
+			return
+		}
+		if view.Bundle() != nil {
+			reply.Bundle = &document.Bundle
+		}
 	}
 	c.JSON(http.StatusOK, reply)
 }
--- a/api/requests.go
+++ b/api/requests.go
@@ -20,7 +20,9 @@
 )
 
 const (
-	maxIDLength  = 128
+	maxIDLength = 128
+	// maxShape bounds each number of a shape, so that products of two never overflow.
+	maxShape     = 1 << 20
 	bearerPrefix = "Bearer "
 	// traceHeader gives the caller the trace id of its request.
 	traceHeader = "X-Trace-Id"
@@ -109,13 +111,11 @@
 // decodeRequest reads and checks a request body and the caller's wait.
 func (a *API) decodeRequest(c *app.RequestContext, organisation *bundle.Organisation) (job.Request, time.Duration, *refusal) {
 	var req job.Request
-	if size := len(c.Request.Body()); size > a.MaxBodySize {
-		return req, 0, &refusal{
-			status: http.StatusRequestEntityTooLarge, code: job.CodeBodyTooLarge,
-			detail: fmt.Sprintf("the body has %d bytes, at most %d are allowed", size, a.MaxBodySize),
-		}
+	body, refused := a.body(c, a.MaxBodySize)
+	if refused != nil {
+		return req, 0, refused
 	}
-	if err := decodeStrict(c.Request.Body(), &req); err != nil {
+	if err := decodeStrict(body, &req); err != nil {
 		return req, 0, badRequest("body: %v", err)
 	}
 	switch {
@@ -157,6 +157,8 @@
 		return badRequest("service: %q is not in the bundle", req.Service)
 	case req.Shape.Tasks < 1 || req.Shape.Slots < 1 || req.Shape.Accelerators < 0:
 		return badRequest("shape: tasks and slots must be at least 1, accelerators at least 0")
+	case max(req.Shape.Tasks, req.Shape.Slots, req.Shape.Accelerators) > maxShape:
+		return badRequest("shape: no number may be above %d", maxShape)
 	case len(req.Payload) > service.MaxPayload:
 		return &refusal{
 			status: http.StatusRequestEntityTooLarge, code: job.CodeBodyTooLarge,
@@ -226,6 +228,10 @@
 		return
 	}
 	key := job.Key{Organisation: organisation.Name, ID: c.Param("id")}
+	if !validID(key.ID) {
+		a.fail(c, http.StatusNotFound, job.CodeRequestNotExist, "the id cannot be one of a request")
+		return
+	}
 	request, found, err := a.Find(ctx, key)
 	switch {
 	case found:
@@ -242,7 +248,12 @@
 	if organisation == nil {
 		return
 	}
-	cancelled, found := a.Cancel(ctx, job.Key{Organisation: organisation.Name, ID: c.Param("id")})
+	key := job.Key{Organisation: organisation.Name, ID: c.Param("id")}
+	if !validID(key.ID) {
+		a.fail(c, http.StatusNotFound, job.CodeRequestNotExist, "the id cannot be one of a request")
+		return
+	}
+	cancelled, found := a.Cancel(ctx, key)
 	if !found {
 		a.fail(c, http.StatusNotFound, job.CodeRequestNotExist, "no entry VM has the request")
 		return
--- a/bundle/errors.go
+++ b/bundle/errors.go
@@ -113,3 +113,15 @@
 	var target *ErrSignedFileInvalid
 	return errors.As(err, &target)
 }
+
+// ErrReadRefused means that the proof of a signed read cannot be accepted.
+type ErrReadRefused struct{ Reason string }
+
+// Error implements error.
+func (e *ErrReadRefused) Error() string { return "signed read refused: " + e.Reason }
+
+// IsErrReadRefused reports whether err is or wraps an *ErrReadRefused.
+func IsErrReadRefused(err error) bool {
+	var target *ErrReadRefused
+	return errors.As(err, &target)
+}
--- a/cmd/bundle_review.go
+++ b/cmd/bundle_review.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 
 	"clementinepier/bundle"
@@ -11,6 +12,7 @@
 	Key     string   `arg:"--key" placeholder:"FILE" help:"private key file of the reviewer; without it the changes are only shown"`
 	Author  string   `arg:"--author" placeholder:"FILE" help:"public key file of the author; the author's signature is then verified"`
 	Against string   `arg:"--against" placeholder:"FILE" help:"bundle source or signed file to compare with"`
+	ReadKey string   `arg:"--read-key" placeholder:"FILE" help:"private key file that signs the call for the bundle in force; the default is --key"`
 	First   bool     `arg:"--first" help:"there is no bundle in force yet; show everything as new"`
 	Entry   []string `arg:"--entry,separate,env:CLEMENTINEPIER_ENTRY" placeholder:"ADDRESS" help:"entry VM whose bundle in force to compare with; repeatable"`
 }
@@ -81,7 +83,7 @@
 		_, b, err := s.readBundle(c.Against)
 		return b, err
 	case len(c.Entry) > 0:
-		signed, err := s.bundleInForce(ctx, online{Entry: c.Entry})
+		signed, err := s.bundleInForce(ctx, online{Entry: c.Entry}, cmp.Or(c.ReadKey, c.Key))
 		if err != nil || signed == nil {
 			return nil, err
 		}
--- a/cmd/bundle_show.go
+++ b/cmd/bundle_show.go
@@ -9,10 +9,13 @@
 
 type bundleShowCommand struct {
 	online
+	Key  string `arg:"--key" placeholder:"FILE" help:"private key file, trusted in any role; it signs the call for the bundle in force"`
 	File string `arg:"positional" help:"bundle source or signed file; without it the bundle in force is shown"`
 }
 
-func (*bundleShowCommand) example() string { return "bundle show --entry 10.0.0.1:8080" }
+func (*bundleShowCommand) example() string {
+	return "bundle show --key alice.key --entry 10.0.0.1:8080"
+}
 
 func (c *bundleShowCommand) run(ctx context.Context, s *session) error {
 	var source []byte
@@ -22,7 +25,7 @@
 		source, b, err = s.readBundle(c.File)
 	} else {
 		var signed *bundle.Signed
-		signed, err = s.bundleInForce(ctx, c.online)
+		signed, err = s.bundleInForce(ctx, c.online, c.Key)
 		if err == nil && signed == nil {
 			return exitf(ExitFailed, "no bundle is in force")
 		}
@@ -41,15 +44,21 @@
 	return nil
 }
 
-// bundleInForce asks an entry VM for the bundle in force; nil means that there is none.
-func (s *session) bundleInForce(ctx context.Context, o online) (*bundle.Signed, error) {
+// bundleInForce asks an entry VM for the bundle in force with a call that the key in the file signs; nil means that
+// there is none.
+func (s *session) bundleInForce(ctx context.Context, o online, keyFile string) (*bundle.Signed, error) {
 	c, err := s.client(o)
 	if err != nil {
 		return nil, err
 	}
+	if keyFile != "" {
+		if c.readKey, err = bundle.ReadPrivateKey(keyFile); err != nil {
+			return nil, err
+		}
+	}
 	config, err := c.config(ctx, s.Clock.Now().Add(callTimeout))
 	if err == nil && config.Bundle == nil && config.BundleRevision > 0 {
-		return nil, exitf(ExitFailed, "the entry VM did not send the bundle of revision %d", config.BundleRevision)
+		return nil, exitf(ExitFailed, "the entry VM did not send the bundle of revision %d; it sends it only to calls signed with a trusted key", config.BundleRevision)
 	}
 	return config.Bundle, err
 }
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -16,6 +16,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
 
+	"clementinepier/bundle"
 	"clementinepier/job"
 	"clementinepier/message"
 )
@@ -90,6 +91,8 @@
 	*session
 	entries []string
 	token   string
+	// readKey signs calls for the configuration, so that the bundle comes with it; nil leaves it out.
+	readKey *bundle.PrivateKey
 	// first is the entry VM that answered last; it is tried first.
 	first int
 }
@@ -179,6 +182,9 @@
 		request.ContentLength = int64(len(body))
 		request.Header.Set("Content-Type", "application/json")
 	}
+	if c.readKey != nil && method == http.MethodGet {
+		request.Header.Set("Authorization", bundle.SignRead(c.readKey, path, c.Clock.Now()).String())
+	}
 	if c.token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.token)
 	}
--- a/cmd/domain_list.go
+++ b/cmd/domain_list.go
@@ -23,14 +23,8 @@
 		return err
 	}
 	orders := map[string]message.DomainOrder{}
-	if config.Bundle != nil {
-		b, err := bundle.ParseAndCheck(config.Bundle.Source)
-		if err != nil {
-			return err
-		}
-		for _, d := range b.FailureDomains {
-			orders[d.Name] = message.DomainOrder{State: bundle.OrderIn}
-		}
+	for _, name := range config.FailureDomains {
+		orders[name] = message.DomainOrder{State: bundle.OrderIn}
 	}
 	maps.Copy(orders, config.Orders)
 	if c.JSON {
--- a/cmd/online_test.go
+++ b/cmd/online_test.go
@@ -23,6 +23,9 @@
 type fakeEntry struct {
 	t  *testing.T
 	mu sync.Mutex
+	// ring has the keys whose holders get the bundle at the time now.
+	ring *bundle.Keyring
+	now  time.Time
 	// config is in force; progress is the reply for every change that was accepted.
 	config   message.Config
 	progress message.Change
@@ -97,7 +100,11 @@
 			reply(http.StatusServiceUnavailable, message.Error{Code: job.CodeNoConfiguration, Detail: "no configuration"})
 			return
 		}
-		reply(http.StatusOK, f.config)
+		config := f.config
+		if proof, err := bundle.ParseReadProof(r.Header.Get("Authorization")); err != nil || f.ring.VerifyRead(f.now, path, proof) != nil {
+			config.Bundle = nil
+		}
+		reply(http.StatusOK, config)
 	case strings.HasPrefix(path, "/api/v1/changes/"):
 		if f.unknownChange > 0 || len(f.accepted) == 0 {
 			f.unknownChange--
@@ -220,7 +227,7 @@
 func TestOutAndBack(t *testing.T) {
 	workspace(t)
 	is := is.New(t)
-	f := &fakeEntry{progress: inForce(), loseAnswers: 1, config: message.Config{Revision: 5, Orders: map[string]message.DomainOrder{"tunis-a": {State: bundle.OrderIn, Sequence: 4}}}}
+	f := &fakeEntry{progress: inForce(), loseAnswers: 1, config: message.Config{Revision: 5, FailureDomains: []string{"bizerte-b", "tunis-a"}, Orders: map[string]message.DomainOrder{"tunis-a": {State: bundle.OrderIn, Sequence: 4}}}}
 	entry := start(t, f)
 	ring, err := bundle.NewKeyring([]bundle.TrustedKey{key(t, 3).Trusted(bundle.RoleOperator)})
 	is.NoErr(err)
@@ -239,16 +246,19 @@
 	f.mu.Unlock()
 	is.Equal(run(program(), "domain", "out", "Tunis", "--key", "carol.key", "--entry", entry).code, cmd.ExitUsage)
 	is.Equal(run(program(), "domain", "out", "tunis-a", "--key", "carol.key.pub", "--entry", entry).code, cmd.ExitInvalid)
-	is.Equal(run(program(), "domain", "list", "--entry", entry).out, "tunis-a                  in   order 4\nrevision 7, last change 1112131415161718191a1b1c1d1e1f20\n")
+	is.Equal(run(program(), "domain", "list", "--entry", entry).out, "bizerte-b                in   order 0\ntunis-a                  in   order 4\nrevision 7, last change 1112131415161718191a1b1c1d1e1f20\n")
 	source, err := os.ReadFile("bundle.toml")
 	is.NoErr(err)
 	f.mu.Lock()
 	f.config.Bundle, f.config.BundleRevision = &bundle.Signed{Source: source}, 1
 	f.mu.Unlock()
-	is.True(strings.Contains(run(program(), "domain", "list", "--entry", entry).out, "bizerte-b                in   order 0\n"))
-	is.Equal(run(program(), "bundle", "show", "--entry", entry).out, string(source))
+	f.ring, f.now = ring, program().Clock.Now()
+	unsigned := run(program(), "bundle", "show", "--entry", entry)
+	is.Equal(unsigned.code, cmd.ExitFailed)
+	is.True(strings.Contains(unsigned.errors, "signed with a trusted key"))
+	is.Equal(run(program(), "bundle", "show", "--key", "carol.key", "--entry", entry).out, string(source))
 	is.Equal(run(program(), "bundle", "sign", "bundle.toml", "--key", "alice.key").code, 0)
-	is.True(strings.HasPrefix(run(program(), "bundle", "review", "bundle.signed", "--entry", entry).out, "0 changes"))
+	is.True(strings.HasPrefix(run(program(), "bundle", "review", "bundle.signed", "--read-key", "carol.key", "--entry", entry).out, "0 changes"))
 }
 
 // Guards against answers and outcomes that a script takes for another one.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -9,6 +9,7 @@
 
 	"clementinepier/api"
 	"clementinepier/board"
+	"clementinepier/bundle"
 	"clementinepier/config"
 	"clementinepier/message"
 	"clementinepier/metrics"
@@ -27,7 +28,7 @@
 func (v *VM) serveCallers(listener net.Listener) *api.API {
 	a := &api.API{
 		Clock: v.Clock, Tracer: v.Tracer, View: v.view.Load, EverFits: v.everFits, Submit: v.submit, Keep: v.keep, Find: v.findRequest,
-		Cancel: v.cancelRequest, Roll: v.roll, Order: v.order, Change: v.changeProgress, Status: v.status,
+		Cancel: v.cancelRequest, Roll: v.roll, VerifyRead: v.verifyRead, Order: v.order, Change: v.changeProgress, Status: v.status,
 		Draining: v.draining.Load, DrainEnd: v.drainEnd,
 		MaxBodySize: v.Settings.BodySize(), MaxHeaderSize: v.Settings.HeaderSize(), MaxConnections: v.Settings.Connections(),
 	}
@@ -40,6 +41,15 @@
 	return a
 }
 
+// verifyRead checks the Authorization header of an operator's call that reads the path.
+func (v *VM) verifyRead(path, authorization string) error {
+	proof, err := bundle.ParseReadProof(authorization)
+	if err != nil {
+		return err
+	}
+	return v.Settings.Keyring().VerifyRead(v.Clock.Now(), path, proof)
+}
+
 // drain hands over the racks, brings the requests in hand to their outcomes, and ends the registration. It takes at
 // most the drain bound.
 func (v *VM) drain(ctx context.Context, callers *api.API) {
--- a/message/message.go
+++ b/message/message.go
@@ -67,7 +67,9 @@
 	BundleRevision uint64 `json:"bundle-revision"`
 	// Orders is by failure domain. A failure domain without an order is in service.
 	Orders map[string]DomainOrder `json:"orders"`
-	// Bundle is the signed bundle in force, if there is one.
+	// FailureDomains has the names of all failure domains of the bundle, sorted.
+	FailureDomains []string `json:"failure-domains"`
+	// Bundle is the signed bundle in force, if there is one. It holds token digests, so only signed calls get it.
 	Bundle *bundle.Signed `json:"bundle,omitempty"`
 }
 
