--- a/entry/changes.go
+++ b/entry/changes.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +17,7 @@
 	"clementinepier/membership"
 	"clementinepier/message"
 	"clementinepier/metrics"
+	"clementinepier/placement"
 	"clementinepier/platform"
 )
 
@@ -27,12 +31,29 @@
 	if err != nil {
 		return message.Accepted{}, err
 	}
-	if faults := b.Check(); len(faults) > 0 {
+	if faults := append(b.Check(), unanchored(b)...); len(faults) > 0 {
 		return message.Accepted{}, &bundle.ErrBundleInvalid{Faults: faults}
 	}
 	return v.change(ctx, config.Change{ID: change.ChangeID, Bundle: &change.Signed})
 }
 
+// unanchored returns a fault for each guarantee of which an instance gets no anchor with all failure domains in service.
+// Such a guarantee could never be kept.
+func unanchored(b *bundle.Bundle) []bundle.Fault {
+	missing := map[string]int{}
+	for _, a := range placement.Anchors(b, func(string) bool { return false }) {
+		if !a.IsPlaced() {
+			missing[a.Organisation+"/"+a.Guarantee]++
+		}
+	}
+	var faults []bundle.Fault
+	for _, name := range slices.Sorted(maps.Keys(missing)) {
+		reason := fmt.Sprintf("%d instances fit nowhere beside the other guarantees, with all failure domains in service", missing[name])
+		faults = append(faults, bundle.Fault{Key: "guarantee " + name, Reason: reason})
+	}
+	return faults
+}
+
 // order accepts a signed order for one failure domain.
 func (v *VM) order(ctx context.Context, order bundle.SignedOrder) (message.Accepted, error) {
 	if err := v.Settings.Keyring().VerifyNewOrder(v.Clock.Now(), order); err != nil {
@@ -161,10 +182,14 @@
 	if err != nil {
 		return nil, err
 	}
-	document, err := config.Decode(head.Value)
-	if err != nil || head.Version == 0 {
+	if head.Version == 0 {
 		return nil, &api.ErrChangeNotExist{ID: id}
 	}
+	document, err := config.Decode(head.Value)
+	if err != nil {
+		// Whether the change was accepted is not known; "does not exist" would make its operator send it again.
+		return nil, errors.Wrap(err, "configuration in the store")
+	}
 	r, err := v.newRollout(document, id)
 	if err != nil {
 		return nil, err
