--- a/board/state.go
+++ b/board/state.go
@@ -5,6 +5,7 @@
 
 	"clementinepier/breaker"
 	"clementinepier/config"
+	"clementinepier/job"
 	"clementinepier/membership"
 	"clementinepier/peer"
 	"clementinepier/placement"
@@ -59,6 +60,8 @@
 	// Racks describes the racks that the VM owns.
 	Racks  []placement.RackSummary `cbor:"7,keyasint"`
 	Queued int                     `cbor:"8,keyasint"`
+	// ViewAge is how long ago the VM's view was last known to be current; nil means never.
+	ViewAge *job.Duration `cbor:"11,keyasint,omitempty"`
 	// Demand is the number of requests of each organisation and service in the last interval.
 	Demand map[string]float64 `cbor:"9,keyasint,omitempty"`
 	// Running is the number of requests of each organisation and service in hand.
--- a/cmd/online_test.go
+++ b/cmd/online_test.go
@@ -113,7 +113,7 @@
 		}
 		reply(http.StatusOK, f.progress)
 	case path == message.PathStatus:
-		reply(http.StatusOK, message.Status{Name: "entry-1", FailureDomain: "tunis-a", Reason: job.CodeViewNotFresh, Members: []message.Member{{Name: "entry-2"}}})
+		reply(http.StatusOK, message.Status{Name: "entry-1", FailureDomain: "tunis-a", Reason: job.CodeViewNotFresh, Members: []message.Member{{Name: "entry-2", BundleRevision: 3}}, Racks: []message.Rack{{Name: "r", FailureDomain: "tunis-a", Owner: "entry-1", FreeSlots: 4}}, Organisations: []message.Organisation{{Name: "o", Lent: message.Capacity{Accelerators: 2, Slots: 1}}}})
 	case r.Header.Get("Authorization") != "Bearer secret-token":
 		reply(http.StatusUnauthorized, message.Error{Code: job.CodeUnknownOrg, Detail: "token is not known"})
 	case path == message.PathRequests:
@@ -358,6 +358,8 @@
 	is.True(!strings.Contains(r.errors, "other-token")) // the token is not shown
 	r = run(program(), "status", "--entry", entry, "--entry", silent(t))
 	is.Equal(r.code, cmd.ExitNoAnswer)
-	is.Equal(r.out, "tunis-a/entry-1: starts no tasks: view-not-fresh, revision 0, store not reachable, 0 waiting, 0 running\n  /entry-2: silent\n")
+	is.Equal(r.out, "tunis-a/entry-1: starts no tasks: view-not-fresh, revision 0, store not reachable, 0 waiting, 0 running\n  /entry-2: silent, bundle revision 3, never confirmed\n"+
+		"  rack tunis-a/r: owner entry-1, 0 accelerators free (0 adjacent), 4 slots free\n"+
+		"  organisation o: guaranteed 0 accelerators/0 slots, in use 0 accelerators/0 slots, lent 2 accelerators/1 slots, owed 0 accelerators/0 slots\n")
 	is.Equal(run(program(), "status", "--json", "--entry", entry).code, 0)
 }
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"clementinepier/message"
@@ -66,6 +67,27 @@
 		if m.Leaving {
 			condition += ", leaving"
 		}
-		s.print("  %s/%s: %s", m.FailureDomain, m.Name, condition)
+		age := "never confirmed"
+		if m.ViewAge != nil {
+			age = "view " + m.ViewAge.String() + " old"
+		}
+		s.print("  %s/%s: %s, bundle revision %d, %s", m.FailureDomain, m.Name, condition, m.BundleRevision, age)
+	}
+	for _, r := range status.Racks {
+		owner := "no owner"
+		if r.Owner != "" {
+			owner = "owner " + r.Owner
+		}
+		s.print("  rack %s/%s: %s, %d accelerators free (%d adjacent), %d slots free",
+			r.FailureDomain, r.Name, owner, r.FreeAccelerators, r.LargestBlock, r.FreeSlots)
 	}
+	for _, o := range status.Organisations {
+		s.print("  organisation %s: guaranteed %s, in use %s, lent %s, owed %s",
+			o.Name, capacity(o.Guaranteed), capacity(o.InUse), capacity(o.Lent), capacity(o.Owed))
+	}
+}
+
+// capacity is a text such as "16 accelerators/2 slots".
+func capacity(c message.Capacity) string {
+	return fmt.Sprintf("%d accelerators/%d slots", c.Accelerators, c.Slots)
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -64,6 +64,8 @@
 	placedAt time.Time
 	// preempting is true once the current attempt has been asked to give its capacity back.
 	preempting bool
+	// reclaimAt is when the run began to wait for a reclaim; zero while it waits for none.
+	reclaimAt time.Time
 	// retryAt is when a delayed run goes back to the queue.
 	retryAt time.Time
 	// wake is when the gang needs its next tick.
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -156,6 +156,11 @@
 	plan := s.Cluster.Plan(now, need, racks)
 	switch plan.Result {
 	case placement.Placed:
+		if !r.reclaimAt.IsZero() {
+			d.Metrics.Add(metrics.ReclaimsEnded, 1)
+			d.Metrics.Add(metrics.ReclaimTime, now.Sub(r.reclaimAt).Milliseconds())
+			r.reclaimAt = time.Time{}
+		}
 		d.begin(s, r, plan)
 		return true
 	case placement.Never:
@@ -166,6 +171,9 @@
 		}
 		return true
 	case placement.Reclaim:
+		if r.reclaimAt.IsZero() {
+			r.reclaimAt = now
+		}
 		d.reclaim(s, plan.Victims)
 	}
 	if plan.Elsewhere {
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -10,9 +10,6 @@
 	"clementinepier/api"
 	"clementinepier/board"
 	"clementinepier/bundle"
-	"clementinepier/config"
-	"clementinepier/message"
-	"clementinepier/metrics"
 )
 
 const (
@@ -79,49 +76,11 @@
 	if err != nil {
 		return
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	current, err := v.Store.Get(ctx, v.registrationKey())
 	if err == nil && current.Version > 0 {
-		v.Metrics.Add(metrics.StoreWrites, 1)
 		err = v.Store.Delete(ctx, v.registrationKey(), current.Version)
 	}
 	if err != nil {
 		klog.ErrorS(err, "The registration stays in the store; others remove it once the platform has dropped this VM")
 	}
 }
-
-// status describes this entry VM for operators.
-func (v *VM) status(ctx context.Context) (message.Status, error) {
-	var status message.Status
-	err := v.board.Do(ctx, func(s *board.State) {
-		now := v.Clock.Now()
-		mayStart, reason := s.Freshness.MayStart(now)
-		status = message.Status{
-			Name: s.Self.VM, FailureDomain: s.Self.FailureDomain, Revision: s.View.Revision().Sum(), MayStart: mayStart,
-			Reason: reason, Stopping: s.Draining, StoreReachable: v.storeReachable.Load(), Waiting: s.Queue.Len(),
-			Running: v.dispatcher.Running(), Members: membersOf(s, now),
-		}
-	})
-	return status, err
-}
-
-// membersOf lists the live entry VMs in the order of the failure domains.
-func membersOf(s *board.State, now time.Time) []message.Member {
-	members := []message.Member{}
-	for _, domain := range domainsOf(s.View, s) {
-		for _, m := range s.Members.Live(now, domain) {
-			members = append(members, message.Member{
-				Name: m.Name, FailureDomain: m.FailureDomain, Live: true, Leaving: m.Leaving, LastHeard: now,
-			})
-		}
-	}
-	return members
-}
-
-// domainsOf returns the failure domains of the bundle, or this VM's own while no bundle is known.
-func domainsOf(view *config.View, s *board.State) []string {
-	if domains := view.FailureDomains(); len(domains) > 0 {
-		return domains
-	}
-	return []string{s.Self.FailureDomain}
-}
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -16,7 +16,6 @@
 	"clementinepier/config"
 	"clementinepier/membership"
 	"clementinepier/message"
-	"clementinepier/metrics"
 	"clementinepier/placement"
 	"clementinepier/platform"
 )
@@ -84,7 +83,6 @@
 }
 
 func (v *VM) tryChange(ctx context.Context, change config.Change) (config.Accepted, error) {
-	v.Metrics.Add(metrics.StoreReads, 1)
 	head, err := v.Store.Get(ctx, headKey)
 	if err != nil {
 		return config.Accepted{}, err
@@ -106,7 +104,6 @@
 	if err != nil {
 		return config.Accepted{}, err
 	}
-	v.Metrics.Add(metrics.StoreWrites, 1)
 	if _, err := v.Store.CompareAndSwap(ctx, headKey, value, head.Version); err != nil {
 		return config.Accepted{}, err
 	}
@@ -145,7 +142,6 @@
 	if err != nil {
 		return message.Change{}, err
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	entries, err := v.Store.List(ctx, registrationPrefix)
 	if err != nil {
 		return message.Change{}, err
@@ -177,7 +173,6 @@
 	if known != nil {
 		return known, nil
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	head, err := v.Store.Get(ctx, headKey)
 	if err != nil {
 		return nil, err
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -54,11 +54,9 @@
 	var version uint64
 	for ctx.Err() == nil {
 		sent := v.Clock.Now()
-		v.Metrics.Add(metrics.StoreReads, 1)
 		entry, err := v.Store.Watch(ctx, headKey, version, watchWait)
 		v.storeReachable.Store(err == nil)
 		if err != nil {
-			v.Metrics.Add(metrics.StoreErrors, 1)
 			v.sleep(ctx, storeRetry)
 			continue
 		}
@@ -123,10 +121,8 @@
 			return 0, false
 		}
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	entries, err := v.Store.List(ctx, registrationPrefix)
 	if err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
 		return version, false
 	}
 	present := false
@@ -178,24 +174,18 @@
 	if err != nil {
 		return 0, false
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	current, err := v.Store.Get(ctx, v.registrationKey())
 	if err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
 		return 0, false
 	}
-	v.Metrics.Add(metrics.StoreWrites, 1)
 	// A lost answer is not assumed to be a success: the next round reads the key and writes it again.
 	version, err := v.Store.CompareAndSwap(ctx, v.registrationKey(), value, current.Version)
 	if err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
 		return 0, false
 	}
 	sent := v.Clock.Now()
-	v.Metrics.Add(metrics.StoreReads, 1)
 	head, err := v.Store.Get(ctx, headKey)
 	if err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
 		return 0, false
 	}
 	v.storeRead(ctx, sent, head)
@@ -210,10 +200,8 @@
 }
 
 func (v *VM) removeRegistration(ctx context.Context, r membership.Registration) {
-	v.Metrics.Add(metrics.StoreWrites, 1)
 	key := registrationPrefix + r.FailureDomain + "/" + r.VM
 	if err := v.Store.Delete(ctx, key, r.Version); err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
 		return
 	}
 	klog.InfoS("Removed the registration of an entry VM that is gone", "key", key)
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -8,7 +8,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"clementinepier/board"
-	"clementinepier/metrics"
 	"clementinepier/platform"
 	"clementinepier/worker"
 )
@@ -50,11 +49,8 @@
 // followDirectory reads the platform's list of VMs until ctx ends.
 func (v *VM) followDirectory(ctx context.Context) error {
 	for ctx.Err() == nil {
-		v.Metrics.Add(metrics.StoreReads, 1)
 		list, err := v.Directory.VMs(ctx)
-		if err != nil {
-			v.Metrics.Add(metrics.StoreErrors, 1)
-		} else {
+		if err == nil {
 			v.workers.update(list)
 			v.board.Post(func(s *board.State) { v.listed(s, list) })
 		}
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"clementinepier/board"
 	"clementinepier/config"
+	"clementinepier/job"
 	"clementinepier/membership"
 	"clementinepier/metrics"
 	"clementinepier/peer"
@@ -32,12 +33,26 @@
 	} else {
 		v.Metrics.SetGauge(metrics.ViewFresh, 0)
 	}
+	age := viewAge(s, now)
+	if age != nil {
+		v.Metrics.SetDuration(metrics.ViewAge, age.Std())
+	}
 	return board.Report{
-		Identity: s.Self, Address: s.Address, Registered: s.Registered, Leaving: s.Draining,
+		ViewAge: age, Identity: s.Self, Address: s.Address, Registered: s.Registered, Leaving: s.Draining,
 		Revision: s.View.Revision(), Usable: fresh && !s.Draining, Racks: s.Cluster.Summaries(), Queued: s.Queue.Len(),
 	}
 }
 
+// viewAge returns how long ago the view was last known to be current, or nil if it never was.
+func viewAge(s *board.State, now time.Time) *job.Duration {
+	fresh, known := s.Freshness.FreshAt()
+	if !known {
+		return nil
+	}
+	age := job.Duration(max(0, now.Sub(fresh)))
+	return &age
+}
+
 // sendHeartbeats calls every other entry VM and waits for none of them.
 func (v *VM) sendHeartbeats(ctx context.Context) {
 	var report board.Report
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -32,10 +32,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
 	defer cancel()
-	v.Metrics.Add(metrics.StoreWrites, 1)
 	record := journal.Record{Request: h.request, Digest: h.digest, Deadline: h.deadline}
 	if err := v.journal.Add(ctx, record); err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
 		return false
 	}
 	v.directory.setKept(h)
@@ -45,10 +43,8 @@
 // release drops the journal records of requests whose outcome was kept long enough.
 func (v *VM) release(ctx context.Context) {
 	for _, key := range v.directory.prune() {
-		v.Metrics.Add(metrics.StoreWrites, 1)
-		if err := v.journal.Remove(ctx, key); err != nil {
-			v.Metrics.Add(metrics.StoreErrors, 1)
-		}
+		// A record that could not be dropped stays; the failed call is counted with the store's.
+		_ = v.journal.Remove(ctx, key)
 	}
 }
 
@@ -117,10 +113,8 @@
 			// The receiver is live, or not known yet; it is looked at again once it is silent.
 			continue
 		}
-		v.Metrics.Add(metrics.StoreReads, 1)
 		records, err := v.journal.Take(ctx, name)
 		if err != nil {
-			v.Metrics.Add(metrics.StoreErrors, 1)
 			failed = append(failed, name)
 		}
 		for _, record := range records {
--- /dev/null
+++ b/entry/store.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"clementinepier/metrics"
+	"clementinepier/platform"
+)
+
+// countStore returns a store that counts the calls by kind, and those that brought no usable reply.
+func countStore(s platform.Store, m *metrics.Set) platform.Store {
+	count := func(kind metrics.Name, err error) {
+		m.Add(kind, 1)
+		if platform.IsErrUnavailable(err) {
+			m.Add(metrics.StoreErrors, 1)
+		}
+	}
+	return platform.Store{
+		Get: func(ctx context.Context, key string) (platform.Entry, error) {
+			entry, err := s.Get(ctx, key)
+			count(metrics.StoreGets, err)
+			return entry, err
+		},
+		List: func(ctx context.Context, prefix string) ([]platform.Entry, error) {
+			entries, err := s.List(ctx, prefix)
+			count(metrics.StoreLists, err)
+			return entries, err
+		},
+		CompareAndSwap: func(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
+			written, err := s.CompareAndSwap(ctx, key, value, version)
+			count(metrics.StoreSwaps, err)
+			return written, err
+		},
+		Delete: func(ctx context.Context, key string, version uint64) error {
+			err := s.Delete(ctx, key, version)
+			count(metrics.StoreDeletes, err)
+			return err
+		},
+		Watch: func(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Entry, error) {
+			entry, err := s.Watch(ctx, key, after, wait)
+			count(metrics.StoreWatches, err)
+			return entry, err
+		},
+	}
+}
+
+// countDirectory returns a VM list that counts the calls.
+func countDirectory(d platform.Directory, m *metrics.Set) platform.Directory {
+	return platform.Directory{VMs: func(ctx context.Context) ([]platform.VM, error) {
+		list, err := d.VMs(ctx)
+		m.Add(metrics.VMLists, 1)
+		if platform.IsErrUnavailable(err) {
+			m.Add(metrics.StoreErrors, 1)
+		}
+		return list, err
+	}}
+}
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -123,6 +123,7 @@
 
 // build creates the parts. Nothing runs yet.
 func (v *VM) build() error {
+	v.Store, v.Directory = countStore(v.Store, v.Metrics), countDirectory(v.Directory, v.Metrics)
 	v.self = peer.Identity{VM: v.Settings.Name(), FailureDomain: v.Settings.FailureDomain(), BootID: newBootID()}
 	empty, err := config.Join(v.Settings.Keyring(), nil, config.Document{})
 	if err != nil {
--- a/membership/table.go
+++ b/membership/table.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -228,6 +229,36 @@
 	return contacts
 }
 
+// Sighting is what this VM knows of an entry VM.
+type Sighting struct {
+	Member
+	Live bool
+	// Heard is when the VM was last heard from; it is zero for a VM that is only listed.
+	Heard time.Time
+}
+
+// Sightings returns this VM and every VM that it contacts, live or silent, sorted by failure domain and name.
+func (t *Table) Sightings(now time.Time) []Sighting {
+	known := t.Contacts(now)
+	if self := t.members[t.Self]; self != nil {
+		known = append(known, self.Member)
+	}
+	sightings := make([]Sighting, 0, len(known))
+	for _, k := range known {
+		s := Sighting{Member: k}
+		if m := t.members[k.Name]; m != nil {
+			s.Heard, s.Live = m.heard, t.live(now, m)
+		}
+		entry := t.listed[k.Name]
+		s.Leaving = s.Leaving || (entry.present && entry.vm.Leaving)
+		sightings = append(sightings, s)
+	}
+	slices.SortFunc(sightings, func(a, b Sighting) int {
+		return cmp.Or(strings.Compare(a.FailureDomain, b.FailureDomain), strings.Compare(a.Name, b.Name))
+	})
+	return sightings
+}
+
 // Removable returns the registrations that may be removed, sorted by name: those of VMs that the platform's list has
 // dropped and that were silent for the remove delay. The caller deletes exactly the version returned. Nothing is
 // removable while the list is old or lacks this VM itself, since such a list says nothing about others.
--- a/message/message.go
+++ b/message/message.go
@@ -138,13 +138,52 @@
 	Waiting        int      `json:"waiting"`
 	Running        int      `json:"running"`
 	Members        []Member `json:"members"`
+	// Racks has every rack of the bundle, in its order.
+	Racks []Rack `json:"racks"`
+	// Organisations has every organisation of the bundle, in its order.
+	Organisations []Organisation `json:"organisations"`
+}
+
+// Rack is a rack as its owner last described it.
+type Rack struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure-domain"`
+	// Owner is the live entry VM that owns the rack; it is empty, and the numbers are 0, when none is known.
+	Owner            string `json:"owner,omitempty"`
+	FreeAccelerators int    `json:"free-accelerators"`
+	LargestBlock     int    `json:"largest-block"`
+	FreeSlots        int    `json:"free-slots"`
+}
+
+// Organisation tells what an organisation has of its guarantees.
+type Organisation struct {
+	Name string `json:"name"`
+	// Guaranteed is what the bundle guarantees.
+	Guaranteed Capacity `json:"guaranteed"`
+	// InUse is the part that the organisation uses itself, and Lent the part that tasks of others hold now.
+	InUse Capacity `json:"in-use"`
+	Lent  Capacity `json:"lent"`
+	// Owed is the part that has no place now: it is anchored nowhere, or in a rack that no live entry VM owns.
+	Owed Capacity `json:"owed"`
+}
+
+// Capacity is a number of accelerators and of slots.
+type Capacity struct {
+	Accelerators int `json:"accelerators"`
+	Slots        int `json:"slots"`
 }
 
 // Member is an entry VM as another one sees it.
 type Member struct {
-	Name          string    `json:"name"`
-	FailureDomain string    `json:"failure-domain"`
-	Live          bool      `json:"live"`
-	Leaving       bool      `json:"leaving"`
-	LastHeard     time.Time `json:"last-heard"`
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure-domain"`
+	Live          bool   `json:"live"`
+	Leaving       bool   `json:"leaving"`
+	// LastHeard is the zero time for an entry VM that the platform lists but that was never heard from.
+	LastHeard time.Time `json:"last-heard"`
+	// BundleRevision and Revision are what its last heartbeat said; they are 0 while none was received.
+	BundleRevision uint64 `json:"bundle-revision"`
+	Revision       uint64 `json:"revision"`
+	// ViewAge is how long its view had not been confirmed as current at its last heartbeat; null means never confirmed.
+	ViewAge *job.Duration `json:"view-age"`
 }
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -17,6 +17,19 @@
 	FreeSlots    int `json:"free-slots"`
 	// Unused has the organisations whose anchors in this rack are not fully used, in name order.
 	Unused []UnusedAnchor `json:"unused"`
+	// Shares tells how anchors in this rack are used, in name order; organisations with nothing to tell are left out.
+	Shares []Share `json:"shares,omitempty"`
+}
+
+// Share is an organisation's part of a rack.
+type Share struct {
+	Organisation string `json:"organisation"`
+	// UsedAccelerators and UsedSlots are the part of its anchors that the organisation uses itself.
+	UsedAccelerators int `json:"used-accelerators,omitempty"`
+	UsedSlots        int `json:"used-slots,omitempty"`
+	// LentAccelerators and LentSlots are the part of its anchors that tasks of others hold.
+	LentAccelerators int `json:"lent-accelerators,omitempty"`
+	LentSlots        int `json:"lent-slots,omitempty"`
 }
 
 // UnusedAnchor is capacity that an organisation may reclaim in one rack.
@@ -33,6 +46,7 @@
 		s := RackSummary{Rack: name}
 		whole, most := 0, 0
 		for _, w := range c.racks[name].nodes {
+			s.addShares(w)
 			if !w.usable() {
 				continue
 			}
@@ -54,6 +68,30 @@
 	return summaries
 }
 
+// addShares adds how the anchors on one worker are used. Free capacity counts for the anchors in the order of the
+// shares; what it does not cover is lent.
+func (s *RackSummary) addShares(w *node) {
+	free := largest(amount{}, w.capacity.minus(w.held))
+	for _, sh := range w.shares {
+		unused := largest(amount{}, sh.anchored.minus(sh.used))
+		used, lent := sh.anchored.minus(unused), largest(amount{}, unused.minus(free))
+		free = largest(amount{}, free.minus(unused))
+		if used == (amount{}) && lent == (amount{}) {
+			continue
+		}
+		i, found := slices.BinarySearchFunc(s.Shares, sh.organisation, func(x Share, name string) int {
+			return strings.Compare(x.Organisation, name)
+		})
+		if !found {
+			s.Shares = slices.Insert(s.Shares, i, Share{Organisation: sh.organisation})
+		}
+		s.Shares[i].UsedAccelerators += used.accelerators
+		s.Shares[i].UsedSlots += used.slots
+		s.Shares[i].LentAccelerators += lent.accelerators
+		s.Shares[i].LentSlots += lent.slots
+	}
+}
+
 func (s *RackSummary) addUnused(organisation string, a amount) {
 	if a == (amount{}) {
 		return
