--- a/board/state.go
+++ b/board/state.go
@@ -5,6 +5,7 @@
 
 	"clementinepier/breaker"
 	"clementinepier/config"
+	"clementinepier/job"
 	"clementinepier/membership"
 	"clementinepier/peer"
 	"clementinepier/placement"
@@ -65,6 +66,8 @@
 	Queued int                     `cbor:"8,keyasint"`
 	// Demands is what the VM needs of the service limits.
 	Demands []Demand `cbor:"9,keyasint,omitempty"`
+	// ViewAge is how long ago the VM's view was last known to be current; nil means never.
+	ViewAge *job.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // Demand is what a VM needs of one service limit.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -9,9 +9,7 @@
 
 	"clementinepier/api"
 	"clementinepier/board"
-	"clementinepier/config"
-	"clementinepier/message"
-	"clementinepier/metrics"
+	"clementinepier/bundle"
 )
 
 const (
@@ -27,7 +25,7 @@
 func (v *VM) serveCallers(listener net.Listener) *api.API {
 	a := &api.API{
 		Clock: v.Clock, Tracer: v.Tracer, View: v.view.Load, EverFits: v.everFits, Submit: v.submit, Keep: v.keep, Find: v.findRequest,
-		Cancel: v.cancelRequest, Roll: v.roll, Order: v.order, Change: v.changeProgress, Status: v.status,
+		Cancel: v.cancelRequest, Roll: v.roll, VerifyRead: v.verifyRead, Order: v.order, Change: v.changeProgress, Status: v.status,
 		Draining: v.draining.Load, DrainEnd: v.drainEnd,
 		MaxBodySize: v.Settings.BodySize(), MaxHeaderSize: v.Settings.HeaderSize(), MaxConnections: v.Settings.Connections(),
 	}
@@ -40,6 +38,15 @@
 	return a
 }
 
+// verifyRead checks the Authorization header of an operator's call that reads the path.
+func (v *VM) verifyRead(path, authorization string) error {
+	proof, err := bundle.ParseReadProof(authorization)
+	if err != nil {
+		return err
+	}
+	return v.Settings.Keyring().VerifyRead(v.Clock.Now(), path, proof)
+}
+
 // drain hands over the racks, brings the requests in hand to their outcomes, and ends the registration. It takes at
 // most the drain bound.
 func (v *VM) drain(ctx context.Context, callers *api.API) {
@@ -69,49 +76,11 @@
 	if err != nil {
 		return
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	current, err := v.Store.Get(ctx, v.registrationKey())
 	if err == nil && current.Version > 0 {
-		v.Metrics.Add(metrics.StoreWrites, 1)
 		err = v.Store.Delete(ctx, v.registrationKey(), current.Version)
 	}
 	if err != nil {
 		klog.ErrorS(err, "The registration stays in the store; others remove it once the platform has dropped this VM")
 	}
 }
-
-// status describes this entry VM for operators.
-func (v *VM) status(ctx context.Context) (message.Status, error) {
-	var status message.Status
-	err := v.board.Do(ctx, func(s *board.State) {
-		now := v.Clock.Now()
-		mayStart, reason := s.Freshness.MayStart(now)
-		status = message.Status{
-			Name: s.Self.VM, FailureDomain: s.Self.FailureDomain, Revision: s.View.Revision().Sum(), MayStart: mayStart,
-			Reason: reason, Stopping: s.Draining, StoreReachable: v.storeReachable.Load(), Waiting: s.Queue.Len(),
-			Running: v.dispatcher.Running(), Members: membersOf(s, now),
-		}
-	})
-	return status, err
-}
-
-// membersOf lists the live entry VMs in the order of the failure domains.
-func membersOf(s *board.State, now time.Time) []message.Member {
-	members := []message.Member{}
-	for _, domain := range domainsOf(s.View, s) {
-		for _, m := range s.Members.Live(now, domain) {
-			members = append(members, message.Member{
-				Name: m.Name, FailureDomain: m.FailureDomain, Live: true, Leaving: m.Leaving, LastHeard: now,
-			})
-		}
-	}
-	return members
-}
-
-// domainsOf returns the failure domains of the bundle, or this VM's own while no bundle is known.
-func domainsOf(view *config.View, s *board.State) []string {
-	if domains := view.FailureDomains(); len(domains) > 0 {
-		return domains
-	}
-	return []string{s.Self.FailureDomain}
-}
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +16,7 @@
 	"clementinepier/config"
 	"clementinepier/membership"
 	"clementinepier/message"
-	"clementinepier/metrics"
+	"clementinepier/placement"
 	"clementinepier/platform"
 )
 
@@ -27,12 +30,29 @@
 	if err != nil {
 		return message.Accepted{}, err
 	}
-	if faults := b.Check(); len(faults) > 0 {
+	if faults := append(b.Check(), unanchored(b)...); len(faults) > 0 {
 		return message.Accepted{}, &bundle.ErrBundleInvalid{Faults: faults}
 	}
 	return v.change(ctx, config.Change{ID: change.ChangeID, Bundle: &change.Signed})
 }
 
+// unanchored returns a fault for each guarantee of which an instance gets no anchor with all failure domains in service.
+// Such a guarantee could never be kept.
+func unanchored(b *bundle.Bundle) []bundle.Fault {
+	missing := map[string]int{}
+	for _, a := range placement.Anchors(b, func(string) bool { return false }) {
+		if !a.IsPlaced() {
+			missing[a.Organisation+"/"+a.Guarantee]++
+		}
+	}
+	var faults []bundle.Fault
+	for _, name := range slices.Sorted(maps.Keys(missing)) {
+		reason := fmt.Sprintf("%d instances fit nowhere beside the other guarantees, with all failure domains in service", missing[name])
+		faults = append(faults, bundle.Fault{Key: "guarantee " + name, Reason: reason})
+	}
+	return faults
+}
+
 // order accepts a signed order for one failure domain.
 func (v *VM) order(ctx context.Context, order bundle.SignedOrder) (message.Accepted, error) {
 	if err := v.Settings.Keyring().VerifyNewOrder(v.Clock.Now(), order); err != nil {
@@ -63,7 +83,6 @@
 }
 
 func (v *VM) tryChange(ctx context.Context, change config.Change) (config.Accepted, error) {
-	v.Metrics.Add(metrics.StoreReads, 1)
 	head, err := v.Store.Get(ctx, headKey)
 	if err != nil {
 		return config.Accepted{}, err
@@ -85,7 +104,6 @@
 	if err != nil {
 		return config.Accepted{}, err
 	}
-	v.Metrics.Add(metrics.StoreWrites, 1)
 	if _, err := v.Store.CompareAndSwap(ctx, headKey, value, head.Version); err != nil {
 		return config.Accepted{}, err
 	}
@@ -126,7 +144,6 @@
 	if err != nil {
 		return message.Change{}, err
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	entries, err := v.Store.List(ctx, registrationPrefix)
 	if err != nil {
 		return message.Change{}, err
@@ -157,7 +174,6 @@
 // settleDomains ends the time in which majorities of the earlier set of failure domains are needed, too. Another
 // change may win the compare-and-swap; the next question about a change tries again.
 func (v *VM) settleDomains(ctx context.Context, everywhere config.Revision) {
-	v.Metrics.Add(metrics.StoreReads, 1)
 	head, err := v.Store.Get(ctx, headKey)
 	if err != nil || head.Version == 0 {
 		return
@@ -174,10 +190,7 @@
 	if err != nil {
 		return
 	}
-	v.Metrics.Add(metrics.StoreWrites, 1)
-	if _, err := v.Store.CompareAndSwap(ctx, headKey, value, head.Version); err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
-	}
+	_, _ = v.Store.CompareAndSwap(ctx, headKey, value, head.Version)
 }
 
 // rollout returns the rollout of a change, starting it from the document in the store.
@@ -188,15 +201,18 @@
 	if known != nil {
 		return known, nil
 	}
-	v.Metrics.Add(metrics.StoreReads, 1)
 	head, err := v.Store.Get(ctx, headKey)
 	if err != nil {
 		return nil, err
 	}
-	document, err := config.Decode(head.Value)
-	if err != nil || head.Version == 0 {
+	if head.Version == 0 {
 		return nil, &api.ErrChangeNotExist{ID: id}
 	}
+	document, err := config.Decode(head.Value)
+	if err != nil {
+		// Whether the change was accepted is not known; "does not exist" would make its operator send it again.
+		return nil, errors.Wrap(err, "configuration in the store")
+	}
 	r, err := v.newRollout(document, id)
 	if err != nil {
 		return nil, err
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -32,16 +32,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
 	defer cancel()
-	v.Metrics.Add(metrics.StoreWrites, 1)
 	record := journal.Record{Request: h.request, Digest: h.digest, Deadline: h.deadline}
 	err := v.journal.Add(ctx, record)
 	if !journal.IsErrTooLarge(err) {
 		// A write whose reply was lost may have taken effect, so its record is dropped in the end, too.
 		v.directory.setKept(h, h.deadline)
 	}
-	if err != nil {
-		v.Metrics.Add(metrics.StoreErrors, 1)
-	}
 	return err == nil
 }
 
@@ -54,9 +50,7 @@
 func (v *VM) drop(ctx context.Context, records []keptRecord) []keptRecord {
 	var failed []keptRecord
 	for _, record := range records {
-		v.Metrics.Add(metrics.StoreWrites, 1)
 		if err := v.journal.Remove(ctx, record.key, record.deadline); err != nil {
-			v.Metrics.Add(metrics.StoreErrors, 1)
 			failed = append(failed, record)
 		}
 	}
@@ -128,10 +122,8 @@
 			// The receiver is live, or not known yet; it is looked at again once it is silent.
 			continue
 		}
-		v.Metrics.Add(metrics.StoreReads, 1)
 		records, err := v.journal.Take(ctx, name)
 		if err != nil {
-			v.Metrics.Add(metrics.StoreErrors, 1)
 			failed = append(failed, name)
 		}
 		for _, record := range records {
