--- a/bench/workload.go
+++ b/bench/workload.go
@@ -113,6 +113,7 @@
 }
 
 var scenarios = []scenario{
+	{name: "light", load: 0.4, length: 20 * time.Minute, patience: 1},
 	{name: "mixed", load: 0.6, length: 20 * time.Minute, bursts: true, badWorkers: true, patience: 1},
 	{name: "domain-change", load: 1.3, length: 15 * time.Minute, out: 5 * time.Minute, back: 10 * time.Minute, patience: 4},
 }
--- a/placement/oracle_test.go
+++ b/placement/oracle_test.go
@@ -238,6 +238,17 @@
 				}
 				w.c.SetAvailable(name, !w.disabled[name])
 			},
+			"replace": func(t *rapid.T) {
+				name := rapid.SampledFrom(names).Draw(t, "worker")
+				w.c.RemoveWorker(name)
+				for _, key := range w.keys() {
+					if slices.ContainsFunc(w.running[key], func(a Allocation) bool { return a.Worker == name }) {
+						w.end(key)
+					}
+				}
+				delete(w.disabled, name)
+				w.c.SetWorker(w.info[name])
+			},
 			"": func(t *rapid.T) { must(w.checkAnchors()) },
 		})
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -134,6 +134,26 @@
 	is.Equal(w.c.Plan(w.now, need("o", "x", shape(1, 4), false), w.racks).Result, Placed)
 }
 
+// Guards against a block that stays claimed for a request that is gone, or for a worker that is.
+func TestReclaimEndsWithItsRequestOrWorker(t *testing.T) {
+	for name, finish := range map[string]func(w *oracle){
+		"idle":    func(w *oracle) { w.now = w.now.Add(defaultIdle + time.Second) },
+		"forget":  func(w *oracle) { w.c.Forget(job.Key{Organisation: "o", ID: "x"}) },
+		"removed": func(w *oracle) { w.c.RemoveWorker("a-r0-00"); w.c.SetWorker(w.info["a-r0-00"]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newOracle(Options{}, &bundle.Bundle{FailureDomains: domains(1, 1, "a"), Organisations: []bundle.Organisation{organisation("o", shape(1, 8), 1)}})
+			_, err := w.submit(need("p", "victim", shape(1, 2), true))
+			is.NoErr(err)
+			is.Equal(w.c.Plan(w.now, need("o", "x", shape(1, 8), false), w.racks).Result, Reclaim)
+			is.Equal(w.c.Plan(w.now, need("p", "y", shape(1, 2), true), w.racks).Result, Wait)
+			finish(w)
+			is.Equal(w.c.Plan(w.now, need("p", "y", shape(1, 2), true), w.racks).Result, Placed)
+		})
+	}
+}
+
 // Guards against large requests that starve behind a stream of small ones, also when the small ones declare run times
 // ten times too short. Without the reservation the large request never starts.
 func TestReservationStopsStarvation(t *testing.T) {
