--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"clementinepier/board"
@@ -31,9 +33,7 @@
 	if first {
 		r.queuedAt = now
 	}
-	item := queue.Item{
-		Request: r.request, Deadline: r.deadline, Enqueued: r.queuedAt, Attempt: r.attempt + 1, Avoid: d.avoids(r),
-	}
+	item := d.item(r)
 	if first {
 		if retryAfter, refuse := s.Queue.Refuse(now, item, d.share(s, r.request.Organisation)); refuse {
 			d.end(s, r, job.NewNotRun(r.key(), job.CodeOverloaded, "the expected wait exceeds the timeout", job.Duration(retryAfter)))
@@ -46,6 +46,13 @@
 	}
 }
 
+// item is the run as the queue has it.
+func (d *Dispatcher) item(r *run) queue.Item {
+	return queue.Item{
+		Request: r.request, Deadline: r.deadline, Enqueued: r.queuedAt, Attempt: r.attempt + 1, Avoid: d.avoids(r),
+	}
+}
+
 // share is the number of accelerators that an organisation can expect here: its unused anchors and what is free.
 func (d *Dispatcher) share(s *board.State, organisation string) int {
 	share := 0
@@ -75,6 +82,7 @@
 	}
 	now := d.Clock.Now()
 	s.Queue.NewPass()
+	d.placeReclaiming(s, racks)
 	for waiting := 0; waiting < maxWaiting; {
 		item, ok := s.Queue.Next(now, d.usage)
 		if !ok {
@@ -90,6 +98,25 @@
 	}
 }
 
+// placeReclaiming plans the runs first whose victims are stopping. The model gives up a reclaim that is not planned
+// again, so a long queue must not keep such a run from its turn.
+func (d *Dispatcher) placeReclaiming(s *board.State, racks []string) {
+	var reclaiming []*run
+	for _, r := range d.runs {
+		if r.phase == phaseQueued && !r.reclaimAt.IsZero() {
+			reclaiming = append(reclaiming, r)
+		}
+	}
+	slices.SortFunc(reclaiming, func(a, b *run) int {
+		return cmp.Or(a.reclaimAt.Compare(b.reclaimAt), strings.Compare(a.key().String(), b.key().String()))
+	})
+	for _, r := range reclaiming {
+		if s.Queue.Remove(r.key()) {
+			d.place(s, r, d.item(r), racks)
+		}
+	}
+}
+
 // blocked says why nothing may start here now.
 func (d *Dispatcher) blocked(s *board.State) job.Code {
 	if s.Draining {
