Collect the run logs of the rack owner's tests under a lock

Seen failing: go test -race ./dispatch -run TestRandomFailures; a timer of a replaced stand-in wrote to the log buffer that the test read. The verdicts did not depend on it, because only ends of tasks are logged by timers.

--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -5,8 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
-	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,7 +65,7 @@
 	*is.I
 	clock   *clockwork.FakeClock
 	workers map[string]*standin.Worker
-	logs    map[string]*bytes.Buffer
+	log     *runLog
 	boots   int
 	records map[job.Key]claim.Record
 	view    *config.View
@@ -111,7 +112,7 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{
-		I: is.New(t), clock: clockwork.NewFakeClockAt(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)), workers: map[string]*standin.Worker{}, logs: map[string]*bytes.Buffer{},
+		I: is.New(t), clock: clockwork.NewFakeClockAt(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)), workers: map[string]*standin.Worker{}, log: &runLog{starts: map[job.Key]map[int]int{}},
 		records: map[job.Key]claim.Record{},
 	}
 	var err error
@@ -122,7 +123,6 @@
 	r.signed = bundle.Signed{Source: source, Author: bundle.SignAuthor(author, source), Reviewer: bundle.SignReviewer(reviewer, source)}
 	r.setView(map[string]bundle.SignedOrder{})
 	for _, name := range []string{"w1", "w2", "w3", "w4"} {
-		r.logs[name] = &bytes.Buffer{}
 		r.restart(name)
 	}
 	r.a, r.b = r.newOwner("a"), r.newOwner("b")
@@ -148,7 +148,7 @@
 func (r *rig) restart(name string) {
 	r.boots++
 	r.workers[name] = standin.New(standin.Options{
-		Clock: r.clock, RunLog: r.logs[name],
+		Clock: r.clock, RunLog: r.log,
 		Info: worker.Info{Name: name, FailureDomain: "d", Rack: "r1", Slots: 8, Accelerators: 8, BootID: fmt.Sprint(r.boots)},
 	})
 }
@@ -376,24 +376,35 @@
 	return waiter
 }
 
+// runLog counts the starts in a worker's run log. Timers of the stand-ins write to it from goroutines of their own.
+type runLog struct {
+	mu     sync.Mutex
+	starts map[job.Key]map[int]int
+}
+
+// Write takes one line.
+func (l *runLog) Write(text []byte) (int, error) {
+	var line standin.RunLine
+	if err := json.Unmarshal(text, &line); err != nil {
+		return 0, err
+	}
+	if line.Event == standin.EventStart {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.starts[line.ID.Key()] == nil {
+			l.starts[line.ID.Key()] = map[int]int{}
+		}
+		l.starts[line.ID.Key()][line.ID.Member]++
+	}
+	return len(text), nil
+}
+
 // starts returns how often each member of the request was started, by the workers' logs.
 func (r *rig) starts(key job.Key) map[int]int {
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
 	starts := map[int]int{}
-	for name, log := range r.logs {
-		client := r.workers[name].Client()
-		_, err := client.Info(context.Background()) // brings the log up to date
-		r.NoErr(err)
-		for _, text := range strings.Split(strings.TrimSpace(log.String()), "\n") {
-			var line standin.RunLine
-			if text == "" {
-				continue
-			}
-			r.NoErr(json.Unmarshal([]byte(text), &line))
-			if line.Event == standin.EventStart && line.ID.Key() == key {
-				starts[line.ID.Member]++
-			}
-		}
-	}
+	maps.Copy(starts, r.log.starts[key])
 	return starts
 }
 
