--- a/api/requests.go
+++ b/api/requests.go
@@ -51,7 +51,7 @@
 
 // submitRequest takes a request and answers with its outcome, or with its state when the caller's wait has passed.
 func (a *API) submitRequest(ctx context.Context, c *app.RequestContext) {
-	ctx = trace.Extract(ctx, string(c.GetHeader("traceparent")))
+	ctx = trace.Extract(ctx, string(c.GetHeader(trace.HeaderName)))
 	ctx, span := a.Tracer.Start(ctx, "request")
 	traceID := trace.ID(ctx)
 	c.Response.Header.Set(traceHeader, traceID)
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"clementinepier/api"
 	"clementinepier/board"
@@ -42,6 +45,9 @@
 	return k
 }
 
+// exporters has the *tracetest.InMemoryExporter of each *VM.
+var exporters sync.Map
+
 // newVM returns an entry VM whose control goroutine runs, without listeners and loops.
 func newVM(t *testing.T, name string, store platform.Store, clock clockwork.Clock) *VM {
 	source := fmt.Sprintf(`name = %q
@@ -61,16 +67,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	tracer, err := trace.New(name, "")
-	if err != nil {
-		t.Fatal(err)
-	}
-	v := &VM{Settings: s, Clock: clock, Store: store, Metrics: &metrics.Set{}, Tracer: tracer}
+	spans := tracetest.NewInMemoryExporter()
+	v := &VM{Settings: s, Clock: clock, Store: store, Metrics: &metrics.Set{}, Tracer: trace.NewWithExporter(name, spans)}
 	if err := v.build(); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := v.board.Run(ctx)
+	exporters.Store(v, spans)
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
@@ -83,16 +87,16 @@
 // signed is a bundle that guarantees two accelerators on a worker to each organisation, count times.
 func signed(revision, count int, domains ...string) bundle.Signed {
 	source := fmt.Sprintf("revision = %d\n", revision)
-	for i, organisation := range []string{"a", "b"} {
+	for _, organisation := range []string{"a", "b"} {
 		source += fmt.Sprintf(`[[organisations]]
 name = %q
-token-digest = "%064d"
+token-digest = "%x"
 weight = 1
 [[organisations.guarantees]]
 name = "g"
 count = %d
 shape = { tasks = 1, accelerators = 2, slots = 1 }
-`, organisation, i, count)
+`, organisation, sha256.Sum256([]byte("token-"+organisation)), count)
 	}
 	source += `[[services]]
 name = "match"
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -180,15 +180,25 @@
 	if err := cbor.Unmarshal(body, &call); err != nil {
 		return nil, err
 	}
-	ctx, span := v.Tracer.Start(ctx, "dispatch", "request", call.Request.Key().String())
-	outcome, err := v.dispatcher.Submit(ctx, call.Request, call.Digest)
-	span.End(string(outcome.Code))
+	outcome, err := v.runHere(ctx, call.Request, call.Digest)
 	if errors.Is(err, dispatch.ErrRequestConflict) {
 		return nil, &peer.ErrRefused{Code: job.CodeRequestIDConflict, Detail: err.Error()}
 	}
 	return outcome, err
 }
 
+// runHere runs a request on this VM's racks.
+func (v *VM) runHere(ctx context.Context, req job.Request, digest string) (job.Outcome, error) {
+	ctx, span := v.Tracer.Start(ctx, "dispatch", "request", req.Key().String())
+	outcome, err := v.dispatcher.Submit(ctx, req, digest)
+	if err != nil {
+		span.End(err.Error())
+	} else {
+		span.End(string(outcome.Code))
+	}
+	return outcome, err
+}
+
 // find looks for a request on this VM's racks.
 func (v *VM) find(ctx context.Context, key job.Key) (router.FindReply, error) {
 	outcome, found, ended, err := v.dispatcher.Find(ctx, key)
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -143,7 +143,7 @@
 	v.buildDispatcher()
 	v.router = &router.Router{
 		Self: v.self.VM, Clock: v.Clock, Metrics: v.Metrics, Tracer: v.Tracer, Owners: v.owners.Load,
-		Submit: v.dispatcher.Submit, Find: v.find, Cancel: v.dispatcher.Cancel, Call: v.hub.Call,
+		Submit: v.runHere, Find: v.find, Cancel: v.dispatcher.Cancel, Call: v.hub.Call,
 	}
 	return nil
 }
--- a/jsonhttp/caller.go
+++ b/jsonhttp/caller.go
@@ -14,6 +14,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
+
+	"clementinepier/trace"
 )
 
 const (
@@ -77,6 +79,9 @@
 		return false, errors.Wrap(err, "build request")
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if traceparent := trace.Inject(ctx); traceparent != "" {
+		request.Header.Set(trace.HeaderName, traceparent)
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		return connected.Load(), errors.WithStack(err)
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -14,8 +14,8 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 )
 
-// headerName is the W3C trace context header.
-const headerName = "traceparent"
+// HeaderName is the W3C trace context header.
+const HeaderName = "traceparent"
 
 var propagator = propagation.TraceContext{}
 
@@ -51,6 +51,12 @@
 	return &Tracer{tracer: provider.Tracer(vm), Close: closeAll}, nil
 }
 
+// NewWithExporter returns a tracer that gives each span to the exporter when it ends.
+func NewWithExporter(vm string, exporter sdk.SpanExporter) *Tracer {
+	provider := sdk.NewTracerProvider(sdk.WithSyncer(exporter))
+	return &Tracer{tracer: provider.Tracer(vm), Close: provider.Shutdown}
+}
+
 // Start starts a span for one hop.
 func (t *Tracer) Start(ctx context.Context, name string, attributes ...string) (context.Context, *Span) {
 	ctx, span := t.tracer.Start(ctx, name)
@@ -84,7 +90,7 @@
 func Inject(ctx context.Context) string {
 	carrier := propagation.MapCarrier{}
 	propagator.Inject(ctx, carrier)
-	return carrier[headerName]
+	return carrier[HeaderName]
 }
 
 // Extract returns ctx with the trace context of a traceparent value; a value that is not valid changes nothing.
@@ -92,5 +98,5 @@
 	if traceparent == "" {
 		return ctx
 	}
-	return propagator.Extract(ctx, propagation.MapCarrier{headerName: traceparent})
+	return propagator.Extract(ctx, propagation.MapCarrier{HeaderName: traceparent})
 }
