--- /dev/null
+++ b/api/listener_test.go
@@ -0,0 +1,58 @@
+package api
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fakeListener accepts connections that record their write deadlines.
+type fakeListener struct {
+	net.Listener
+	accepted chan *fakeConn
+}
+
+type fakeConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (l *fakeListener) Accept() (net.Conn, error) {
+	c := &fakeConn{}
+	l.accepted <- c
+	return c, nil
+}
+
+func (c *fakeConn) SetWriteDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+func (c *fakeConn) Write(b []byte) (int, error) { return len(b), nil }
+
+func (c *fakeConn) Close() error { return nil }
+
+// Guards against callers that hold more connections than the limit, or that keep one by not reading the reply.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	inner := &fakeListener{accepted: make(chan *fakeConn, 2)}
+	listener := newLimitListener(inner, 1)
+	first, err := listener.Accept()
+	is.NoErr(err)
+	_, err = first.Write([]byte("reply"))
+	is.NoErr(err)
+	is.True(!(<-inner.accepted).deadline.IsZero())
+	second := make(chan net.Conn)
+	go func() {
+		c, _ := listener.Accept()
+		second <- c
+	}()
+	is.Equal(len(listener.(*limitListener).slots), 1)
+	is.Equal(len(inner.accepted), 0) // the second connection waits for the first one's slot
+	is.NoErr(first.Close())
+	is.NoErr(first.Close()) // a second close must not free another slot
+	is.NoErr((<-second).Close())
+	is.Equal(len(listener.(*limitListener).slots), 0)
+}
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -38,7 +38,11 @@
 	// workerCallTimeout is the call timeout of the gang state machine.
 	workerCallTimeout = time.Second
 	readHeaderTimeout = 5 * time.Second
-	bootIDBytes       = 8
+	// The peers' listener serves short calls for metrics besides links, which the timeouts leave alone.
+	peersIdleTimeout   = 60 * time.Second
+	peersWriteTimeout  = 10 * time.Second
+	peersMaxHeaderSize = 16 << 10
+	bootIDBytes        = 8
 	// settleParallel bounds the workers asked at a time about one claim.
 	settleParallel = 16
 )
@@ -201,7 +205,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, v.hub)
 	mux.Handle("/debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout: readHeaderTimeout, WriteTimeout: peersWriteTimeout, IdleTimeout: peersIdleTimeout, MaxHeaderBytes: peersMaxHeaderSize,
+	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, "Peer listener has ended")
