--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -11,7 +10,9 @@
 
 // startsOn counts the starts that a worker has logged.
 func (r *rig) startsOn(name string) int {
-	return bytes.Count(r.logs[name].Bytes(), []byte(`"event":"start"`))
+	r.log.mu.Lock()
+	defer r.log.mu.Unlock()
+	return r.log.on[name]
 }
 
 // Guards against work that is sent to a backend server which is leaving: by its own report, by the platform's list, and
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -112,7 +112,7 @@
 
 func newRig(t *testing.T) *rig {
 	r := &rig{
-		I: is.New(t), clock: clockwork.NewFakeClockAt(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)), workers: map[string]*standin.Worker{}, log: &runLog{starts: map[job.Key]map[int]int{}},
+		I: is.New(t), clock: clockwork.NewFakeClockAt(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)), workers: map[string]*standin.Worker{}, log: &runLog{starts: map[job.Key]map[int]int{}, on: map[string]int{}},
 		records: map[job.Key]claim.Record{},
 	}
 	var err error
@@ -380,6 +380,7 @@
 type runLog struct {
 	mu     sync.Mutex
 	starts map[job.Key]map[int]int
+	on     map[string]int
 }
 
 // Write takes one line.
@@ -395,6 +396,7 @@
 			l.starts[line.ID.Key()] = map[int]int{}
 		}
 		l.starts[line.ID.Key()][line.ID.Member]++
+		l.on[line.Worker]++
 	}
 	return len(text), nil
 }
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -218,9 +218,7 @@
 	if err := cbor.Unmarshal(body, &call); err != nil {
 		return nil, err
 	}
-	ctx, span := v.Tracer.Start(ctx, "dispatch", "request", call.Request.Key().String())
 	outcome, err := v.runHere(ctx, call.Request, call.Digest)
-	span.End(string(outcome.Code))
 	if err != nil {
 		return nil, err
 	}
@@ -229,7 +227,13 @@
 
 // runHere runs a request on this VM's racks. An id that is in use for another request is refused as by a peer.
 func (v *VM) runHere(ctx context.Context, req job.Request, digest string) (job.Outcome, error) {
+	ctx, span := v.Tracer.Start(ctx, "dispatch", "request", req.Key().String())
 	outcome, err := v.dispatcher.Submit(ctx, req, digest)
+	if err != nil {
+		span.End(err.Error())
+	} else {
+		span.End(string(outcome.Code))
+	}
 	if errors.Is(err, dispatch.ErrRequestConflict) {
 		return job.Outcome{}, &peer.ErrRefused{Code: job.CodeRequestIDConflict, Detail: err.Error()}
 	}
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -39,10 +39,14 @@
 	// workerCallTimeout is the call timeout of the gang state machine.
 	workerCallTimeout = time.Second
 	readHeaderTimeout = 5 * time.Second
-	bootIDBytes       = 8
 	// removeAfter, with the isolated window added, is how long a VM that the platform's list has dropped must be silent
 	// before its registration is removed. Changes wait for registered VMs, so it is short; by the list the VM has ended.
 	removeAfter = 8 * time.Second
+	// The peers' listener serves short calls for metrics besides links, which the timeouts leave alone.
+	peersIdleTimeout   = 60 * time.Second
+	peersWriteTimeout  = 10 * time.Second
+	peersMaxHeaderSize = 16 << 10
+	bootIDBytes        = 8
 	// settleParallel bounds the workers asked at a time about one claim.
 	settleParallel = 16
 )
@@ -210,7 +214,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.Path, v.hub)
 	mux.Handle("/debug/vars", expvar.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout: readHeaderTimeout, WriteTimeout: peersWriteTimeout, IdleTimeout: peersIdleTimeout, MaxHeaderBytes: peersMaxHeaderSize,
+	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, "Peer listener has ended")
