--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -300,10 +300,13 @@
   if [[ $STORE_FAULTS == 1 ]]; then
     store_faults &
     faults=$!
+    sleep 1
+    begin_stop 8 # a second graceful stop at the same time, with the store out
   fi
   take_domain_out_and_back || status=1
   [[ $STORE_FAULTS != 1 ]] || wait "$faults"
   finish_stop 4 || status=1
+  [[ $STORE_FAULTS != 1 ]] || finish_stop 8 || status=1
   await_end load || status=1
   tail -n 1 "$OUT/load.log"
   bin/standin check --results "$OUT/results.jsonl" --run-log "$OUT"/worker-*.run --domain-changes "$OUT/domain-changes.jsonl" \
