--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -5,7 +5,10 @@
 	"context"
 	crand "crypto/rand"
 	"encoding/hex"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -63,6 +66,9 @@
 	spawn    func(work func())
 	follower func(ctx context.Context, w *watcher)
 	timeout  func(ctx context.Context, length time.Duration) (context.Context, context.CancelFunc)
+	newNonce func() string
+	// ordered makes each go through the runs in the order of their keys, so that a test repeats itself exactly.
+	ordered bool
 	// The fields below are touched only by the control goroutine.
 	runs     map[job.Key]*run
 	renewals map[string][]owned
@@ -112,6 +118,7 @@
 func (d *Dispatcher) init(ctx context.Context) {
 	d.ctx = ctx
 	d.MaxKept = cmp.Or(d.MaxKept, defaultMaxKept)
+	d.newNonce = randomNonce
 	d.timeout = func(ctx context.Context, length time.Duration) (context.Context, context.CancelFunc) {
 		return clockwork.WithTimeout(ctx, d.Clock, length)
 	}
@@ -123,7 +130,7 @@
 // onTick does the control work that is due.
 func (d *Dispatcher) onTick(s *board.State) {
 	now := d.Clock.Now()
-	for _, r := range d.runs {
+	d.each(func(r *run) {
 		switch {
 		case r.phase == phaseEnded:
 			if now.Sub(r.endedAt) > outcomeRetention {
@@ -137,7 +144,7 @@
 			d.gangEvent(s, r, r.gang, gang.Tick{})
 		}
 		d.expire(s, r, now)
-	}
+	})
 	for rack := range s.Owned {
 		d.adopt(s, rack)
 	}
@@ -146,6 +153,22 @@
 	d.flushRenewals()
 }
 
+// each calls f for every run.
+func (d *Dispatcher) each(f func(r *run)) {
+	if !d.ordered {
+		for _, r := range d.runs {
+			f(r)
+		}
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(d.runs), func(a, b job.Key) int { return strings.Compare(a.String(), b.String()) })
+	for _, key := range keys {
+		if r, ok := d.runs[key]; ok {
+			f(r)
+		}
+	}
+}
+
 // Submit runs a request on this VM's racks and waits for its outcome. The request's timeout counts from now. When
 // ctx ends before the outcome, a request that has not been started is dropped. An outcome with CodeOwnerLost means that
 // the racks went to another owner. It returns ErrRequestConflict when the id is in use for another request.
@@ -349,7 +372,7 @@
 	return d.timeout(d.ctx, d.CallTimeout)
 }
 
-func (d *Dispatcher) newNonce() string {
+func randomNonce() string {
 	raw := make([]byte, nonceBytes)
 	_, _ = crand.Read(raw)
 	return hex.EncodeToString(raw)
--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -140,7 +142,8 @@
 
 // flushRenewals sends the gathered renewals, one call per worker.
 func (d *Dispatcher) flushRenewals() {
-	for name, batch := range d.renewals {
+	for _, name := range slices.Sorted(maps.Keys(d.renewals)) {
+		batch := d.renewals[name]
 		delete(d.renewals, name)
 		if err := d.traffic(func() { d.renew(name, batch) }); err != nil {
 			cause := &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errPoolFull}
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -176,6 +176,12 @@
 		Settler: &claim.Settler{Ledger: ledger, Workers: o.client}, Limits: gang.DefaultLimits(), CallTimeout: time.Second,
 	}
 	o.d.init(context.Background())
+	o.d.ordered = true
+	nonces := 0
+	o.d.newNonce = func() string {
+		nonces++
+		return fmt.Sprint(name, nonces)
+	}
 	o.d.random = rand.New(rand.NewPCG(1, 1)) //nolint:gosec // a fixed seed
 	o.d.spawn = func(work func()) { o.jobs = append(o.jobs, pending{due: r.clock.Now().Add(o.slow), work: work}) }
 	o.d.traffic = func(work func()) error {
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"clementinepier/board"
@@ -77,12 +80,12 @@
 // moveLost gives up the runs with a worker in a rack that this VM owns no more, and, when no rack is left, those that
 // wait.
 func (d *Dispatcher) moveLost(s *board.State) {
-	for _, r := range d.runs {
+	d.each(func(r *run) {
 		switch r.phase {
 		case phaseActive:
 			if !s.Owned[r.rack] {
 				d.move(s, r)
-				continue
+				return
 			}
 			for _, name := range r.workers {
 				if _, ok := d.watchers[name]; !ok && r.phase == phaseActive {
@@ -95,7 +98,7 @@
 				d.move(s, r)
 			}
 		}
-	}
+	})
 }
 
 // follow lists a worker's tasks and then polls its events until ctx ends.
@@ -183,11 +186,11 @@
 
 // workerLost tells the gangs that a worker has lost its tasks.
 func (d *Dispatcher) workerLost(s *board.State, name string) {
-	for _, r := range d.runs {
+	d.each(func(r *run) {
 		if r.phase == phaseActive {
 			d.gangEvent(s, r, r.gang, gang.WorkerLost{Worker: name})
 		}
-	}
+	})
 }
 
 // changed applies the events of one poll.
@@ -271,8 +274,9 @@
 			delete(d.orphans, o)
 		}
 	}
-	for key, statuses := range groups {
-		statuses = latestAttempt(statuses)
+	keys := slices.SortedFunc(maps.Keys(groups), func(a, b job.Key) int { return strings.Compare(a.String(), b.String()) })
+	for _, key := range keys {
+		statuses := latestAttempt(groups[key])
 		r, ok := d.runs[key]
 		switch {
 		case !ok:
@@ -356,5 +360,6 @@
 			latest = append(latest, status)
 		}
 	}
+	slices.SortFunc(latest, func(a, b worker.Status) int { return cmp.Compare(a.Spec.ID.Member, b.Spec.ID.Member) })
 	return latest
 }
