--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -146,7 +147,8 @@
 
 // flushRenewals sends the gathered renewals, one call per worker.
 func (d *Dispatcher) flushRenewals() {
-	for name, batch := range d.renewals {
+	for _, name := range slices.Sorted(maps.Keys(d.renewals)) {
+		batch := d.renewals[name]
 		delete(d.renewals, name)
 		// Short tasks often end before their first renewal is sent.
 		batch = slices.DeleteFunc(batch, func(o owned) bool { return o.run.gang != o.gang })
