--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -20,8 +20,10 @@
 	"clementinepier/api"
 	"clementinepier/board"
 	"clementinepier/config"
+	"clementinepier/job"
 	"clementinepier/jsonhttp"
 	"clementinepier/message"
+	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/placement"
 	"clementinepier/platform"
@@ -31,7 +33,104 @@
 	"clementinepier/worker"
 )
 
-const traceID = "0af7651916cd43dd8448eb211c80319c"
+const (
+	traceID        = "0af7651916cd43dd8448eb211c80319c"
+	checkpointTime = 10 * time.Millisecond
+)
+
+// ownRack makes the VM the owner of rack north-1 with one worker and returns its summary. The channel gets a value when
+// a running task is renewed, which the owner does once it has confirmed the start.
+func ownRack(t *testing.T, v *VM, document config.Document) (racks []placement.RackSummary, renewed <-chan bool) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	backend := standinworker.New(standinworker.Options{Clock: v.Clock, CheckpointTime: checkpointTime, Info: worker.Info{Name: "w1", Rack: "north-1", Accelerators: 3, Slots: 4}})
+	client, running := backend.Client(), make(chan bool, 1)
+	renew := client.Renew
+	client.Renew = func(ctx context.Context, leases []worker.Lease) ([]worker.Status, error) {
+		statuses, err := renew(ctx, leases)
+		if len(statuses) > 0 && statuses[0].State == worker.StateRunning {
+			select {
+			case running <- true:
+			default:
+			}
+		}
+		return statuses, err
+	}
+	v.dispatcher.Workers = func(string) (*worker.Client, bool) { return client, true }
+	done, err := v.dispatcher.Run(ctx)
+	is.NoErr(err)
+	t.Cleanup(func() { cancel(); is.NoErr(<-done) })
+	is.NoErr(v.board.Do(ctx, func(s *board.State) {
+		is.NoErr(v.join(s, document))
+		s.Freshness.StoreRead(v.Clock.Now(), s.View.Revision())
+		s.Workers["w1"] = platform.VM{Name: "w1", Rack: "north-1", FailureDomain: "north"}
+		s.Owned["north-1"] = true
+		v.dispatcher.SetRacks(s)
+		v.dispatcher.SetConfiguration(s)
+	}))
+	for len(racks) == 0 || racks[0].FreeAccelerators == 0 {
+		runtime.Gosched()
+		is.NoErr(v.board.Do(ctx, func(s *board.State) { racks = s.Cluster.Summaries() }))
+	}
+	return racks, running
+}
+
+// await advances the clock until a value comes.
+func await[T any](t *testing.T, v *VM, clock *clockwork.FakeClock, values <-chan T) T {
+	for {
+		select {
+		case value := <-values:
+			return value
+		default:
+			// The view stays fresh however far the clock gets before the goroutines run.
+			err := v.board.Do(context.Background(), func(s *board.State) { s.Freshness.StoreRead(clock.Now(), s.View.Revision()) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			clock.Advance(time.Millisecond)
+			runtime.Gosched()
+		}
+	}
+}
+
+// Guards against reclaims whose time no metric shows.
+func TestReclaimIsTimed(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClockAt(time.Date(2027, 1, 2, 3, 0, 0, 0, time.UTC))
+	p, _ := newPlatform()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	v := newVM(t, "entry-1", p.Store(), clock)
+	_, running := ownRack(t, v, config.Document{Bundle: signed(1, 1, "north")})
+	owner := ""
+	for _, a := range v.anchors.of(v.view.Load()) {
+		if a.Block[0].Position == 0 {
+			owner = a.Organisation
+		}
+	}
+	run := func(organisation string, accelerators int, runTime string) <-chan job.Outcome {
+		ended := make(chan job.Outcome, 1)
+		request := job.Request{
+			Organisation: organisation, ID: "r1", Service: "match", Idempotent: true, Timeout: job.Duration(time.Minute),
+			Shape: job.Shape{Tasks: 1, Accelerators: accelerators, Slots: 1}, Payload: []byte(`{"run-time":"` + runTime + `"}`),
+		}
+		go func() {
+			// The borrower's call ends with the test; an outcome without a result is none that the test expects.
+			outcome, _ := v.runHere(ctx, request, "digest")
+			ended <- outcome
+		}()
+		return ended
+	}
+	borrower := run(map[string]string{"a": "b", "b": "a"}[owner], 3, "1h")
+	is.True(await(t, v, clock, running))
+	is.NoErr(v.board.Do(ctx, func(s *board.State) {
+		is.Equal(s.Cluster.Summaries()[0].Shares, []placement.Share{{Organisation: owner, LentAccelerators: 2}})
+	}))
+	is.Equal(await(t, v, clock, run(owner, 2, "1ms")).Result, job.Done)
+	is.Equal(v.Metrics.Get(metrics.ReclaimsEnded), int64(1))
+	is.True(v.Metrics.Get(metrics.ReclaimTime) >= checkpointTime.Milliseconds()) // the borrower is checkpointed first
+	is.True(len(borrower) == 0)                                                  // it waits for another run
+}
 
 // Guards against hops that a request's trace leaves out: caller, receiver, rack owner, worker calls and answer.
 func TestTraceCoversEveryHop(t *testing.T) {
@@ -56,29 +155,9 @@
 		}
 		return cbor.Unmarshal(body, out)
 	}
-	backend := standinworker.New(standinworker.Options{Clock: clock, Info: worker.Info{Name: "w1", Rack: "north-1", Accelerators: 3, Slots: 4}})
-	owner.dispatcher.Workers = func(string) (*worker.Client, bool) { return backend.Client(), true }
-	done, err := owner.dispatcher.Run(ctx)
-	is.NoErr(err)
-	defer func() { cancel(); is.NoErr(<-done) }()
 	document := config.Document{Bundle: signed(1, 1, "north")}
-	for _, v := range []*VM{receiver, owner} {
-		is.NoErr(v.board.Do(ctx, func(s *board.State) {
-			is.NoErr(v.join(s, document))
-			s.Freshness.StoreRead(clock.Now(), s.View.Revision())
-			if v == owner {
-				s.Workers["w1"] = platform.VM{Name: "w1", Rack: "north-1", FailureDomain: "north"}
-				s.Owned["north-1"] = true
-				v.dispatcher.SetRacks(s)
-				v.dispatcher.SetConfiguration(s)
-			}
-		}))
-	}
-	var racks []placement.RackSummary
-	for len(racks) == 0 || racks[0].FreeAccelerators == 0 {
-		runtime.Gosched()
-		is.NoErr(owner.board.Do(ctx, func(s *board.State) { racks = s.Cluster.Summaries() }))
-	}
+	is.NoErr(receiver.board.Do(ctx, func(s *board.State) { is.NoErr(receiver.join(s, document)) }))
+	racks, _ := ownRack(t, owner, document)
 	receiver.owners.Store(&router.Owners{List: []router.Owner{{VM: "entry-2", FailureDomain: "north", Racks: racks, Usable: true}}})
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -106,17 +185,7 @@
 		reply, err := io.ReadAll(response.Body)
 		replies <- fmt.Sprint(response.StatusCode, string(reply), err)
 	}()
-	reply := ""
-	for reply == "" {
-		select {
-		case reply = <-replies:
-		default:
-			// The view stays fresh however far the clock gets before the goroutines run.
-			is.NoErr(owner.board.Do(ctx, func(s *board.State) { s.Freshness.StoreRead(clock.Now(), s.View.Revision()) }))
-			clock.Advance(time.Millisecond)
-			runtime.Gosched()
-		}
-	}
+	reply := await(t, owner, clock, replies)
 	is.True(strings.HasPrefix(reply, "200"))
 	is.True(strings.Contains(reply, `"result":"done"`) && strings.Contains(reply, traceID))
 
