Keep the view fresh between watches of the store

A watch of half the freshness window let the view reach the window's age, so an entry VM that hears no other one was stale for a moment after every watch. A status of such a VM showed a view of 1.82 s.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -19,8 +19,8 @@
 const (
 	headKey            = "config/head"
 	registrationPrefix = "entry-vms/"
-	// watchWait is half of the freshness window: the view stays fresh while watches answer.
-	watchWait = time.Second
+	// maxWatchWait is the longest watch that the store allows.
+	maxWatchWait = time.Second
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 200 * time.Millisecond
 )
@@ -54,7 +54,7 @@
 	var version uint64
 	for ctx.Err() == nil {
 		sent := v.Clock.Now()
-		entry, err := v.Store.Watch(ctx, headKey, version, watchWait)
+		entry, err := v.Store.Watch(ctx, headKey, version, watchWait(v.Settings.FreshnessWindow()))
 		v.storeReachable.Store(err == nil)
 		if err != nil {
 			v.sleep(ctx, storeRetry)
@@ -66,6 +66,13 @@
 	return nil
 }
 
+// watchWait returns how long one watch waits. A read counts from when it was sent, so the view gets as old as two
+// watches and the calls' latency; with half of the window it would be stale for a moment after every watch.
+func watchWait(window time.Duration) time.Duration {
+	const numerator, denominator = 9, 20 // leaves a tenth of the window for the latency
+	return min(maxWatchWait, window*numerator/denominator)
+}
+
 // storeRead applies a value of the store that was read by a call sent at the time given. A value that cannot be
 // decoded, or of which a part is refused, says nothing about how fresh the view is.
 func (v *VM) storeRead(ctx context.Context, sent time.Time, entry platform.Entry) {
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -49,7 +49,7 @@
 	if !known {
 		return nil
 	}
-	age := job.Duration(max(0, now.Sub(fresh)))
+	age := job.Duration(max(0, now.Sub(fresh)).Truncate(time.Millisecond))
 	return &age
 }
 
--- a/entry/status_test.go
+++ b/entry/status_test.go
@@ -16,6 +16,15 @@
 	"clementinepier/router"
 )
 
+// Guards against a view that becomes stale between two watches of a store that answers.
+func TestWatchesKeepViewFresh(t *testing.T) {
+	is := is.New(t)
+	for _, window := range []time.Duration{time.Second, 2 * time.Second, 10 * time.Second} {
+		is.True(2*watchWait(window)+window/10 <= window)
+		is.True(watchWait(window) <= time.Second) // the store's longest watch
+	}
+}
+
 // Guards against a status that hides silent entry VMs, racks without an owner, or guarantees that are lent or owed.
 func TestStatus(t *testing.T) {
 	is := is.New(t)
