Blame only the workers that ended an attempt

Cause: after a failed gang the breaker counted a failure against every worker of the gang, so one faulty worker had the healthy ones quarantined. Seen failing first: TestFailingWorkerIsQuarantined (w2 to w4 were quarantined with w1). The code retries-used-up, which nothing ever returned, is gone.

--- /dev/null
+++ b/dispatch/breaker_test.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	standin "clementinepier/standin/worker"
+)
+
+// Guards against a worker that fails everything it starts and goes on getting work, and against the workers that share a
+// gang with it being taken for faulty, too.
+func TestFailingWorkerIsQuarantined(t *testing.T) {
+	r := newRig(t)
+	r.workers["w1"].SetFaults(standin.Faults{FailTasks: true})
+	for i := range 12 {
+		req := testRequest(fmt.Sprint("gang-", i), 4, true) // a member on every worker
+		req.Timeout /= 10
+		r.a.submit(req)
+		r.ticks(2 * time.Second)
+	}
+	r.True(r.a.s.Breaker.Quarantined("w1"))
+	for _, name := range []string{"w2", "w3", "w4"} {
+		r.True(!r.a.s.Breaker.Quarantined(name))
+	}
+	before := r.startsOn("w1")
+	for i := range 8 {
+		r.a.submit(testRequest(fmt.Sprint("single-", i), 1, true))
+	}
+	r.ticks(10 * time.Second)
+	r.Equal(r.startsOn("w1"), before)
+}
--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -78,10 +78,10 @@
 func (d *Dispatcher) finishFailed(s *board.State, r *run, g *gang.Gang) {
 	now := d.Clock.Now()
 	r.failures++
-	for _, name := range r.distinctWorkers() {
+	for _, name := range r.blamed(g) {
 		s.Breaker.Failed(now, name, r.key())
 	}
-	r.avoid = append(r.avoid, r.distinctWorkers()...)
+	r.avoid = append(r.avoid, r.blamed(g)...)
 	if r.request.Idempotent && r.known && !r.cancelled && r.failures < maxFailures && s.Retries.Take() {
 		d.Metrics.Add(metrics.AttemptsRetried, 1)
 		d.delay(r, refusedDelay)
@@ -93,6 +93,14 @@
 	})
 }
 
+// blamed returns the workers that ended an attempt, or all of its workers when none can be singled out.
+func (r *run) blamed(g *gang.Gang) []string {
+	if names := g.Blamed(); len(names) > 0 {
+		return names
+	}
+	return r.distinctWorkers()
+}
+
 // finishPreempted makes the run wait for capacity again. A run that was cancelled meanwhile ends, and so does one
 // without a payload, whose receiver sends the request again.
 func (d *Dispatcher) finishPreempted(s *board.State, r *run, g *gang.Gang) {
@@ -120,7 +128,7 @@
 		delay = d.refusalDelay(r)
 	}
 	if g.Code() == job.CodeWorkerLost {
-		r.avoid = append(r.avoid, r.distinctWorkers()...)
+		r.avoid = append(r.avoid, r.blamed(g)...)
 	}
 	d.delay(r, delay)
 }
@@ -142,7 +150,7 @@
 
 // finishUnknown retries an idempotent request; one that is not idempotent may have run and is never retried.
 func (d *Dispatcher) finishUnknown(s *board.State, r *run, g *gang.Gang) {
-	r.avoid = append(r.avoid, r.distinctWorkers()...)
+	r.avoid = append(r.avoid, r.blamed(g)...)
 	if r.request.Idempotent && r.known && !r.cancelled && s.Retries.Take() {
 		d.Metrics.Add(metrics.AttemptsRetried, 1)
 		d.delay(r, refusedDelay)
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -41,7 +41,6 @@
 	CodeBodyTooLarge      Code = "body-too-large"
 	CodeNoConfiguration   Code = "no-configuration"
 	CodeRequestIDConflict Code = "request-id-conflict"
-	CodeRetriesUsedUp     Code = "retries-used-up"
 	CodeRequestNotExist   Code = "request-does-not-exist"
 	CodeRevisionConflict  Code = "revision-conflict"
 	CodeSignatureInvalid  Code = "signature-invalid"
