Measure the slopes of an entry VM with real processes in make capacity

scripts/capacity.sh runs entry VMs against a platform stand-in and one process that serves many worker stand-ins and counts their bytes. It varies workers, tasks per worker, entry VMs and organisations.

Not measured: bytes between entry VMs, configuration changes, calls of the store by kind, the operator's client.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	@echo "make try       whole system as separate processes on loopback, with failures"
 	@echo "make path-cost time that the system adds to one short request"
 	@echo "make bench     seeded experiments on the decision code"
-	@echo "make capacity  slopes behind docs/CAPACITY.md"
+	@echo "make capacity  slopes behind docs/CAPACITY.md, in about 2.5 minutes"
 
 build:
 	go build -o $(BIN)/clementinepier .
@@ -41,8 +41,9 @@
 bench:
 	go run ./bench
 
-capacity:
+capacity: build
 	go run ./bench -capacity
+	bash scripts/capacity.sh
 
 clean:
 	rm -rf $(BIN)
--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,150 @@
+#!/usr/bin/env bash
+# Measures what an entry VM costs with separate processes on loopback: processor time, resident memory, bytes to and
+# from workers, and calls of the store, against the number of workers, tasks, entry VMs and organisations.
+# Needs bin/clementinepier and bin/standin. Output goes to capacity-out/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly OUT=capacity-out
+readonly BASE_PORT=${BASE_PORT:-19000}
+readonly SECONDS_MEASURED=${SECONDS_MEASURED:-6}
+readonly PLATFORM=127.0.0.1:$BASE_PORT
+readonly RACK_SIZE=8
+
+declare -A PIDS=() # by name, of every process that this script started
+
+end_all() {
+  local name
+  trap - EXIT
+  for name in "${!PIDS[@]}"; do kill -s KILL "${PIDS[$name]}" 2>/dev/null || true; done
+}
+trap end_all EXIT
+trap 'exit 130' INT TERM
+
+start() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$OUT/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+await_port() { # NAME ADDRESS
+  local tries
+  for ((tries = 0; tries < 100; tries++)); do
+    if (exec 3<>"/dev/tcp/${2%:*}/${2#*:}") 2>/dev/null; then return; fi
+    sleep 0.1
+  done
+  echo "$1 does not listen on $2" >&2
+  return 1
+}
+
+
+clean() { # ends the processes of one scenario
+  local name
+  for name in "${!PIDS[@]}"; do kill -s KILL "${PIDS[$name]}" 2>/dev/null || true; done
+  for name in "${!PIDS[@]}"; do wait "${PIDS[$name]}" 2>/dev/null || true; done
+  PIDS=()
+}
+
+write_settings() { # NUMBER
+  cat >"$OUT/entry-$1.toml" <<SETTINGS
+name = "entry-$1"
+failure-domain = "near"
+callers-address = "127.0.0.1:$((BASE_PORT + 500 + $1))"
+peers-address = "127.0.0.1:$((BASE_PORT + 600 + $1))"
+platform-address = "$PLATFORM"
+[keys]
+trusted-files = ["author.key.pub", "reviewer.key.pub", "operator.key.pub"]
+[peers]
+secret-files = ["peer.secret"]
+SETTINGS
+}
+
+write_bundle() { # WORKERS ORGANISATIONS
+  local i
+  echo 'revision = 1'
+  for ((i = 1; i <= $2; i++)); do
+    printf '[[organisations]]\nname = "org-%d"\ntoken-digest = "%s"\nweight = 1\n' "$i" "$(printf 'token-%d' "$i" | sha256sum | cut -d ' ' -f 1)"
+    printf '[[organisations.guarantees]]\nname = "one"\ncount = 1\nshape = {tasks = 1, accelerators = 4, slots = 1}\n'
+    printf '[[organisations.limits]]\nservice = "match"\nrequests-per-second = 100000.0\nrunning = 100000\n'
+  done
+  printf '[[failure-domains]]\nname = "near"\nregion = "north"\n'
+  for ((i = 0; i * RACK_SIZE < $1; i++)); do
+    printf '[[failure-domains.racks]]\nname = "near-r%d"\nworkers = %d\nslots = 32\naccelerators = 32\n' "$((i + 1))" \
+      "$(($1 - i * RACK_SIZE < RACK_SIZE ? $1 - i * RACK_SIZE : RACK_SIZE))"
+  done
+  printf '[[services]]\nname = "match"\ndefault-timeout = "60s"\nmax-timeout = "120s"\nmax-payload = 1000000\n'
+}
+
+cpu_of() { awk '{print $14 + $15}' "/proc/$1/stat"; } # in ticks of 10 ms
+
+# calls_of prints the calls of the store so far, all kinds together; a watch counts as one call.
+calls_of() { bin/standin call "$PLATFORM" /admin/calls | grep -o '[0-9]\+' | awk '{n += $1} END {print n + 0}'; }
+
+total_cpu() {
+  local i sum=0
+  for ((i = 1; i <= $1; i++)); do sum=$((sum + $(cpu_of "${PIDS[entry-$i]}"))); done
+  echo "$sum"
+}
+
+scenario() { # WORKERS TASKS-PER-WORKER ENTRY-VMS ORGANISATIONS
+  local i cpu bytes calls memory=0 tasks=$(($1 * $2)) t=$SECONDS_MEASURED
+  start platform bin/standin platform --address "$PLATFORM" --lag 10ms
+  await_port platform "$PLATFORM"
+  start fleet bin/standin fleet --port $((BASE_PORT + 1000)) --platform "$PLATFORM" --count "$1" --rack-size "$RACK_SIZE" \
+    --failure-domain near --traffic "$OUT/traffic"
+  await_port fleet "127.0.0.1:$((BASE_PORT + 1000 + $1 - 1))"
+  rm -f "$OUT/bundle.signed"
+  write_bundle "$1" "$4" >"$OUT/bundle.toml"
+  bin/clementinepier bundle sign "$OUT/bundle.toml" --key "$OUT/author.key" --out "$OUT/bundle.signed" >/dev/null
+  bin/clementinepier bundle review "$OUT/bundle.signed" --key "$OUT/reviewer.key" --first >"$OUT/review.txt"
+  for ((i = 1; i <= $3; i++)); do
+    write_settings "$i"
+    start "entry-$i" bin/clementinepier entry --settings "$OUT/entry-$i.toml"
+    bin/standin call "$PLATFORM" /admin/vms/add "{\"name\": \"entry-$i\", \"kind\": \"entry\", \"failure-domain\": \"near\",
+      \"address\": \"127.0.0.1:$((BASE_PORT + 600 + i))\"}" >/dev/null
+  done
+  await_port entry-1 "127.0.0.1:$((BASE_PORT + 501))"
+  bin/clementinepier bundle roll "$OUT/bundle.signed" --entry "127.0.0.1:$((BASE_PORT + 501))" >/dev/null 2>&1
+  sleep 3
+  if ((tasks > 0)); then
+    start load bin/standin load --entry "127.0.0.1:$((BASE_PORT + 501))" --organisation org-1=token-1 --service match \
+      --requests "$tasks" --rate 400 --timeout 60s --max-run-time 2h --gang-share 0 --non-idempotent-share 0 --urgent-share 0 \
+      --connections 2000 --results "$OUT/results.jsonl"
+    sleep $((tasks / 400 + 2))
+  fi
+  cpu=$(total_cpu "$3") bytes=$(cat "$OUT/traffic") calls=$(calls_of)
+  sleep "$t"
+  cpu=$(($(total_cpu "$3") - cpu)) bytes=$(($(cat "$OUT/traffic") - bytes)) calls=$(($(calls_of) - calls))
+  for ((i = 1; i <= $3; i++)); do
+    memory=$((memory + $(awk '/VmRSS/ {print $2}' "/proc/${PIDS[entry-$i]}/status")))
+  done
+  awk -v w="$1" -v k="$2" -v e="$3" -v o="$4" -v c="$cpu" -v b="$bytes" -v s="$calls" -v m="$memory" -v t="$t" 'BEGIN {
+    printf "%7d %12d %9d %13d %14.2f %12.1f %18.0f %14.1f\n", w, k, e, o, c / t / e, m / 1024 / e, b / t / w, s / t / e }'
+  clean
+}
+
+main() {
+  local role
+  rm -rf "$OUT"
+  mkdir "$OUT"
+  for role in author reviewer operator; do
+    bin/clementinepier key new --out "$OUT/$role.key" --role "$role" >/dev/null
+  done
+  (umask 077 && head -c 32 /dev/urandom | base64 >"$OUT/peer.secret")
+  echo "per entry VM, over $SECONDS_MEASURED s; $(nproc) cores; load average $(cut -d ' ' -f 1 /proc/loadavg)"
+  echo "workers tasks/worker entry-VMs organisations core-percent/VM  memory MB/VM  bytes/s/worker store calls/s/VM"
+  scenario 50 0 1 4
+  scenario 100 0 1 4
+  scenario 200 0 1 4
+  scenario 50 5 1 4
+  scenario 50 15 1 4
+  scenario 50 25 1 4
+  scenario 50 0 4 4
+  scenario 50 0 8 4
+  scenario 50 0 16 4
+  scenario 50 0 1 50
+  scenario 50 0 1 200
+}
+
+main
--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 type arguments struct {
 	Platform *platformCommand `arg:"subcommand:platform" help:"serve the platform stand-in"`
 	Worker   *workerCommand   `arg:"subcommand:worker" help:"serve a worker stand-in"`
+	Fleet    *fleetCommand    `arg:"subcommand:fleet" help:"serve many worker stand-ins"`
 	Call     *callCommand     `arg:"subcommand:call" help:"send one call to a stand-in and print the reply"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send requests to entry VMs and check the answers"`
 	Check    *checkCommand    `arg:"subcommand:check" help:"compare the results of a load with the run logs of the workers"`
@@ -30,6 +31,8 @@
 		return a.Platform
 	case a.Worker != nil:
 		return a.Worker
+	case a.Fleet != nil:
+		return a.Fleet
 	case a.Call != nil:
 		return a.Call
 	case a.Load != nil:
