Close two gaps of an entry VM's registration; end a drain once the rest is durable

Causes, each seen failing first: a stopping VM that had removed its registration registered again (TestStoppedVMStaysDeregistered), so that changes waited for it; a VM became a witness although the configuration it read after registering had a part it could not verify (TestUnreadableConfigurationMakesNoWitness).

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -55,7 +55,7 @@
 	v.draining.Store(true)
 	v.board.Post(func(s *board.State) { s.Draining = true })
 	v.sleep(ctx, announceTime)
-	for v.Clock.Now().Before(deadline) && (v.directory.openCount() > 0 || v.dispatcher.Active(ctx) > 0) {
+	for v.Clock.Now().Before(deadline) && (v.directory.volatileCount() > 0 || v.dispatcher.Active(ctx) > 0) {
 		v.sleep(ctx, drainPoll)
 	}
 	close(v.drainEnd)
@@ -69,6 +69,7 @@
 
 // deregister removes this VM's registration, after which changes no longer wait for it. It stops being a witness first.
 func (v *VM) deregister(ctx context.Context) {
+	v.deregistered.Store(true)
 	err := v.board.Do(ctx, func(s *board.State) {
 		s.Registered = false
 		s.Freshness.SetSelf(false)
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -78,22 +78,23 @@
 
 // storeRead applies a value of the store that was read by a call sent at the time given. A value that cannot be
 // decoded, or of which a part is refused, says nothing about how fresh the view is.
-func (v *VM) storeRead(ctx context.Context, sent time.Time, entry platform.Entry) {
+func (v *VM) storeRead(ctx context.Context, sent time.Time, entry platform.Entry) (complete bool) {
 	if entry.Version == 0 {
-		return
+		return true
 	}
 	document, err := config.Decode(entry.Value)
 	if err != nil {
 		v.Metrics.Add(metrics.ConfigRejected, 1)
 		klog.ErrorS(err, "The store has a configuration that cannot be read; the one in force is kept")
 		v.sleep(ctx, storeRetry)
-		return
+		return false
 	}
-	_ = v.board.Do(ctx, func(s *board.State) {
-		if err := v.join(s, document); config.Complete(err) {
+	err = v.board.Do(ctx, func(s *board.State) {
+		if complete = config.Complete(v.join(s, document)); complete {
 			s.Freshness.StoreRead(sent, s.View.Revision())
 		}
 	})
+	return complete && err == nil
 }
 
 // registration is the value of this VM's key in the store.
@@ -125,6 +126,9 @@
 // checkRegistration registers this VM unless the store has its key at the version given, then lists all. It returns
 // the version of this VM's key and whether all calls succeeded.
 func (v *VM) checkRegistration(ctx context.Context, version uint64) (uint64, bool) {
+	if v.deregistered.Load() {
+		return 0, true
+	}
 	if version == 0 {
 		var ok bool
 		if version, ok = v.register(ctx); !ok {
@@ -202,12 +206,20 @@
 	if err != nil {
 		return 0, false
 	}
+	if v.deregistered.Load() {
+		// The process began to stop while the write was in flight.
+		_ = v.Store.Delete(ctx, v.registrationKey(), version)
+		return 0, true
+	}
 	sent := v.Clock.Now()
 	head, err := v.Store.Get(ctx, headKey)
 	if err != nil {
 		return 0, false
 	}
-	v.storeRead(ctx, sent, head)
+	if !v.storeRead(ctx, sent, head) {
+		// A part that this VM cannot read may be a change that is acknowledged without it.
+		return 0, false
+	}
 	err = v.board.Do(ctx, func(s *board.State) {
 		s.Registered = true
 		s.Freshness.SetSelf(true)
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -38,7 +38,11 @@
 		// A write whose reply was lost may have taken effect, so its record is dropped in the end, too.
 		v.directory.setKept(h, h.deadline)
 	}
-	return err == nil
+	if err != nil {
+		return false
+	}
+	v.directory.setDurable(h)
+	return true
 }
 
 // release drops the journal records of requests whose outcome was kept long enough.
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -42,7 +42,9 @@
 	// keptUntil is the latest deadline of the records that the journal may have of the request, zero if none; it is guarded
 	// by the directory.
 	keptUntil time.Time
-	ended     chan struct{}
+	// durable is true once the journal certainly has the request; it is guarded by the directory.
+	durable bool
+	ended   chan struct{}
 	// outcome is set before ended is closed.
 	outcome job.Outcome
 	endedAt time.Time
@@ -114,6 +116,26 @@
 	return d.open
 }
 
+// volatileCount returns the number of requests without an outcome that would be lost with this process.
+func (d *requestDirectory) volatileCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, h := range d.byKey {
+		if !h.durable && !h.isEnded() {
+			n++
+		}
+	}
+	return n
+}
+
+// setDurable records that the journal has the request.
+func (d *requestDirectory) setDurable(h *inHand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.durable = true
+}
+
 // full reports whether the directory has as many requests as it may have.
 func (d *requestDirectory) full() bool {
 	d.mu.Lock()
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -77,6 +77,8 @@
 	view atomic.Pointer[config.View]
 	// draining is set once the process has been asked to stop.
 	draining atomic.Bool
+	// deregistered is set before this VM removes its registration; it never registers again.
+	deregistered atomic.Bool
 	// drainEnd is closed when callers that still wait must be told to ask another entry VM.
 	drainEnd chan struct{}
 	// storeReachable tells whether the last call to the store brought a reply.
