--- a/entry/vm.go
+++ b/entry/vm.go
@@ -186,7 +186,7 @@
 		secrets = append(secrets, []byte(secret))
 	}
 	v.hub = &peer.Hub{
-		Self: v.self, Secrets: secrets, Clock: v.Clock, InjectTrace: trace.Inject, ExtractTrace: trace.Extract,
+		Self: v.self, Secrets: secrets, Clock: v.Clock, Metrics: v.Metrics, InjectTrace: trace.Inject, ExtractTrace: trace.Extract,
 		Handlers: map[peer.Kind]peer.Handler{
 			peer.KindHeartbeat: v.onHeartbeat,
 			peer.KindConfig:    v.onConfig,
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"net/http"
 	"sync"
 
@@ -13,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"clementinepier/job"
+	"clementinepier/metrics"
 )
 
 // Path is the URL path on which an entry VM accepts links.
@@ -25,14 +25,6 @@
 // Handler serves one kind of call. Its context ends when the caller's connection does.
 type Handler func(ctx context.Context, from Identity, body []byte) (any, error)
 
-// Counters are the hub's published counters.
-type Counters struct {
-	CallsServed      expvar.Int
-	CallsRefused     expvar.Int
-	RepliesDropped   expvar.Int
-	HandshakesFailed expvar.Int
-}
-
 // Hub holds the links of one entry VM. Set the exported fields before Run.
 type Hub struct {
 	Self Identity
@@ -46,7 +38,7 @@
 	// InjectTrace and ExtractTrace carry the trace context; nil means that none is carried.
 	InjectTrace  func(ctx context.Context) string
 	ExtractTrace func(ctx context.Context, trace string) context.Context
-	Counters     Counters
+	Metrics      *metrics.Set
 
 	pool *ants.Pool
 	mu   sync.Mutex
@@ -139,7 +131,7 @@
 	c := newConn(ws)
 	from, err := acceptHandshake(ctx, c, h.Self, h.Secrets)
 	if err != nil {
-		h.Counters.HandshakesFailed.Add(1)
+		h.Metrics.Add(metrics.PeerHandshakesFailed, 1)
 		return
 	}
 	for {
@@ -175,12 +167,12 @@
 		h.refuse(ctx, c, f, err)
 		return
 	}
-	h.Counters.CallsServed.Add(1)
+	h.Metrics.Add(metrics.PeerCallsServed, 1)
 	_ = c.write(ctx, frame{ID: f.ID, Reply: true, Body: body})
 }
 
 func (h *Hub) refuse(ctx context.Context, c *conn, f frame, err error) {
-	h.Counters.CallsRefused.Add(1)
+	h.Metrics.Add(metrics.PeerCallsRefused, 1)
 	refused := &ErrRefused{Code: job.CodeBadRequest, Detail: err.Error()}
 	_ = errors.As(err, &refused)
 	_ = c.write(ctx, frame{ID: f.ID, Reply: true, Code: refused.Code, Detail: refused.Detail})
--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"clementinepier/job"
+	"clementinepier/metrics"
 )
 
 // newHub returns a running hub that serves on loopback; its echo handler answers with the body it got.
@@ -25,6 +26,7 @@
 		Clock:    clockwork.NewRealClock(),
 		Handlers: handlers,
 		MaxCalls: 16,
+		Metrics:  &metrics.Set{},
 	}
 	done, err := h.Run(ctx)
 	is.New(t).NoErr(err)
@@ -77,7 +79,7 @@
 	for range 10 {
 		is.True(<-results)
 	}
-	is.Equal(int(b.Counters.CallsServed.Value()), 11)
+	is.Equal(int(b.Metrics.Get(metrics.PeerCallsServed)), 11)
 }
 
 // Guards against an entry VM that is served without the shared secret.
@@ -86,13 +88,13 @@
 	a, _ := newHub(t, "a", "guess", nil)
 	b, address := newHub(t, "b", "secret", map[Kind]Handler{KindRun: echo})
 	a.SetPeers(map[string]string{"b": address})
-	for a.Counters.HandshakesFailed.Value() == 0 {
+	for a.Metrics.Get(metrics.PeerHandshakesFailed) == 0 {
 		<-a.Clock.After(10 * time.Millisecond)
 	}
 	err := a.Call(context.Background(), "b", KindRun, "x", new(string))
 	is.True(IsErrPeerUnavailable(err))
 	is.True(!WasDelivered(err))
-	is.Equal(int(b.Counters.CallsServed.Value()), 0)
+	is.Equal(int(b.Metrics.Get(metrics.PeerCallsServed)), 0)
 }
 
 // Guards against a broken connection that is reported as a call that never reached the peer.
@@ -120,7 +122,7 @@
 // Guards against late and duplicate replies that are taken for the reply to another call.
 func TestReplyWithoutWaitingCallIsDropped(t *testing.T) {
 	is := is.New(t)
-	h := &Hub{}
+	h := &Hub{Metrics: &metrics.Set{}}
 	l := newLink(h, "b", "")
 	l.conn = &conn{}
 	_, id, waiting := l.register()
@@ -128,7 +130,7 @@
 	l.deliver(frame{ID: id, Reply: true, Body: []byte{2}})
 	l.deliver(frame{ID: id + 7, Reply: true, Body: []byte{3}})
 	is.Equal((<-waiting).frame.Body, cbor.RawMessage{1})
-	is.Equal(int(h.Counters.RepliesDropped.Value()), 2)
+	is.Equal(int(h.Metrics.Get(metrics.PeerRepliesDropped)), 2)
 }
 
 // Guards against a refusal that loses its stable code on the way.
--- a/peer/link.go
+++ b/peer/link.go
@@ -9,6 +9,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"clementinepier/metrics"
 )
 
 const (
@@ -77,7 +79,7 @@
 	c := newConn(ws)
 	identity, err := dialHandshake(ctx, c, l.hub.Self, l.hub.Secrets)
 	if err != nil || identity.VM != l.vm {
-		l.hub.Counters.HandshakesFailed.Add(1)
+		l.hub.Metrics.Add(metrics.PeerHandshakesFailed, 1)
 		return false
 	}
 	l.setConn(c)
@@ -103,7 +105,7 @@
 	delete(l.waiting, f.ID)
 	l.mu.Unlock()
 	if !ok || !f.Reply {
-		l.hub.Counters.RepliesDropped.Add(1)
+		l.hub.Metrics.Add(metrics.PeerRepliesDropped, 1)
 		return
 	}
 	waiting <- reply{frame: f}
