Leave the specification out of renewal replies; do not fail a batch for one late renewal

The reply names id, nonce, state and whether the task had started; the nonce stays, so that an attempt of another owner under the same id is not taken for one's own.

--- a/dispatch/execute.go
+++ b/dispatch/execute.go
@@ -168,12 +168,15 @@
 		d.postRenewals(batch, nil, &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errors.New("worker is not known")})
 		return
 	}
+	late, batch := d.splitLate(batch)
+	if len(late) > 0 {
+		d.postRenewals(late, nil, &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errLate})
+	}
+	if len(batch) == 0 {
+		return
+	}
 	leases := make([]worker.Lease, 0, len(batch))
 	for _, o := range batch {
-		if d.late(o.command) {
-			d.postRenewals(batch, nil, &worker.ErrCall{Worker: name, Call: string(gang.KindRenew), Cause: errLate})
-			return
-		}
 		leases = append(leases, worker.Lease{ID: o.command.ID, Nonce: o.command.Nonce, Length: job.Duration(o.command.Length)})
 	}
 	ctx, cancel := d.timeout(d.ctx, renewTimeout)
@@ -186,6 +189,18 @@
 	d.postRenewals(batch, statuses, err)
 }
 
+// splitLate separates the commands that must no longer be sent from those that may.
+func (d *Dispatcher) splitLate(batch []owned) (late, rest []owned) {
+	for _, o := range batch {
+		if d.late(o.command) {
+			late = append(late, o)
+		} else {
+			rest = append(rest, o)
+		}
+	}
+	return late, rest
+}
+
 // postRenewals gives every gang the status of its own task.
 func (d *Dispatcher) postRenewals(batch []owned, statuses []worker.Status, err error) {
 	byID := make(map[job.TaskID]worker.Status, len(statuses))
--- a/standin/worker/handler.go
+++ b/standin/worker/handler.go
@@ -59,7 +59,12 @@
 	}
 	jsonhttp.Handle(mux, "/v1/renew", func(ctx context.Context, in renewed) (any, error) {
 		statuses, err := w.callRenew(detach(ctx), in.Leases)
-		return map[string]any{"statuses": statuses}, httpError(err)
+		var reply worker.RenewReply
+		for _, s := range statuses {
+			task := worker.Renewed{ID: s.Spec.ID, Nonce: s.Spec.Nonce, State: s.State, Started: s.Started}
+			reply.Tasks = append(reply.Tasks, task)
+		}
+		return reply, httpError(err)
 	})
 }
 
--- a/worker/client.go
+++ b/worker/client.go
@@ -155,17 +155,22 @@
 }
 
 func (c *client) renew(ctx context.Context, leases []Lease) ([]Status, error) {
-	var reply struct {
-		Statuses []Status `json:"statuses"`
-	}
+	var reply RenewReply
 	if err := c.post(ctx, "renew", c.timeout, job.TaskID{}, map[string]any{"leases": leases}, &reply); err != nil {
 		return nil, err
 	}
-	ids := make([]job.TaskID, len(leases))
-	for i := range leases {
-		ids[i] = leases[i].ID
+	if len(leases) != len(reply.Tasks) {
+		return nil, c.bad("renew", errors.Errorf("%d states for %d tasks", len(reply.Tasks), len(leases)))
+	}
+	statuses := make([]Status, len(leases))
+	for i, lease := range leases {
+		task := reply.Tasks[i]
+		if err := c.checkID("renew", lease.ID, task.ID); err != nil {
+			return nil, err
+		}
+		statuses[i] = Status{Spec: Spec{ID: task.ID, Nonce: task.Nonce}, State: task.State, Started: task.Started}
 	}
-	return reply.Statuses, c.checkStatuses("renew", ids, reply.Statuses)
+	return statuses, nil
 }
 
 func (c *client) stop(ctx context.Context, ids []job.TaskID, reason string) ([]Status, error) {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -118,6 +118,21 @@
 	Length job.Duration `json:"length"`
 }
 
+// RenewReply is the body of the reply to a renewal.
+type RenewReply struct {
+	// Tasks has one entry per lease, in order.
+	Tasks []Renewed `json:"tasks"`
+}
+
+// Renewed is the state of one task after a renewal.
+type Renewed struct {
+	ID job.TaskID `json:"id"`
+	// Nonce is that of the attempt that the worker has, which need not be the one named; empty if it has none.
+	Nonce   string `json:"nonce"`
+	State   State  `json:"state"`
+	Started bool   `json:"started"`
+}
+
 // Usage is the worker's own measurement of a task; it is some seconds old.
 type Usage struct {
 	ID         job.TaskID   `json:"id"`
@@ -135,7 +150,8 @@
 	Hold func(ctx context.Context, spec Spec, length time.Duration) (accelerators []int, refused Refusal, err error)
 	// Start runs a held task. It is admitted only while the hold lives.
 	Start func(ctx context.Context, id job.TaskID, nonce string, payload []byte, length time.Duration) (Refusal, error)
-	// Renew extends holds and leases, and returns the state of each task named.
+	// Renew extends holds and leases, and returns the state of each task named, in order. Of Spec only ID and Nonce are
+	// certain to be set: renewals are most of the control traffic.
 	Renew func(ctx context.Context, leases []Lease) ([]Status, error)
 	// Stop ends tasks or drops holds; it succeeds for tasks that have ended already.
 	Stop func(ctx context.Context, ids []job.TaskID, reason string) ([]Status, error)
