--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -87,18 +87,18 @@
   echo "$sum"
 }
 
-scenario() { # WORKERS TASKS-PER-WORKER ENTRY-VMS ORGANISATIONS
-  local i cpu bytes calls memory=0 tasks=$(($1 * $2)) t=$SECONDS_MEASURED
+begin() { # WORKERS ENTRY-VMS ORGANISATIONS: starts the processes of one scenario
+  local i
   start platform bin/standin platform --address "$PLATFORM" --lag 10ms
   await_port platform "$PLATFORM"
   start fleet bin/standin fleet --port $((BASE_PORT + 1000)) --platform "$PLATFORM" --count "$1" --rack-size "$RACK_SIZE" \
     --failure-domain near --traffic "$OUT/traffic"
   await_port fleet "127.0.0.1:$((BASE_PORT + 1000 + $1 - 1))"
   rm -f "$OUT/bundle.signed"
-  write_bundle "$1" "$4" >"$OUT/bundle.toml"
+  write_bundle "$1" "$3" >"$OUT/bundle.toml"
   bin/clementinepier bundle sign "$OUT/bundle.toml" --key "$OUT/author.key" --out "$OUT/bundle.signed" >/dev/null
   bin/clementinepier bundle review "$OUT/bundle.signed" --key "$OUT/reviewer.key" --first >"$OUT/review.txt"
-  for ((i = 1; i <= $3; i++)); do
+  for ((i = 1; i <= $2; i++)); do
     write_settings "$i"
     start "entry-$i" bin/clementinepier entry --settings "$OUT/entry-$i.toml"
     bin/standin call "$PLATFORM" /admin/vms/add "{\"name\": \"entry-$i\", \"kind\": \"entry\", \"failure-domain\": \"near\",
@@ -107,6 +107,11 @@
   await_port entry-1 "127.0.0.1:$((BASE_PORT + 501))"
   bin/clementinepier bundle roll "$OUT/bundle.signed" --entry "127.0.0.1:$((BASE_PORT + 501))" >/dev/null 2>&1
   sleep 3
+}
+
+scenario() { # WORKERS TASKS-PER-WORKER ENTRY-VMS ORGANISATIONS
+  local i cpu bytes calls memory=0 tasks=$(($1 * $2)) t=$SECONDS_MEASURED
+  begin "$1" "$3" "$4"
   if ((tasks > 0)); then
     start load bin/standin load --entry "127.0.0.1:$((BASE_PORT + 501))" --organisation org-1=token-1 --service match \
       --requests "$tasks" --rate 400 --timeout 60s --max-run-time 2h --gang-share 0 --non-idempotent-share 0 --urgent-share 0 \
@@ -124,6 +129,32 @@
   clean
 }
 
+kinds_of() { bin/standin call "$PLATFORM" /admin/calls | tr -d '{}" ' | tr ',:' '\n ' | sort; }
+
+# changes measures the store's calls by kind at rest, then what changes of the configuration add.
+changes() { # ENTRY-VMS CHANGES
+  local i state cpu idle began t=$SECONDS_MEASURED
+  begin 50 "$1" 4
+  kinds_of >"$OUT/kinds-1" && idle=$(total_cpu "$1")
+  sleep "$t"
+  kinds_of >"$OUT/kinds-2" && idle=$(($(total_cpu "$1") - idle))
+  echo "calls of the store a second for each of $1 entry VMs, at rest:"
+  join "$OUT/kinds-1" "$OUT/kinds-2" | awk -v t="$t" -v e="$1" '$3 > $2 {printf "  %s %.2f\n", $1, ($3 - $2) / t / e}'
+  cpu=$(total_cpu "$1") began=$(date +%s%N)
+  for ((i = 1; i <= $2; i++)); do
+    state=$((i % 2)) && state=${state/0/back} && state=${state/1/out}
+    bin/clementinepier domain "$state" near --key "$OUT/operator.key" --wait 4s --entry "127.0.0.1:$((BASE_PORT + 501))" >/dev/null 2>&1 ||
+      echo "change $i is not confirmed in 4 s"
+  done
+  t=$((($(date +%s%N) - began) / 1000000)) && cpu=$(($(total_cpu "$1") - cpu))
+  kinds_of >"$OUT/kinds-3"
+  echo "$2 changes by the command line took $t ms; core percent for each entry VM: $(awk -v c="$cpu" -v t="$t" -v e="$1" -v i="$idle" \
+    -v s="$SECONDS_MEASURED" 'BEGIN {printf "%.2f, at rest %.2f", c * 1000 / t / e, i / s / e}')"
+  echo "calls of the store while they ran, for each change and all entry VMs together:"
+  join "$OUT/kinds-2" "$OUT/kinds-3" | awk -v n="$2" '$3 > $2 {printf "  %s %.1f\n", $1, ($3 - $2) / n}'
+  clean
+}
+
 main() {
   local role
   rm -rf "$OUT"
@@ -145,6 +176,7 @@
   scenario 50 0 16 4
   scenario 50 0 1 50
   scenario 50 0 1 200
+  changes 8 20
 }
 
 main
