--- a/cmd/bundle_check.go
+++ b/cmd/bundle_check.go
@@ -14,7 +14,7 @@
 
 func (*bundleCheckCommand) example() string { return "bundle check bundle.toml" }
 
-func (c *bundleCheckCommand) run(_ context.Context, s *session) error {
+func (c *bundleCheckCommand) run(_ context.Context, s *invocation) error {
 	_, b, err := s.readBundle(c.File)
 	if c.JSON {
 		faults := []bundle.Fault{}
--- a/cmd/bundle_review.go
+++ b/cmd/bundle_review.go
@@ -21,7 +21,7 @@
 	return "bundle review bundle.signed --key bob.key --author alice.key.pub --entry 10.0.0.1:8080"
 }
 
-func (c *bundleReviewCommand) run(ctx context.Context, s *session) error {
+func (c *bundleReviewCommand) run(ctx context.Context, s *invocation) error {
 	signed, b, err := s.readSigned(c.File)
 	if err != nil {
 		return err
@@ -75,7 +75,7 @@
 }
 
 // before returns the bundle to compare with; nil means none.
-func (c *bundleReviewCommand) before(ctx context.Context, s *session) (*bundle.Bundle, error) {
+func (c *bundleReviewCommand) before(ctx context.Context, s *invocation) (*bundle.Bundle, error) {
 	switch {
 	case c.First:
 		return nil, nil
--- a/cmd/bundle_roll.go
+++ b/cmd/bundle_roll.go
@@ -16,7 +16,7 @@
 	return "bundle roll bundle.signed --entry 10.0.0.1:8080 --entry 10.0.1.1:8080"
 }
 
-func (c *bundleRollCommand) run(ctx context.Context, s *session) error {
+func (c *bundleRollCommand) run(ctx context.Context, s *invocation) error {
 	signed, b, err := s.readSigned(c.File)
 	if err != nil {
 		return err
--- a/cmd/bundle_show.go
+++ b/cmd/bundle_show.go
@@ -17,7 +17,7 @@
 	return "bundle show --key alice.key --entry 10.0.0.1:8080"
 }
 
-func (c *bundleShowCommand) run(ctx context.Context, s *session) error {
+func (c *bundleShowCommand) run(ctx context.Context, s *invocation) error {
 	var source []byte
 	var b *bundle.Bundle
 	var err error
@@ -46,7 +46,7 @@
 
 // bundleInForce asks an entry VM for the bundle in force with a call that the key in the file signs; nil means that
 // there is none.
-func (s *session) bundleInForce(ctx context.Context, o online, keyFile string) (*bundle.Signed, error) {
+func (s *invocation) bundleInForce(ctx context.Context, o online, keyFile string) (*bundle.Signed, error) {
 	c, err := s.client(o)
 	if err != nil {
 		return nil, err
--- a/cmd/bundle_sign.go
+++ b/cmd/bundle_sign.go
@@ -16,7 +16,7 @@
 
 func (*bundleSignCommand) example() string { return "bundle sign bundle.toml --key alice.key" }
 
-func (c *bundleSignCommand) run(_ context.Context, s *session) error {
+func (c *bundleSignCommand) run(_ context.Context, s *invocation) error {
 	source, err := s.readFile(c.File)
 	if err != nil {
 		return err
--- a/cmd/change.go
+++ b/cmd/change.go
@@ -36,7 +36,7 @@
 
 // runChange sends a change and waits until it is in force everywhere. prepare builds the call from the configuration
 // in force; it runs once, so that every retry sends the same change.
-func (s *session) runChange(ctx context.Context, a changeArguments, prepare func(id string, now message.Config) (path string, body any, err error)) error {
+func (s *invocation) runChange(ctx context.Context, a changeArguments, prepare func(id string, now message.Config) (path string, body any, err error)) error {
 	cl, err := s.client(a.online)
 	if err != nil {
 		return err
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -88,7 +88,7 @@
 
 // client calls the entry VMs in turn until one answers.
 type client struct {
-	*session
+	*invocation
 	entries []string
 	token   string
 	// readKey signs calls for the configuration, so that the bundle comes with it; nil leaves it out.
@@ -97,7 +97,7 @@
 	first int
 }
 
-func (s *session) client(o online) (*client, error) {
+func (s *invocation) client(o online) (*client, error) {
 	if len(o.Entry) == 0 {
 		return nil, exitf(ExitUsage, "--entry is missing")
 	}
@@ -106,7 +106,7 @@
 			return nil, exitf(ExitUsage, "--entry %q is not an address with a port, such as 10.0.0.1:8080", address)
 		}
 	}
-	return &client{session: s, entries: o.Entry}, nil
+	return &client{invocation: s, entries: o.Entry}, nil
 }
 
 // readToken reads the organisation's token.
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -58,13 +58,13 @@
 
 // subcommand is a command that does something, unlike a group of commands.
 type subcommand interface {
-	run(ctx context.Context, s *session) error
+	run(ctx context.Context, s *invocation) error
 	// example is a command line for the help text, without the program's name.
 	example() string
 }
 
-// session is one run of a subcommand.
-type session struct {
+// invocation is one run of a subcommand.
+type invocation struct {
 	*Program
 	stdout, stderr io.Writer
 }
@@ -140,14 +140,14 @@
 		_, _ = fmt.Fprintln(stderr, "error:", err)
 		return ExitUsage
 	}
-	s := &session{Program: p, stdout: stdout, stderr: stderr}
+	s := &invocation{Program: p, stdout: stdout, stderr: stderr}
 	err = command.run(ctx, s)
 	s.reportError(err)
 	return exitCode(err)
 }
 
 // reportError prints an error, and each fault of an invalid source on a line of its own.
-func (s *session) reportError(err error) {
+func (s *invocation) reportError(err error) {
 	var badBundle *bundle.ErrBundleInvalid
 	var badSettings *settings.ErrSettingsInvalid
 	var refused *ErrRefused
@@ -172,24 +172,24 @@
 }
 
 // print writes a line of the result.
-func (s *session) print(format string, args ...any) {
+func (s *invocation) print(format string, args ...any) {
 	_, _ = fmt.Fprintf(s.stdout, format+"\n", args...)
 }
 
 // note writes a line that is not part of the result.
-func (s *session) note(format string, args ...any) {
+func (s *invocation) note(format string, args ...any) {
 	_, _ = fmt.Fprintf(s.stderr, format+"\n", args...)
 }
 
 // printJSON writes the result for a script.
-func (s *session) printJSON(value any) error {
+func (s *invocation) printJSON(value any) error {
 	encoder := json.NewEncoder(s.stdout)
 	encoder.SetIndent("", "  ")
 	return errors.Wrap(encoder.Encode(value), "write result")
 }
 
 // newID returns a random id that no other caller chooses.
-func (s *session) newID() (string, error) {
+func (s *invocation) newID() (string, error) {
 	id := make([]byte, 16)
 	if _, err := io.ReadFull(s.Random, id); err != nil {
 		return "", errors.Wrap(err, "choose id")
@@ -201,7 +201,7 @@
 const maxInputSize = 64 << 20
 
 // readFile reads a file, or the standard input for "-".
-func (s *session) readFile(path string) ([]byte, error) {
+func (s *invocation) readFile(path string) ([]byte, error) {
 	if path == "-" {
 		return readBounded(s.Stdin, path)
 	}
--- a/cmd/domain_back.go
+++ b/cmd/domain_back.go
@@ -12,6 +12,6 @@
 	return "domain back tunis-a --key carol.key --entry 10.0.0.1:8080"
 }
 
-func (c *domainBackCommand) run(ctx context.Context, s *session) error {
+func (c *domainBackCommand) run(ctx context.Context, s *invocation) error {
 	return s.runOrder(ctx, c.orderArguments, bundle.OrderIn)
 }
--- a/cmd/domain_list.go
+++ b/cmd/domain_list.go
@@ -13,7 +13,7 @@
 
 func (*domainListCommand) example() string { return "domain list --entry 10.0.0.1:8080" }
 
-func (c *domainListCommand) run(ctx context.Context, s *session) error {
+func (c *domainListCommand) run(ctx context.Context, s *invocation) error {
 	cl, err := s.client(c.online)
 	if err != nil {
 		return err
--- a/cmd/domain_out.go
+++ b/cmd/domain_out.go
@@ -20,12 +20,12 @@
 	return "domain out tunis-a --key carol.key --entry 10.0.0.1:8080 --entry 10.0.1.1:8080"
 }
 
-func (c *domainOutCommand) run(ctx context.Context, s *session) error {
+func (c *domainOutCommand) run(ctx context.Context, s *invocation) error {
 	return s.runOrder(ctx, c.orderArguments, bundle.OrderOut)
 }
 
 // runOrder signs the next order for a failure domain and sends it.
-func (s *session) runOrder(ctx context.Context, a orderArguments, state bundle.OrderState) error {
+func (s *invocation) runOrder(ctx context.Context, a orderArguments, state bundle.OrderState) error {
 	key, err := bundle.ReadPrivateKey(a.Key)
 	if err != nil {
 		return err
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -12,7 +12,7 @@
 
 func (*entryCommand) example() string { return "entry --settings settings.toml" }
 
-func (c *entryCommand) run(ctx context.Context, s *session) error {
+func (c *entryCommand) run(ctx context.Context, s *invocation) error {
 	loaded, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
--- a/cmd/files.go
+++ b/cmd/files.go
@@ -50,7 +50,7 @@
 }
 
 // readSigned reads a signed file and the bundle in it, which must be valid. It verifies no signature.
-func (s *session) readSigned(path string) (bundle.Signed, *bundle.Bundle, error) {
+func (s *invocation) readSigned(path string) (bundle.Signed, *bundle.Bundle, error) {
 	data, err := s.readFile(path)
 	if err != nil {
 		return bundle.Signed{}, nil, err
@@ -64,7 +64,7 @@
 }
 
 // readBundle reads a bundle from a signed file or from a source.
-func (s *session) readBundle(path string) ([]byte, *bundle.Bundle, error) {
+func (s *invocation) readBundle(path string) ([]byte, *bundle.Bundle, error) {
 	data, err := s.readFile(path)
 	if err != nil {
 		return nil, nil, err
--- a/cmd/key_new.go
+++ b/cmd/key_new.go
@@ -15,7 +15,7 @@
 	return "key new --out alice.key --role author --role reviewer"
 }
 
-func (c *keyNewCommand) run(_ context.Context, s *session) error {
+func (c *keyNewCommand) run(_ context.Context, s *invocation) error {
 	key, err := bundle.GenerateKey(s.Random)
 	if err != nil {
 		return err
--- a/cmd/request_cancel.go
+++ b/cmd/request_cancel.go
@@ -16,7 +16,7 @@
 	return "request cancel 7c0f --token-file token --entry 10.0.0.1:8080"
 }
 
-func (c *requestCancelCommand) run(ctx context.Context, s *session) error {
+func (c *requestCancelCommand) run(ctx context.Context, s *invocation) error {
 	cl, err := s.requestClient(c.requestArguments)
 	if err != nil {
 		return err
--- a/cmd/request_result.go
+++ b/cmd/request_result.go
@@ -15,7 +15,7 @@
 	return "request result 7c0f --token-file token --entry 10.0.0.1:8080 > answer"
 }
 
-func (c *requestResultCommand) run(ctx context.Context, s *session) error {
+func (c *requestResultCommand) run(ctx context.Context, s *invocation) error {
 	request, err := s.findRequest(ctx, c.requestArguments, c.ID)
 	if err != nil {
 		return err
--- a/cmd/request_show.go
+++ b/cmd/request_show.go
@@ -16,7 +16,7 @@
 	return "request show 7c0f --token-file token --entry 10.0.0.1:8080"
 }
 
-func (c *requestShowCommand) run(ctx context.Context, s *session) error {
+func (c *requestShowCommand) run(ctx context.Context, s *invocation) error {
 	request, err := s.findRequest(ctx, c.requestArguments, c.ID)
 	if err != nil {
 		return err
@@ -34,7 +34,7 @@
 	return nil
 }
 
-func (s *session) findRequest(ctx context.Context, a requestArguments, id string) (message.Request, error) {
+func (s *invocation) findRequest(ctx context.Context, a requestArguments, id string) (message.Request, error) {
 	var request message.Request
 	cl, err := s.requestClient(a)
 	if err != nil {
--- a/cmd/request_submit.go
+++ b/cmd/request_submit.go
@@ -22,7 +22,7 @@
 	TokenFile string `arg:"--token-file,required,env:CLEMENTINEPIER_TOKEN_FILE" placeholder:"FILE" help:"file with the organisation's token"`
 }
 
-func (s *session) requestClient(a requestArguments) (*client, error) {
+func (s *invocation) requestClient(a requestArguments) (*client, error) {
 	c, err := s.client(a.online)
 	if err != nil {
 		return nil, err
@@ -48,7 +48,7 @@
 	return "request submit --service provenance --accelerators 1 --payload photo.json --idempotent --token-file token --entry 10.0.0.1:8080"
 }
 
-func (c *requestSubmitCommand) run(ctx context.Context, s *session) error {
+func (c *requestSubmitCommand) run(ctx context.Context, s *invocation) error {
 	cl, err := s.requestClient(c.requestArguments)
 	if err != nil {
 		return err
@@ -102,7 +102,7 @@
 }
 
 // printOutcome prints an outcome, as JSON or as the plain answer, and returns the error that its exit code stands for.
-func (s *session) printOutcome(outcome job.Outcome, asJSON bool) error {
+func (s *invocation) printOutcome(outcome job.Outcome, asJSON bool) error {
 	if asJSON {
 		if err := s.printJSON(outcome); err != nil {
 			return err
--- a/cmd/settings_check.go
+++ b/cmd/settings_check.go
@@ -12,7 +12,7 @@
 
 func (*settingsCheckCommand) example() string { return "settings check settings.toml" }
 
-func (c *settingsCheckCommand) run(_ context.Context, s *session) error {
+func (c *settingsCheckCommand) run(_ context.Context, s *invocation) error {
 	loaded, err := settings.Load(c.File)
 	if err != nil {
 		return err
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -15,7 +15,7 @@
 }
 
 // run asks every entry VM named, not only the first that answers.
-func (c *statusCommand) run(ctx context.Context, s *session) error {
+func (c *statusCommand) run(ctx context.Context, s *invocation) error {
 	if _, err := s.client(c.online); err != nil {
 		return err
 	}
@@ -45,7 +45,7 @@
 	return failed
 }
 
-func (s *session) printStatus(status message.Status) {
+func (s *invocation) printStatus(status message.Status) {
 	state := "starts tasks"
 	switch {
 	case status.Stopping:
--- a/cmd/version.go
+++ b/cmd/version.go
@@ -11,7 +11,7 @@
 
 func (*versionCommand) example() string { return "version" }
 
-func (c *versionCommand) run(_ context.Context, s *session) error {
+func (c *versionCommand) run(_ context.Context, s *invocation) error {
 	version, revision := "unknown", "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		version = info.Main.Version
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -58,7 +58,7 @@
 	for ctx.Err() == nil {
 		sent := v.Clock.Now()
 		entry, err := v.Store.Watch(ctx, headKey, version, watchWait(v.Settings.FreshnessWindow()))
-		v.storeReachable.Store(err == nil)
+		v.noteStore(err)
 		if err != nil {
 			v.sleep(ctx, storeRetry)
 			continue
@@ -76,6 +76,20 @@
 	return min(maxWatchWait, window*numerator/denominator)
 }
 
+// noteStore records whether the store answers, and logs when that changes.
+func (v *VM) noteStore(err error) {
+	reachable := err == nil
+	if known := v.storeKnown.Swap(true); known && v.storeReachable.Load() == reachable {
+		return
+	}
+	v.storeReachable.Store(reachable)
+	if reachable {
+		klog.InfoS("The platform's key-value service answers")
+		return
+	}
+	klog.ErrorS(err, "The platform's key-value service does not answer; configuration changes and claims wait")
+}
+
 // storeRead applies a value of the store that was read by a call sent at the time given. A value that cannot be
 // decoded, or of which a part is refused, says nothing about how fresh the view is.
 func (v *VM) storeRead(ctx context.Context, sent time.Time, entry platform.Entry) (complete bool) {
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -83,8 +83,10 @@
 	drainEnd chan struct{}
 	// storeReachable tells whether the last call to the store brought a reply.
 	storeReachable atomic.Bool
-	anchors        anchorCache
-	rollouts       rollouts
+	// storeKnown is set once the store has been called.
+	storeKnown atomic.Bool
+	anchors    anchorCache
+	rollouts   rollouts
 	// limitWaits counts the requests that wait for a running limit; only the control goroutine touches it.
 	limitWaits map[quota.Key]int
 }
