--- a/bench/main.go
+++ b/bench/main.go
@@ -37,6 +37,7 @@
 		Seeds     int    `default:"3" help:"number of seeds, whose results are added up"`
 		Isolation bool   `help:"print only what the freshness windows give up when a region is cut off"`
 		Capacity  bool   `help:"print only how the decision cost grows with the number of workers"`
+		Fragments bool   `help:"print only what causes fragmentation under the chosen rules and under first fit"`
 	}
 	arg.MustParse(&args)
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
@@ -45,6 +46,11 @@
 		_ = out.Flush()
 		return
 	}
+	if args.Fragments {
+		fragmentTable(out, args.Seed, args.Seeds)
+		_ = out.Flush()
+		return
+	}
 	if !args.Capacity {
 		table(out, args.Seed, args.Seeds)
 	}
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -120,6 +120,10 @@
 	dirty      bool
 	busy       int // accelerators in service that run
 	stats      *stats
+	// excluded has the workers that are in quarantine.
+	excluded map[string]bool
+	// fragments, when set, counts the causes of fragmentation.
+	fragments *fragments
 }
 
 // stats is what a run has measured.
@@ -181,7 +185,7 @@
 		policy: p, scenario: s, bundle: b, cluster: placement.New(p.placement), queue: queue.New(p.queue),
 		random: rand.New(rand.NewPCG(seed, 2)), now: start, requests: map[job.Key]*request{}, running: map[job.Key]*running{},
 		out: map[string]bool{}, rackOf: map[string]string{}, bad: map[string]bool{}, failed: map[string]int{},
-		used: map[string]int{}, share: map[string]int{}, waiting: map[string]int{}, stats: newStats(len(b.Organisations)),
+		excluded: map[string]bool{}, used: map[string]int{}, share: map[string]int{}, waiting: map[string]int{}, stats: newStats(len(b.Organisations)),
 	}
 	index := 0
 	for _, d := range b.FailureDomains {
@@ -408,6 +412,7 @@
 func (m *simulation) happen(e event) {
 	if e.kind == workerProbe {
 		m.cluster.SetAvailable(e.worker, true)
+		delete(m.excluded, e.worker)
 		m.dirty = true
 		return
 	}
@@ -446,6 +451,7 @@
 	m.failed[run.bad]++
 	if n := m.failed[run.bad]; n >= failuresToExclude {
 		m.cluster.SetAvailable(run.bad, false)
+		m.excluded[run.bad] = true
 		m.after(min(maxQuarantine, quarantine<<min(10, n-failuresToExclude)), event{kind: workerProbe, worker: run.bad})
 	}
 	r.failures++
@@ -479,6 +485,7 @@
 
 // finish records the end of a request.
 func (m *simulation) finish(r *request, done bool) {
+	r.done = true
 	if r.impossible {
 		return
 	}
@@ -520,7 +527,7 @@
 		m.setAnchors()
 		m.recount()
 		if !m.scenario.early {
-			m.ramp = &placement.Ramp{Back: m.now, Window: 10 * time.Second, First: 5, Last: 50}
+			m.ramp = &placement.Ramp{Back: m.now, Window: rampWindow, First: 5, Last: 50}
 		}
 	default:
 		return
@@ -549,6 +556,9 @@
 	if passed%time.Second == 0 {
 		m.stats.fragmentation += m.cluster.Fragmentation(m.largest)
 		m.stats.samples++
+		if m.fragments != nil {
+			m.fragments.sample(m)
+		}
 	}
 	room := 0
 	for _, d := range m.bundle.FailureDomains {
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -89,6 +89,8 @@
 	attempt  int
 	failures int
 	started  bool
+	// done is true when the request has ended, in whatever way.
+	done bool
 	// inShare is true when the request fitted the unused guarantee of its organisation on arrival.
 	inShare bool
 }
