placement: fill the rack that has fewest whole workers

Small requests went to the tightest worker, also in racks that had almost a block. Change: after harm to the largest guaranteed shape, racks are compared by their whole free workers, fewest first.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -25,6 +25,8 @@
 	Harm int
 	// Borrowed is true when the tasks would be borrowers.
 	Borrowed bool
+	// Whole is the number of wholly free workers of the rack before placement.
+	Whole int
 	// Broken is the number of wholly free workers that would no longer be so and would keep free accelerators.
 	Broken int
 	// Foreign is the number of accelerators anchored for other organisations on the workers used.
@@ -61,14 +63,18 @@
 // FirstFitRack prefers the rack that comes first.
 func FirstFitRack(_, _ Candidate) bool { return false }
 
-// BestFitRack prefers few workers, little harm to what can serve the largest guaranteed shape, whole free workers kept
-// whole and the fullest rack; only then capacity that needs no borrowing, few foreign anchors and a tight fit.
+// BestFitRack prefers few workers, little harm to what can serve the largest guaranteed shape, the rack that has fewest
+// whole free workers, whole free workers kept whole and the fullest rack; only then capacity that needs no borrowing, few
+// foreign anchors and a tight fit. Whole workers of a rack with many are worth more than those of a rack with few, which
+// are far from a block for a gang.
 func BestFitRack(a, b Candidate) bool {
 	switch {
 	case a.Workers != b.Workers:
 		return a.Workers < b.Workers
 	case a.Harm != b.Harm:
 		return a.Harm < b.Harm
+	case a.Whole != b.Whole:
+		return a.Whole < b.Whole
 	case a.Broken != b.Broken:
 		return a.Broken < b.Broken
 	case a.RackFree != b.RackFree:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -11,6 +11,7 @@
 
 	"clementinepier/bundle"
 	"clementinepier/job"
+	"clementinepier/worker"
 )
 
 func domains(racks, workers int, names ...string) []bundle.FailureDomain {
@@ -96,6 +97,30 @@
 	is.True(p.Result == Placed && p.Anchored)
 }
 
+// Guards against spreading small requests over racks that have more whole workers left: the tight fit in the second rack
+// would keep a rack broken that could soon serve a gang.
+func TestSmallRequestsFillTheMostBrokenRack(t *testing.T) {
+	is := is.New(t)
+	c := New(Options{})
+	for _, rack := range []string{"broken", "whole"} {
+		for i := range 3 {
+			c.SetWorker(worker.Info{Name: fmt.Sprintf("%s-%d", rack, i), Rack: rack, Slots: 8, Accelerators: 8})
+		}
+	}
+	for i, held := range []struct {
+		worker       string
+		accelerators int
+	}{{"broken-0", 8}, {"broken-1", 8}, {"whole-0", 7}} {
+		is.True(c.Held(Allocation{
+			Task:   job.TaskID{Organisation: "p", RequestID: fmt.Sprint("held-", i), Attempt: 1},
+			Worker: held.worker, Accelerators: held.accelerators, Slots: held.accelerators,
+		}))
+	}
+	p := c.Plan(time.Time{}, need("p", "small", shape(1, 1), true), []string{"whole", "broken"})
+	is.Equal(p.Result, Placed)
+	is.Equal(p.Workers, []string{"broken-2"})
+}
+
 // Guards against a guaranteed request that becomes preemptible although its own anchor is free: borrowing would do less
 // harm to whole blocks here.
 func TestShareIsUsedBeforeBorrowing(t *testing.T) {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -141,15 +141,19 @@
 func (c *Cluster) candidate(n Need, r *rack, block []portion) Candidate {
 	task, large := perTask(n.Shape), perTask(c.largest)
 	free, before := 0, 0
+	candidate := Candidate{Rack: r.name, Workers: len(block)}
 	for _, w := range r.nodes {
 		if w.usable() {
 			room := w.free()
 			free += max(0, room.accelerators)
 			before += room.fits(large)
+			if room == w.capacity {
+				candidate.Whole++
+			}
 		}
 	}
 	after := before
-	candidate := Candidate{Rack: r.name, Workers: len(block), RackFree: free - n.Shape.TotalAccelerators()}
+	candidate.RackFree = free - n.Shape.TotalAccelerators()
 	for _, p := range block {
 		w := r.nodes[p.position]
 		room := w.free()
