--- /dev/null
+++ b/dispatch/configuration.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"clementinepier/board"
+	"clementinepier/placement"
+	"clementinepier/queue"
+)
+
+// SetConfiguration brings the anchors and the weights in line with the view. It is called by the control goroutine.
+func (d *Dispatcher) SetConfiguration(s *board.State) {
+	b := s.View.Bundle()
+	if b == nil {
+		return
+	}
+	d.anchors = placement.Anchors(b, s.View.IsOut)
+	s.Cluster.SetAnchors(d.anchors)
+	d.guaranteed, d.weights = map[string]int{}, map[string]int{}
+	for _, a := range d.anchors {
+		if s.Owned[a.Rack] {
+			d.guaranteed[a.Organisation] += a.Shape.TotalAccelerators()
+		}
+	}
+	for _, o := range b.Organisations {
+		d.weights[o.Name] = o.Weight
+	}
+}
+
+// everFitsElsewhere reports whether the bundle has a rack that could run the request.
+func (d *Dispatcher) everFitsElsewhere(s *board.State, r *run) bool {
+	return placement.EverFits(s.View.Bundle(), d.anchors, r.request.Organisation, r.request.Shape, r.request.Idempotent)
+}
+
+// usage returns what an organisation runs here and what its anchors guarantee it here.
+func (d *Dispatcher) usage(organisation string) queue.Usage {
+	return queue.Usage{
+		Running: d.running[organisation], Guaranteed: d.guaranteed[organisation], Weight: d.weights[organisation],
+	}
+}
+
+// share is the number of accelerators that an organisation can expect here: its unused anchors and what is free.
+func (d *Dispatcher) share(s *board.State, organisation string) int {
+	share := 0
+	for _, rack := range s.Cluster.Summaries() {
+		share += rack.FreeAccelerators
+		for _, u := range rack.Unused {
+			if u.Organisation == organisation {
+				share += u.Accelerators
+			}
+		}
+	}
+	return share + d.running[organisation]
+}
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -53,20 +53,6 @@
 	}
 }
 
-// share is the number of accelerators that an organisation can expect here: its unused anchors and what is free.
-func (d *Dispatcher) share(s *board.State, organisation string) int {
-	share := 0
-	for _, rack := range s.Cluster.Summaries() {
-		share += rack.FreeAccelerators
-		for _, u := range rack.Unused {
-			if u.Organisation == organisation {
-				share += u.Accelerators
-			}
-		}
-	}
-	return share + d.running[organisation]
-}
-
 // schedule places what can be placed now.
 func (d *Dispatcher) schedule(s *board.State) {
 	if s.Queue.Len() == 0 {
@@ -170,13 +156,6 @@
 	return racks
 }
 
-// usage returns what an organisation runs here and what its anchors guarantee it here.
-func (d *Dispatcher) usage(organisation string) queue.Usage {
-	return queue.Usage{
-		Running: d.running[organisation], Guaranteed: d.guaranteed[organisation], Weight: d.weights[organisation],
-	}
-}
-
 // place tries to place one run. It returns false when the run has to wait.
 func (d *Dispatcher) place(s *board.State, r *run, item queue.Item, racks []string) bool {
 	if d.awaitsAdoption(r.key()) {
@@ -246,11 +225,6 @@
 	return d.ramp.Allows(now)
 }
 
-// everFitsElsewhere reports whether the bundle has a rack that could run the request.
-func (d *Dispatcher) everFitsElsewhere(s *board.State, r *run) bool {
-	return placement.EverFits(s.View.Bundle(), d.anchors, r.request.Organisation, r.request.Shape, r.request.Idempotent)
-}
-
 // quarantined returns the workers that the breaker keeps the request off.
 func (d *Dispatcher) quarantined(s *board.State, now time.Time, r *run) []string {
 	var names []string
@@ -262,59 +236,6 @@
 	return names
 }
 
-// begin starts an attempt with the workers of a plan.
-func (d *Dispatcher) begin(s *board.State, r *run, plan placement.Plan) {
-	now := d.Clock.Now()
-	r.attempt++
-	r.preempting = false
-	r.phase, r.rack, r.workers, r.borrowed, r.nonce = phaseActive, plan.Rack, plan.Workers, plan.Borrowed, d.newNonce()
-	for member, name := range plan.Workers {
-		id := r.spec().ID
-		id.Member = member
-		s.Cluster.Held(placement.Allocation{
-			Task: id, Worker: name, Accelerators: r.request.Shape.Accelerators, Slots: r.request.Shape.Slots,
-			Idempotent: r.request.Idempotent, Borrowed: plan.Borrowed, Anchored: plan.Anchored, StartedAt: now, Checkpoint: now,
-		})
-	}
-	for _, name := range r.distinctWorkers() {
-		s.Breaker.Started(now, name, r.key())
-	}
-	d.running[r.request.Organisation] += accelerators(r)
-	r.placedAt = now
-	d.Metrics.Add(metrics.AttemptsStarted, 1)
-	r.gang = gang.New(d.gangOptions(s, r))
-	d.gangEvent(s, r, r.gang, gang.Tick{})
-}
-
-// gangOptions are evaluated by the control goroutine only, so they may read the state.
-func (d *Dispatcher) gangOptions(s *board.State, r *run) gang.Options {
-	return gang.Options{
-		Spec: r.spec(), Limits: d.Limits,
-		MayStart: func(now time.Time) (bool, job.Code) {
-			code := d.mayStart(s, now)
-			if code != job.CodeOK {
-				d.Metrics.Add(metrics.StartsHeldBack, 1)
-			}
-			return code == job.CodeOK, code
-		},
-	}
-}
-
-// release returns the capacity of the run's current attempt.
-func (d *Dispatcher) release(s *board.State, r *run) {
-	for member := range r.workers {
-		id := r.spec().ID
-		id.Member = member
-		s.Cluster.Released(id)
-	}
-	if !r.placedAt.IsZero() {
-		d.running[r.request.Organisation] -= accelerators(r)
-		r.placedAt = time.Time{}
-	}
-}
-
-func accelerators(r *run) int { return max(1, r.request.Shape.TotalAccelerators()) }
-
 // reclaim preempts the borrowers of a guaranteed shape.
 func (d *Dispatcher) reclaim(s *board.State, victims []job.Key) {
 	for _, key := range victims {
@@ -328,43 +249,6 @@
 	}
 }
 
-// SetConfiguration brings the anchors and the weights in line with the view. It is called by the control goroutine.
-func (d *Dispatcher) SetConfiguration(s *board.State) {
-	b := s.View.Bundle()
-	if b == nil {
-		return
-	}
-	d.anchors = placement.Anchors(b, s.View.IsOut)
-	s.Cluster.SetAnchors(d.anchors)
-	d.guaranteed, d.weights = map[string]int{}, map[string]int{}
-	for _, a := range d.anchors {
-		if s.Owned[a.Rack] {
-			d.guaranteed[a.Organisation] += a.Shape.TotalAccelerators()
-		}
-	}
-	for _, o := range b.Organisations {
-		d.weights[o.Name] = o.Weight
-	}
-}
-
-// acknowledge lets the workers of the last attempt drop its answer.
-func (d *Dispatcher) acknowledge(r *run) {
-	spec := r.spec()
-	_ = d.traffic(func() {
-		for member, name := range spec.Workers {
-			client, ok := d.Workers(name)
-			if !ok {
-				continue
-			}
-			id := spec.ID
-			id.Member = member
-			ctx, cancel := d.callContext()
-			_ = client.Acknowledge(ctx, []job.TaskID{id})
-			cancel()
-		}
-	})
-}
-
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // jitter needs no secure randomness
 }
--- a/job/outcome.go
+++ b/job/outcome.go
@@ -75,3 +75,9 @@
 func NewUnknown(key Key, code Code, detail string) Outcome {
 	return Outcome{Key: key, Result: Unknown, Code: code, Detail: detail}
 }
+
+// MayRunAgain reports whether a caller that asks again gets a new run instead of this outcome: nothing ran, or the
+// request may run any number of times.
+func (o Outcome) MayRunAgain(idempotent bool) bool {
+	return o.Result == NotRun || o.Result == Unknown && idempotent
+}
