--- a/scripts/path-cost.sh
+++ b/scripts/path-cost.sh
@@ -19,32 +19,7 @@
 readonly RECEIVER=127.0.0.1:$((BASE_PORT + 12))
 
 PROGRAM=bin/clementinepier
-declare -A PIDS=() # by name, of every process that this script started
-
-end_all() {
-  local name
-  trap - EXIT
-  for name in "${!PIDS[@]}"; do kill -s KILL "${PIDS[$name]}" 2>/dev/null || true; done
-}
-trap end_all EXIT
-trap 'exit 130' INT TERM
-
-start() { # NAME COMMAND...
-  local name=$1
-  shift
-  "$@" >"$OUT/$name.log" 2>&1 &
-  PIDS[$name]=$!
-}
-
-await_port() { # NAME ADDRESS
-  local tries
-  for ((tries = 0; tries < 100; tries++)); do
-    if (exec 3<>"/dev/tcp/${2%:*}/${2#*:}") 2>/dev/null; then return; fi
-    sleep 0.1
-  done
-  echo "$1 does not listen on $2" >&2
-  return 1
-}
+. scripts/processes.sh
 
 write_settings() { # NAME DOMAIN CALLERS-ADDRESS PEERS-ADDRESS
   cat >"$OUT/$1.toml" <<SETTINGS
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -24,46 +24,7 @@
 readonly ORGANISATIONS=(register club museum dealer)
 readonly SERVICES=(match restore reconcile)
 
-declare -A PIDS=() # by name, of every process that this script started and did not yet end
-
-say() { printf '%s %s\n' "$(date +%T)" "$*"; }
-
-# start NAME COMMAND... runs a process in the background with its output in a file.
-start() {
-  local name=$1
-  shift
-  "$@" >"$OUT/$name.log" 2>&1 &
-  PIDS[$name]=$!
-}
-
-# signal NAME SIGNAL sends a signal to one process that this script started.
-signal() { kill -s "$2" "${PIDS[$1]}" 2>/dev/null || true; }
-
-# await_end NAME waits until a process has ended and returns its exit status.
-await_end() {
-  local status=0
-  wait "${PIDS[$1]}" 2>/dev/null || status=$?
-  unset "PIDS[$1]"
-  return "$status"
-}
-
-end_all() {
-  local name tries
-  trap - EXIT
-  for name in "${!PIDS[@]}"; do signal "$name" TERM; done
-  for ((tries = 0; tries < 50; tries++)); do
-    for name in "${!PIDS[@]}"; do
-      kill -0 "${PIDS[$name]}" 2>/dev/null || unset "PIDS[$name]"
-    done
-    ((${#PIDS[@]} == 0)) && return
-    sleep 0.1
-  done
-  for name in "${!PIDS[@]}"; do signal "$name" KILL; done
-}
-trap end_all EXIT
-trap 'exit 130' INT TERM
-
-listens() { (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; }
+. scripts/processes.sh
 
 # check_ports fails if another process has one of the ports, which would take calls meant for this trial.
 check_ports() {
@@ -81,19 +42,6 @@
   done
 }
 
-# await_port NAME ADDRESS waits until a process listens, and fails if it ends first.
-await_port() {
-  local tries
-  for ((tries = 0; tries < 100; tries++)); do
-    if ! kill -0 "${PIDS[$1]}" 2>/dev/null; then break; fi
-    if listens "$2"; then return; fi
-    sleep 0.1
-  done
-  say "$1 does not listen on $2; the end of $OUT/$1.log:"
-  tail -n 5 "$OUT/$1.log"
-  return 1
-}
-
 platform_call() { bin/standin call "$PLATFORM" "$@" >/dev/null; }
 
 domain_of_entry() { echo "${DOMAINS[$((($1 - 1) / ENTRIES_PER_DOMAIN))]}"; }
