Let settlements travel with claims

Cause: the record of an attempt's end took a write of its own, and the next claim of the shard waited for the interval of 50 ms between two writes.

TestSettlementTravelsWithClaim fails without the change.

--- a/claim/book.go
+++ b/claim/book.go
@@ -17,6 +17,9 @@
 	// decide returns the record to write over the current one (nil if there is none), nil if nothing is left to
 	// write, or why the change is not allowed. It is asked again whenever the shard was read again.
 	decide func(current *Record) (*Record, error)
+	// notBefore is the earliest time at which the change leads to a call of its own; a call for another change of the
+	// shard takes it along before that.
+	notBefore time.Time
 	// resolve is called once with the result.
 	resolve  func(error)
 	resolved bool
@@ -103,7 +106,7 @@
 		if s.busy || len(s.pending) == 0 {
 			continue
 		}
-		if !now.Before(s.next) {
+		if !now.Before(s.start()) {
 			if c, ok := b.call(i, now); ok {
 				s.busy = true
 				calls = append(calls, c)
@@ -111,13 +114,30 @@
 			}
 			s.dropResolved()
 		}
-		if len(s.pending) > 0 && (wake.IsZero() || s.next.Before(wake)) {
-			wake = s.next
+		if start := s.start(); len(s.pending) > 0 && (wake.IsZero() || start.Before(wake)) {
+			wake = start
 		}
 	}
 	return calls, wake
 }
 
+// start returns the earliest time of the next call: that of the pending change that waits the least.
+func (s *shard) start() time.Time {
+	if len(s.pending) == 0 {
+		return s.next
+	}
+	earliest := s.pending[0].notBefore
+	for _, c := range s.pending[1:] {
+		if c.notBefore.Before(earliest) {
+			earliest = c.notBefore
+		}
+	}
+	if earliest.Before(s.next) {
+		return s.next
+	}
+	return earliest
+}
+
 func (s *shard) dropResolved() {
 	kept := s.pending[:0]
 	for _, c := range s.pending {
--- a/claim/book_test.go
+++ b/claim/book_test.go
@@ -329,6 +329,32 @@
 	is.New(t).Equal(r.store.writes, 2)
 }
 
+// Guards against settlements that take writes of their own while claims are made, and against one that is never written.
+func TestSettlementTravelsWithClaim(t *testing.T) {
+	is := is.New(t)
+	b := NewLedger(platform.Store{}, nil).book()
+	now := time.Unix(1000, 0)
+	first, second := testKey(0), testKey(1)
+	for i := 2; shardOf(second) != shardOf(first); i++ {
+		second = testKey(i)
+	}
+	s := &b.shards[shardOf(first)]
+	s.known, s.view = true, view{records: map[job.Key]entry{}}
+	add := func(key job.Key, wait time.Duration) {
+		b.submit(&change{key: key, notBefore: now.Add(wait), resolve: func(error) {}, decide: func(*Record) (*Record, error) {
+			return &Record{Key: key, Attempt: 1}, nil
+		}})
+	}
+	add(first, time.Second)
+	calls, wake := b.due(now)
+	is.Equal(len(calls), 0)
+	is.Equal(wake, now.Add(time.Second)) // it is not forgotten
+	add(second, 0)
+	calls, _ = b.due(now)
+	is.Equal(len(calls), 1)
+	is.Equal(len(calls[0].verdicts), 2) // the settlement travels with the claim
+}
+
 // fixedClock only tells the time.
 type fixedClock struct {
 	clockwork.Clock
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -39,6 +39,8 @@
 	// MaxValue is the largest value, in bytes, that a new claim may lead to.
 	MaxValue    int
 	CallTimeout time.Duration
+	// SettleDelay is how long SettleEventually may wait for a claim of the same shard; 0 makes it the same as Settle.
+	SettleDelay time.Duration
 	// NewBackOff returns the pauses after failed calls and version conflicts.
 	NewBackOff func() backoff.BackOff
 
@@ -77,7 +79,9 @@
 		// Every shard can have a reply without a reader when Run ends.
 		landed: make(chan reply, Shards), done: make(chan struct{}),
 	}
-	l.Do = l.queue
+	l.Do = func(ctx context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
+		return l.queue(ctx, key, time.Time{}, decide)
+	}
 	return l
 }
 
@@ -158,9 +162,9 @@
 }
 
 // queue hands a change to Run and waits for its result.
-func (l *Ledger) queue(ctx context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
+func (l *Ledger) queue(ctx context.Context, key job.Key, notBefore time.Time, decide func(*Record) (*Record, error)) error {
 	result := make(chan error, 1)
-	c := &change{key: key, decide: decide, resolve: func(err error) { result <- err }}
+	c := &change{key: key, decide: decide, notBefore: notBefore, resolve: func(err error) { result <- err }}
 	select {
 	case l.submitted <- c:
 	case <-ctx.Done():
@@ -221,8 +225,23 @@
 // Settle records how an attempt ended. A record that was settled as unknown may become done; no other settled record
 // changes. It returns *ErrConflict, *ErrClaimNotExist or *ErrStoreUnavailable.
 func (l *Ledger) Settle(ctx context.Context, key job.Key, attempt int, state RecordState) error {
+	return l.Do(ctx, key, settlement(key, attempt, state, l.now()))
+}
+
+// SettleEventually is Settle for a caller that waits for nothing: the change waits for up to SettleDelay to travel with a
+// claim, so that it takes no write of its own and does not make a claim wait for the interval between two writes.
+// Meanwhile a retry of the request finds the attempt through its workers.
+func (l *Ledger) SettleEventually(ctx context.Context, key job.Key, attempt int, state RecordState) error {
+	if l.SettleDelay == 0 {
+		return l.Settle(ctx, key, attempt, state)
+	}
 	now := l.now()
-	return l.Do(ctx, key, func(current *Record) (*Record, error) {
+	return l.queue(ctx, key, now.Add(l.SettleDelay), settlement(key, attempt, state, now))
+}
+
+// settlement returns the decision that records how an attempt ended.
+func settlement(key job.Key, attempt int, state RecordState, now time.Time) func(*Record) (*Record, error) {
+	return func(current *Record) (*Record, error) {
 		switch {
 		case current == nil:
 			return nil, &ErrClaimNotExist{Key: key}
@@ -234,7 +253,7 @@
 			return &next, nil
 		}
 		return nil, &ErrConflict{Existing: *current}
-	})
+	}
 }
 
 // Get reads the record of a request from the store.
--- a/dispatch/claims.go
+++ b/dispatch/claims.go
@@ -208,7 +208,7 @@
 	d.spawn(func() {
 		ctx, cancel := d.timeout(d.ctx, settleTimeout)
 		defer cancel()
-		if err := d.Ledger.Settle(ctx, key, attempt, state); err != nil {
+		if err := d.Ledger.SettleEventually(ctx, key, attempt, state); err != nil {
 			d.Metrics.Add(metrics.ClaimsFailed, 1)
 		}
 	})
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -47,6 +47,9 @@
 	peersWriteTimeout  = 10 * time.Second
 	peersMaxHeaderSize = 16 << 10
 	bootIDBytes        = 8
+	// settleDelay is several claim intervals, so that under load settlements travel with claims, and short enough that
+	// few are lost with the process.
+	settleDelay = 500 * time.Millisecond
 	// settleParallel bounds the workers asked at a time about one claim.
 	settleParallel = 16
 )
@@ -157,6 +160,7 @@
 	v.buildHub()
 	v.ledger = claim.NewLedger(v.Store, v.Clock)
 	v.ledger.MinInterval = v.Settings.ClaimInterval()
+	v.ledger.SettleDelay = settleDelay
 	v.buildDispatcher()
 	v.router = &router.Router{
 		Self: v.self.VM, Clock: v.Clock, Metrics: v.Metrics, Tracer: v.Tracer, Owners: v.owners.Load,
