--- /dev/null
+++ b/api/fuzz_test.go
@@ -0,0 +1,32 @@
+package api
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"clementinepier/bundle"
+	"clementinepier/job"
+	"clementinepier/message"
+)
+
+// Guards against a body that stops the process, and against a request whose digest is not that of its own retry.
+func FuzzBodies(f *testing.F) {
+	f.Add([]byte(`{"id":"a","service":"s","shape":{"tasks":1,"slots":1},"payload":"AA==","timeout":"1s"}`))
+	f.Add([]byte(`{"order":{"failure-domain":"d","state":"out","sequence":1,"change-id":"c"}}`))
+	f.Add([]byte(`{"source":"cmV2aXNpb24gPSAx","change-id":"c","based-on":1}`))
+	f.Add([]byte(`{"timeout":"999999999h"} x`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var order bundle.SignedOrder
+		_ = decodeStrict(data, &order)
+		var change message.BundleChange
+		_ = decodeStrict(data, &change)
+		var req job.Request
+		if decodeStrict(data, &req) != nil {
+			return
+		}
+		digest := digestOf(req)
+		req.Timeout++
+		is.New(t).Equal(digestOf(req), digest)
+	})
+}
