--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -9,7 +9,8 @@
 // Guards against bytes of another process that stop this one: frames and hellos are decoded before anything else.
 func FuzzFrame(f *testing.F) {
 	for _, v := range []any{
-		frame{ID: 1, Kind: KindRun, Body: cbor.RawMessage{0xa0}}, frame{ID: 1, Reply: true, Detail: "x"},
+		frame{ID: 1, Kind: KindRun, Body: cbor.RawMessage{0xa0}},
+		frame{ID: 1, Reply: true, Detail: "x"},
 		hello{Identity: Identity{VM: "a"}, Nonce: make([]byte, nonceSize)},
 	} {
 		data, err := cbor.Marshal(v)
