Tell callers at once when every owner is overloaded

Cause: a receiver asked the owners again and again until the deadline although each had refused because the request would wait too long, so that the refusal came late. TestOverloadIsToldAtOnce failed before (the answer came at the deadline, with the retry time of the last owner).

--- a/router/router.go
+++ b/router/router.go
@@ -84,6 +84,10 @@
 	lostAt time.Time
 	// excluded owners are not asked again before every other one was.
 	excluded map[string]bool
+	// overloaded counts the excluded owners that refused because the request would wait longer than its timeout, and
+	// soonest is the least of the times after which they want to be asked again.
+	overloaded int
+	soonest    job.Duration
 	// last is the latest outcome that an owner gave.
 	last job.Outcome
 }
@@ -96,6 +100,9 @@
 	}
 	for ctx.Err() == nil && r.Clock.Now().Before(a.deadline) {
 		owner, wait := r.next(ctx, a)
+		if owner == "" && wait == 0 {
+			return job.NewNotRun(req.Key(), job.CodeOverloaded, a.last.Detail, a.soonest)
+		}
 		if owner == "" {
 			r.pause(ctx, wait)
 			continue
@@ -113,7 +120,7 @@
 	return a.conclude(ctx)
 }
 
-// next picks the owner to ask, or says how long to wait. When an owner was lost that may have started the request, the
+// next picks the owner to ask, or says how long to wait; 0 when every owner has refused because of its load. When an owner was lost that may have started the request, the
 // owner that has adopted it is preferred, because any other would do the work again.
 func (r *Router) next(ctx context.Context, a *attempt) (vm string, wait time.Duration) {
 	if a.maybeRan && r.Clock.Since(a.lostAt) < takeoverTime {
@@ -125,11 +132,20 @@
 		}
 	}
 	vm, ok := r.picker.pick(r.Owners(), a.req, a.excluded)
-	if !ok {
-		a.excluded = map[string]bool{}
-		return "", repickDelay
+	if ok {
+		return vm, 0
+	}
+	if a.everyOwnerOverloaded() {
+		return "", 0
 	}
-	return vm, 0
+	a.excluded, a.overloaded, a.soonest = map[string]bool{}, 0, 0
+	return "", repickDelay
+}
+
+// everyOwnerOverloaded reports whether every owner has refused in this round because of its load. The caller is told at
+// once then, because a late answer would be of no use to it.
+func (a *attempt) everyOwnerOverloaded() bool {
+	return a.overloaded > 0 && a.overloaded == len(a.excluded) && !a.maybeRan
 }
 
 // try sends the request to one owner. It returns true when the outcome is final.
@@ -192,6 +208,12 @@
 	case job.CodeOwnerLost, job.CodeStopping, job.CodeNoRack, job.CodeViewNotFresh, job.CodeDomainOut, job.CodeOverloaded,
 		job.CodeNoConfiguration:
 		a.excluded[owner] = true
+		if outcome.Code == job.CodeOverloaded {
+			a.overloaded++
+			if a.soonest == 0 || outcome.RetryAfter < a.soonest {
+				a.soonest = outcome.RetryAfter
+			}
+		}
 		r.Metrics.Add(metrics.RequestsRerouted, 1)
 		return job.Outcome{}, false
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -276,3 +276,30 @@
 	_, err = r.Lookup(context.Background(), request.Key())
 	is.True(err != nil) // nobody knows whether a has it
 }
+
+// Guards against a caller that hears only at its deadline what every owner has said at once: that it would wait too long.
+func TestOverloadIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	overloaded := func(retry time.Duration) func() (job.Outcome, error) {
+		return func() (job.Outcome, error) {
+			return job.NewNotRun(request.Key(), job.CodeOverloaded, "", job.Duration(retry)), nil
+		}
+	}
+	r.script("a", overloaded(9*time.Second))
+	r.script("b", overloaded(4*time.Second))
+	r.script("self", overloaded(6*time.Second))
+	began := r.clock.Now()
+	outcome := r.Run(context.Background(), request, "digest")
+	is.Equal(outcome.Result, job.NotRun)
+	is.Equal(outcome.Code, job.CodeOverloaded)
+	is.Equal(outcome.RetryAfter.Std(), 4*time.Second) // the owner that is free first
+	is.Equal(len(r.asked), 3)
+	is.Equal(r.clock.Since(began), time.Duration(0))
+
+	r = newRig(t) // one owner cannot be asked now, so the request waits for it
+	r.script("a", overloaded(9*time.Second))
+	r.script("b", overloaded(4*time.Second))
+	r.script("self", notRun(job.CodeViewNotFresh), done)
+	is.Equal(r.Run(context.Background(), request, "digest").Result, job.Done)
+}
