bench: let running tasks finish when a failure domain goes out, as the rack owner does

Cause: the bench stopped and requeued the idempotent tasks of the domain, which the product does not do, so its figures for a domain change were those of another policy. Evacuation is now a column of its own.

--- a/bench/main.go
+++ b/bench/main.go
@@ -27,6 +27,7 @@
 		{name: "strict arrival", strict: true, queue: queue.Options{
 			Before: func(_, _ queue.Usage) int { return 0 }, ItemBefore: byArrival,
 		}},
+		{name: "evacuating", evacuate: true},
 		{name: "no reservation", placement: placement.Options{Reserves: func(placement.Need, int) bool { return false }}},
 	}
 }
--- a/bench/sim.go
+++ b/bench/sim.go
@@ -47,6 +47,9 @@
 	queue     queue.Options
 	// strict stops a pass at the first request that has to wait.
 	strict bool
+	// evacuate stops the idempotent requests of a failure domain that goes out and queues them elsewhere. Otherwise
+	// they run to their end, as the rack owner does it.
+	evacuate bool
 }
 
 type eventKind int
@@ -521,7 +524,9 @@
 		for _, r := range d.Racks {
 			racks = append(racks, r.Name)
 		}
-		m.preempt(m.cluster.EvacuationPlan(m.now, racks).Requeue)
+		if m.policy.evacuate {
+			m.preempt(m.cluster.EvacuationPlan(m.now, racks).Requeue)
+		}
 	case m.scenario.back:
 		delete(m.out, d.Name)
 		m.setAnchors()
