--- a/api/api.go
+++ b/api/api.go
@@ -59,11 +59,11 @@
 	EverFits func(req job.Request) bool
 	// VerifyRead checks the Authorization header of a call that reads what only operators may see.
 	VerifyRead func(path, authorization string) error
-	// Submit takes a request in hand. A second call for the same request returns the same submission. The code is set
+	// Submit takes a request in flight. A second call for the same request returns the same submission. The code is set
 	// when the request is refused.
 	Submit func(ctx context.Context, req job.Request, digest string) (Submission, job.Outcome)
-	// Keep writes a request in hand into the store, so that it survives this process; it reports whether it did.
-	Keep func(ctx context.Context, key job.Key) bool
+	// Persist writes a request in flight into the store, so that it survives this process; it reports whether it did.
+	Persist func(ctx context.Context, key job.Key) bool
 	// Find returns what the entry VMs know of a request.
 	Find func(ctx context.Context, key job.Key) (message.Request, bool, error)
 	// Cancel reports whether the request is known to have been stopped before its start.
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -127,7 +127,7 @@
 	f.API = &api.API{
 		Clock: clockwork.NewFakeClockAt(now), Tracer: tracer, View: f.view,
 		EverFits: func(r job.Request) bool { return r.Shape.TotalAccelerators() <= 4 },
-		Submit:   f.submit, Keep: func(context.Context, job.Key) bool { return f.kept },
+		Submit:   f.submit, Persist: func(context.Context, job.Key) bool { return f.kept },
 		Find: f.find, Cancel: f.cancel, Roll: f.roll, Order: f.order, Change: f.change,
 		VerifyRead: func(path, authorization string) error {
 			proof, err := bundle.ParseReadProof(authorization)
--- a/api/requests.go
+++ b/api/requests.go
@@ -90,7 +90,7 @@
 	}
 	span.End("")
 	c.JSON(http.StatusAccepted, message.Request{
-		Key: req.Key(), State: message.RequestRunning, Durable: a.Keep(ctx, req.Key()),
+		Key: req.Key(), State: message.RequestRunning, Durable: a.Persist(ctx, req.Key()),
 	})
 }
 
--- a/claim/book.go
+++ b/claim/committer.go
@@ -69,8 +69,8 @@
 	backoff backoff.BackOff
 }
 
-// book is the control state of a ledger: pure, serialised by its caller.
-type book struct {
+// committer is the control state of a ledger: pure, serialised by its caller.
+type committer struct {
 	shards      [Shards]shard
 	minInterval time.Duration
 	retention   time.Duration
@@ -79,7 +79,7 @@
 }
 
 // submit adds a change; due returns the call that it leads to.
-func (b *book) submit(c *change) {
+func (b *committer) submit(c *change) {
 	s := &b.shards[shardOf(c.key)]
 	s.pending = append(s.pending, c)
 	// The view was read before this change was asked for.
@@ -87,7 +87,7 @@
 }
 
 // withdraw resolves a change whose caller has given up.
-func (b *book) withdraw(c *change, cause error) {
+func (b *committer) withdraw(c *change, cause error) {
 	if c.resolved {
 		return
 	}
@@ -99,7 +99,7 @@
 }
 
 // due returns the calls to make now, and when to ask again (zero: only after the next event).
-func (b *book) due(now time.Time) (calls []call, wake time.Time) {
+func (b *committer) due(now time.Time) (calls []call, wake time.Time) {
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.dropResolved()
@@ -150,7 +150,7 @@
 }
 
 // call returns the next call of a shard, or false if its changes were resolved without one.
-func (b *book) call(index int, now time.Time) (call, bool) {
+func (b *committer) call(index int, now time.Time) (call, bool) {
 	s := &b.shards[index]
 	if !s.known {
 		return call{shard: index}, true
@@ -184,7 +184,7 @@
 }
 
 // apply makes the first change of each record on next and returns the results, and whether anything is to be written.
-func (b *book) apply(index int, next *view, changes []*change) (verdicts []verdict, dirty bool) {
+func (b *committer) apply(index int, next *view, changes []*change) (verdicts []verdict, dirty bool) {
 	touched := map[job.Key]bool{}
 	for _, c := range changes {
 		// One change of a record per version, so that a claim is not confirmed by a version in which it is settled.
@@ -228,7 +228,7 @@
 }
 
 // readReply handles the reply to a read.
-func (b *book) readReply(now time.Time, c call, e platform.Entry, err error) {
+func (b *committer) readReply(now time.Time, c call, e platform.Entry, err error) {
 	s := &b.shards[c.shard]
 	s.busy = false
 	var v view
@@ -258,7 +258,7 @@
 }
 
 // writeReply handles the reply to a compare-and-swap.
-func (b *book) writeReply(now time.Time, c call, version uint64, err error) {
+func (b *committer) writeReply(now time.Time, c call, version uint64, err error) {
 	s := &b.shards[c.shard]
 	s.busy, s.writing = false, nil
 	if err == nil {
@@ -283,7 +283,7 @@
 }
 
 // failed delays the next call of a shard.
-func (b *book) failed(s *shard, now time.Time, err error) {
+func (b *committer) failed(s *shard, now time.Time, err error) {
 	if s.backoff == nil {
 		s.backoff = b.newBackOff()
 	}
--- a/claim/book_test.go
+++ b/claim/committer_test.go
@@ -73,13 +73,13 @@
 	}
 }
 
-// bookRun drives books of several owners against one store whose replies are lost or late.
-type bookRun struct {
-	t     failer
-	now   time.Time
-	store *values
-	books []*book
-	// ledgers only make the changes; their do submits to the book.
+// committerRun drives committers of several owners against one store whose replies are lost or late.
+type committerRun struct {
+	t          failer
+	now        time.Time
+	store      *values
+	committers []*committer
+	// ledgers only make the changes; their do submits to the committer.
 	ledgers []*Ledger
 	flights []flight
 	late    []call
@@ -103,8 +103,8 @@
 	Fatalf(format string, args ...any)
 }
 
-func newBookRun(t failer, owners int) *bookRun {
-	r := &bookRun{
+func newCommitterRun(t failer, owners int) *committerRun {
+	r := &committerRun{
 		t: t, now: time.Unix(1000, 0), store: newValues(), open: map[*change]bool{}, written: map[string]bool{},
 		refused: map[string]bool{}, claimed: map[string]int{}, previous: map[job.Key]Record{}, lastWrite: map[string]time.Time{},
 	}
@@ -112,13 +112,13 @@
 	for range owners {
 		l := NewLedger(platform.Store{}, nil)
 		l.NewBackOff = constantBackOff
-		r.books, r.ledgers = append(r.books, l.book()), append(r.ledgers, l)
+		r.committers, r.ledgers = append(r.committers, l.committer()), append(r.ledgers, l)
 	}
 	return r
 }
 
 // check compares every version of the store with the one before, by rules stated again here.
-func (r *bookRun) check(shard string, value []byte) {
+func (r *committerRun) check(shard string, value []byte) {
 	v, err := decode(1, value)
 	if err != nil {
 		r.t.Fatal(err)
@@ -144,14 +144,14 @@
 }
 
 // submit starts a change as the given owner; f calls the ledger.
-func (r *bookRun) submit(owner int, f func(l *Ledger) error, done func(error)) {
+func (r *committerRun) submit(owner int, f func(l *Ledger) error, done func(error)) {
 	l := *r.ledgers[owner]
 	l.Clock = fixedClock{now: r.now}
 	l.Do = func(_ context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
 		c := &change{key: key, decide: decide}
 		c.resolve = func(err error) { delete(r.open, c); done(err) }
 		r.open[c] = true
-		r.books[owner].submit(c)
+		r.committers[owner].submit(c)
 		return nil
 	}
 	if err := f(&l); err != nil {
@@ -159,7 +159,7 @@
 	}
 }
 
-func (r *bookRun) claim(owner, key, attempt int) {
+func (r *committerRun) claim(owner, key, attempt int) {
 	r.nonces++
 	rec := Record{Key: testKey(key), Attempt: 1, Owner: fmt.Sprint(owner), Nonce: fmt.Sprint("n", r.nonces)}
 	r.submit(owner, func(l *Ledger) error {
@@ -187,14 +187,14 @@
 	})
 }
 
-func (r *bookRun) settle(owner, key, attempt int, state RecordState) {
+func (r *committerRun) settle(owner, key, attempt int, state RecordState) {
 	r.submit(owner, func(l *Ledger) error {
 		return l.Settle(context.Background(), testKey(key), attempt, state)
 	}, func(error) {})
 }
 
-func (r *bookRun) pump() {
-	for i, b := range r.books {
+func (r *committerRun) pump() {
+	for i, b := range r.committers {
 		calls, _ := b.due(r.now)
 		for _, c := range calls {
 			for _, f := range r.flights {
@@ -214,7 +214,7 @@
 }
 
 // deliver ends the i-th flight: "ok", "dropped", "reply lost", "late" (takes effect at a later time) or "down".
-func (r *bookRun) deliver(i int, fate string) {
+func (r *committerRun) deliver(i int, fate string) {
 	f := r.flights[i]
 	r.flights = append(r.flights[:i], r.flights[i+1:]...)
 	key := shardKey(f.call.shard)
@@ -229,13 +229,13 @@
 	case fate == "late" && f.call.write:
 		r.late = append(r.late, f.call)
 	}
-	r.books[f.owner].land(r.now, out)
+	r.committers[f.owner].handleReply(r.now, out)
 }
 
-func (r *bookRun) pass(d time.Duration) { r.now = r.now.Add(d) }
+func (r *committerRun) pass(d time.Duration) { r.now = r.now.Add(d) }
 
 // settleAll lets every call succeed until no change is open.
-func (r *bookRun) settleAll() {
+func (r *committerRun) settleAll() {
 	for range 1000 {
 		r.pump()
 		if len(r.flights) == 0 {
@@ -251,9 +251,9 @@
 }
 
 // Guards against double claims, records lost in merges and false reports after lost, late and failed writes.
-func TestBooks(t *testing.T) {
+func TestCommitters(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := newBookRun(t, 3)
+		r := newCommitterRun(t, 3)
 		owner, key := rapid.IntRange(0, 2), rapid.IntRange(0, 2)
 		attempt := rapid.IntRange(1, 3)
 		t.Repeat(map[string]func(*rapid.T){
@@ -279,7 +279,7 @@
 				_, _ = r.store.swap(shardKey(c.shard), c.value, c.version)
 			},
 			"withdraw": func(t *rapid.T) {
-				b := r.books[owner.Draw(t, "owner")]
+				b := r.committers[owner.Draw(t, "owner")]
 				for i := range b.shards {
 					for _, c := range b.shards[i].pending {
 						b.withdraw(c, context.Canceled)
@@ -298,20 +298,20 @@
 	})
 }
 
-// Guards against claims that are withdrawn and reported as not written although they are, or still can be. TestBooks
+// Guards against claims that are withdrawn and reported as not written although they are, or still can be. TestCommitters
 // found the first case: it is withdrawn between the second read and the second write.
 func TestWithdrawnClaims(t *testing.T) {
 	cases := [][]string{{"ok", "reply lost", "ok"}, {"ok", "late", "ok", "down"}, {"ok", "late", "dropped"}, {"ok", "reply lost"}, {"ok", "down"}}
 	for _, fates := range cases {
-		r := newBookRun(t, 1)
+		r := newCommitterRun(t, 1)
 		r.claim(0, 0, 1)
 		for _, fate := range fates {
 			r.pump()
 			r.deliver(0, fate)
 			r.pass(DefaultMinInterval)
 		}
-		for _, c := range r.books[0].shards[0].pending {
-			r.books[0].withdraw(c, context.Canceled)
+		for _, c := range r.committers[0].shards[0].pending {
+			r.committers[0].withdraw(c, context.Canceled)
 		}
 		for _, c := range r.late {
 			_, _ = r.store.swap(shardKey(c.shard), c.value, c.version)
@@ -319,10 +319,10 @@
 	}
 }
 
-// Guards against the fault that TestBooks found: a claim and its settling in one write, so that the claim was confirmed
+// Guards against the fault that TestCommitters found: a claim and its settling in one write, so that the claim was confirmed
 // by a version in which it was settled already.
 func TestClaimAndSettleTogether(t *testing.T) {
-	r := newBookRun(t, 1)
+	r := newCommitterRun(t, 1)
 	r.claim(0, 0, 1)
 	r.settle(0, 0, 1, StateNotRun)
 	r.settleAll()
@@ -332,7 +332,7 @@
 // Guards against settlements that take writes of their own while claims are made, and against one that is never written.
 func TestSettlementTravelsWithClaim(t *testing.T) {
 	is := is.New(t)
-	b := NewLedger(platform.Store{}, nil).book()
+	b := NewLedger(platform.Store{}, nil).committer()
 	now := time.Unix(1000, 0)
 	first, second := testKey(0), testKey(1)
 	for i := 2; shardOf(second) != shardOf(first); i++ {
@@ -366,9 +366,9 @@
 // Guards against a full shard that loses records or can no longer be settled, and against settled records kept forever.
 func TestFullAndExpired(t *testing.T) {
 	is := is.New(t)
-	r := newBookRun(t, 1)
+	r := newCommitterRun(t, 1)
 	r.store.onWrite = nil
-	r.books[0].maxValue = 2000
+	r.committers[0].maxValue = 2000
 	full, ok := 0, 0
 	var keys []job.Key
 	for i := 0; len(keys) < 40; i++ {
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -46,7 +46,7 @@
 
 	submitted chan *change
 	withdrawn chan withdrawal
-	landed    chan reply
+	replies   chan reply
 	done      chan struct{}
 	// Do makes a change and returns its result. NewLedger sets it to the queue that Run works on; tests replace it to
 	// drive a ledger without goroutines.
@@ -77,7 +77,7 @@
 		},
 		submitted: make(chan *change), withdrawn: make(chan withdrawal),
 		// Every shard can have a reply without a reader when Run ends.
-		landed: make(chan reply, Shards), done: make(chan struct{}),
+		replies: make(chan reply, Shards), done: make(chan struct{}),
 	}
 	l.Do = func(ctx context.Context, key job.Key, decide func(*Record) (*Record, error)) error {
 		return l.queue(ctx, key, time.Time{}, decide)
@@ -85,8 +85,8 @@
 	return l
 }
 
-func (l *Ledger) book() *book {
-	return &book{minInterval: l.MinInterval, retention: l.Retention, maxValue: l.MaxValue, newBackOff: l.NewBackOff}
+func (l *Ledger) committer() *committer {
+	return &committer{minInterval: l.MinInterval, retention: l.Retention, maxValue: l.MaxValue, newBackOff: l.NewBackOff}
 }
 
 // Done is closed when Run has ended; changes fail from then on.
@@ -95,13 +95,13 @@
 // Run makes the changes that are submitted until ctx ends. It returns when no call is in flight.
 func (l *Ledger) Run(ctx context.Context) {
 	defer close(l.done)
-	b := l.book()
-	flying := 0
+	b := l.committer()
+	inFlight := 0
 	for {
 		calls, wake := b.due(l.Clock.Now())
 		for _, c := range calls {
-			flying++
-			go l.fly(ctx, c)
+			inFlight++
+			go l.send(ctx, c)
 		}
 		var timer clockwork.Timer
 		var fired <-chan time.Time
@@ -114,14 +114,14 @@
 			b.submit(c)
 		case w := <-l.withdrawn:
 			b.withdraw(w.change, w.cause)
-		case r := <-l.landed:
-			flying--
-			b.land(l.Clock.Now(), r)
+		case r := <-l.replies:
+			inFlight--
+			b.handleReply(l.Clock.Now(), r)
 		case <-fired:
 		case <-ctx.Done():
 			b.close()
-			for ; flying > 0; flying-- {
-				<-l.landed
+			for ; inFlight > 0; inFlight-- {
+				<-l.replies
 			}
 			return
 		}
@@ -131,8 +131,8 @@
 	}
 }
 
-// fly makes one call of the store and reports its end on the channel landed.
-func (l *Ledger) fly(ctx context.Context, c call) {
+// send makes one call of the store and reports its end on the channel replies.
+func (l *Ledger) send(ctx context.Context, c call) {
 	ctx, cancel := clockwork.WithTimeout(ctx, l.Clock, l.CallTimeout)
 	defer cancel()
 	r := reply{call: c}
@@ -141,10 +141,10 @@
 	} else {
 		r.entry, r.err = l.Store.Get(ctx, shardKey(c.shard))
 	}
-	l.landed <- r
+	l.replies <- r
 }
 
-func (b *book) land(now time.Time, r reply) {
+func (b *committer) handleReply(now time.Time, r reply) {
 	if r.call.write {
 		b.writeReply(now, r.call, r.version, r.err)
 	} else {
@@ -153,7 +153,7 @@
 }
 
 // close resolves every pending change.
-func (b *book) close() {
+func (b *committer) close() {
 	for i := range b.shards {
 		for _, c := range b.shards[i].pending {
 			b.withdraw(c, errClosed)
--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -89,7 +89,7 @@
 	for i := range owners {
 		l := NewLedger(platform.Store{}, nil)
 		l.NewBackOff = constantBackOff
-		s.owners = append(s.owners, &simOwner{sim: s, id: i, ledger: l, book: l.book(), killAt: -1})
+		s.owners = append(s.owners, &simOwner{sim: s, id: i, ledger: l, committer: l.committer(), killAt: -1})
 	}
 	return s
 }
@@ -381,12 +381,12 @@
 
 // simOwner places the request, claims it, and settles the claims of others.
 type simOwner struct {
-	sim    *sim
-	id     int
-	ledger *Ledger
-	book   *book
-	gang   *gang.Gang
-	record Record
+	sim       *sim
+	id        int
+	ledger    *Ledger
+	committer *committer
+	gang      *gang.Gang
+	record    Record
 	// wrote is true once the claim of the current attempt is confirmed.
 	asked, wrote, ended bool
 	dead                bool
@@ -511,13 +511,13 @@
 	send()
 }
 
-// book calls, with the faults of the store.
+// committer calls, with the faults of the store.
 func (o *simOwner) pump() {
 	s := o.sim
 	if o.dead {
 		return
 	}
-	calls, wake := o.book.due(s.now)
+	calls, wake := o.committer.due(s.now)
 	if !wake.IsZero() && !wake.Equal(o.pumpAt) {
 		o.pumpAt = wake
 		s.at(max(wake.Sub(s.now), time.Millisecond), o.pump)
@@ -556,7 +556,7 @@
 		}
 		s.at(delay, func() {
 			if !o.dead {
-				o.book.land(s.now, r)
+				o.committer.handleReply(s.now, r)
 				o.pump()
 			}
 		})
@@ -571,8 +571,8 @@
 		err, _ := p.await(func(done func(any)) {
 			c := &change{key: key, decide: decide}
 			c.resolve = func(err error) { o.resume(done, err) }
-			o.book.submit(c)
-			o.sim.at(2500*time.Millisecond, func() { o.book.withdraw(c, context.DeadlineExceeded) })
+			o.committer.submit(c)
+			o.sim.at(2500*time.Millisecond, func() { o.committer.withdraw(c, context.DeadlineExceeded) })
 			o.sim.at(0, o.pump)
 		}).(error)
 		return err
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -59,7 +59,7 @@
 		return
 	}
 	if code := d.blocked(s); code != job.CodeOK {
-		d.turnAway(s, code)
+		d.rejectQueued(s, code)
 		return
 	}
 	racks := d.usableRacks(s)
@@ -122,9 +122,9 @@
 	return job.CodeOK
 }
 
-// turnAway returns the waiting requests to their receivers, which try other failure domains. A view that is not fresh
+// rejectQueued returns the waiting requests to their receivers, which try other failure domains. A view that is not fresh
 // may be fresh again soon, so its requests wait here for a moment first.
-func (d *Dispatcher) turnAway(s *board.State, code job.Code) {
+func (d *Dispatcher) rejectQueued(s *board.State, code job.Code) {
 	now := d.Clock.Now()
 	for _, item := range s.Queue.Items() {
 		r, ok := d.runs[item.Request.Key()]
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -24,7 +24,7 @@
 // serveCallers serves callers and operators.
 func (v *VM) serveCallers(listener net.Listener) *api.API {
 	a := &api.API{
-		Clock: v.Clock, Tracer: v.Tracer, View: v.view.Load, EverFits: v.everFits, Submit: v.submit, Keep: v.keep, Find: v.findRequest,
+		Clock: v.Clock, Tracer: v.Tracer, View: v.view.Load, EverFits: v.everFits, Submit: v.submit, Persist: v.persist, Find: v.findRequest,
 		Cancel: v.cancelRequest, Roll: v.roll, VerifyRead: v.verifyRead, Order: v.order, Change: v.changeProgress, Status: v.status,
 		Draining: v.draining.Load, DrainEnd: v.drainEnd,
 		MaxBodySize: v.Settings.BodySize(), MaxHeaderSize: v.Settings.HeaderSize(), MaxConnections: v.Settings.Connections(),
@@ -47,10 +47,10 @@
 	return v.Settings.Keyring().VerifyRead(v.Clock.Now(), path, proof)
 }
 
-// drain hands over the racks, brings the requests in hand to their outcomes, and ends the registration. It takes at
+// drain hands over the racks, brings the requests in flight to their outcomes, and ends the registration. It takes at
 // most the drain bound.
 func (v *VM) drain(ctx context.Context, callers *api.API) {
-	klog.InfoS("Entry VM is stopping", "requests-in-hand", v.directory.openCount())
+	klog.InfoS("Entry VM is stopping", "requests-in-flight", v.directory.openCount())
 	deadline := v.Clock.Now().Add(v.Settings.DrainBound())
 	v.draining.Store(true)
 	v.board.Post(func(s *board.State) { s.Draining = true })
--- a/entry/heartbeat.go
+++ b/entry/heartbeat.go
@@ -109,7 +109,7 @@
 	})
 	if event != membership.EventIgnored {
 		s.Reports[report.Identity.VM] = report
-		hearDemand(s, v.Clock.Now(), report)
+		recordDemand(s, v.Clock.Now(), report)
 	}
 }
 
--- a/entry/inhand.go
+++ b/entry/inflight.go
@@ -13,15 +13,15 @@
 const (
 	// outcomeRetention is how long a receiver keeps outcomes for callers that ask again.
 	outcomeRetention = 5 * time.Minute
-	// maxRequests bounds the requests that one receiver has in hand or keeps the outcome of.
+	// maxRequests bounds the requests that one receiver has in flight or keeps the outcome of.
 	maxRequests = 20_000
 	// maxKeptAnswers bounds the bytes of the answers kept for callers that ask again; the rack owners and the workers
 	// have them, too.
 	maxKeptAnswers = 64 << 20
 )
 
-// inHand is one request that this VM received.
-type inHand struct {
+// inFlight is one request that this VM received.
+type inFlight struct {
 	request  job.Request
 	digest   string
 	deadline time.Time
@@ -36,7 +36,7 @@
 	endedAt time.Time
 }
 
-func (h *inHand) isEnded() bool {
+func (h *inFlight) isEnded() bool {
 	select {
 	case <-h.ended:
 		return true
@@ -49,18 +49,18 @@
 type requestDirectory struct {
 	clock clockwork.Clock
 	mu    sync.Mutex
-	byKey map[job.Key]*inHand
+	byKey map[job.Key]*inFlight
 	// open counts the requests without an outcome.
 	open int
 }
 
 func newRequestDirectory(clock clockwork.Clock) *requestDirectory {
-	return &requestDirectory{clock: clock, byKey: map[job.Key]*inHand{}}
+	return &requestDirectory{clock: clock, byKey: map[job.Key]*inFlight{}}
 }
 
-// take returns the request in hand, creating it if there is none; created tells which. It returns nil when the id is
+// take returns the request in flight, creating it if there is none; created tells which. It returns nil when the id is
 // in use for another request.
-func (d *requestDirectory) take(req job.Request, digest string, deadline time.Time) (h *inHand, created bool) {
+func (d *requestDirectory) take(req job.Request, digest string, deadline time.Time) (h *inFlight, created bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h, ok := d.byKey[req.Key()]
@@ -70,13 +70,13 @@
 	if ok && (!h.isEnded() || !h.outcome.MayRunAgain(req.Idempotent)) {
 		return h, false
 	}
-	h = &inHand{request: req, digest: digest, deadline: deadline, ended: make(chan struct{})}
+	h = &inFlight{request: req, digest: digest, deadline: deadline, ended: make(chan struct{})}
 	d.byKey[req.Key()] = h
 	d.open++
 	return h, true
 }
 
-func (d *requestDirectory) end(h *inHand, outcome job.Outcome) {
+func (d *requestDirectory) end(h *inFlight, outcome job.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h.outcome, h.endedAt = outcome, d.clock.Now()
@@ -84,7 +84,7 @@
 	close(h.ended)
 }
 
-func (d *requestDirectory) find(key job.Key) (*inHand, bool) {
+func (d *requestDirectory) find(key job.Key) (*inFlight, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h, ok := d.byKey[key]
@@ -111,7 +111,7 @@
 }
 
 // setDurable records that the journal has the request.
-func (d *requestDirectory) setDurable(h *inHand) {
+func (d *requestDirectory) setDurable(h *inFlight) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h.durable = true
@@ -125,7 +125,7 @@
 }
 
 // setKept records that the journal may have the request.
-func (d *requestDirectory) setKept(h *inHand, deadline time.Time) {
+func (d *requestDirectory) setKept(h *inFlight, deadline time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if deadline.After(h.keptUntil) {
@@ -144,14 +144,14 @@
 func (d *requestDirectory) prune() []keptRecord {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var ended []*inHand
+	var ended []*inFlight
 	for _, h := range d.byKey {
 		if h.isEnded() {
 			ended = append(ended, h)
 		}
 	}
 	// The latest come first and are kept as far as their answers fit.
-	slices.SortFunc(ended, func(a, b *inHand) int { return b.endedAt.Compare(a.endedAt) })
+	slices.SortFunc(ended, func(a, b *inFlight) int { return b.endedAt.Compare(a.endedAt) })
 	var dropped []keptRecord
 	now, size := d.clock.Now(), 0
 	for _, h := range ended {
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -23,9 +23,9 @@
 	journalTimeout       = 2 * time.Second
 )
 
-// keep writes a request that is in hand into the journal, so that it survives this process. It reports whether that
+// persist writes a request that is in flight into the journal, so that it survives this process. It reports whether that
 // is certain.
-func (v *VM) keep(ctx context.Context, key job.Key) bool {
+func (v *VM) persist(ctx context.Context, key job.Key) bool {
 	h, ok := v.directory.find(key)
 	if !ok || h.isEnded() {
 		return false
@@ -156,5 +156,5 @@
 		return
 	}
 	req.Timeout = job.Duration(left)
-	go v.carry(trace.Inject(context.Background()), h, req, record.Digest)
+	go v.process(trace.Inject(context.Background()), h, req, record.Digest)
 }
--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -30,7 +30,7 @@
 
 var freeRack = []placement.RackSummary{{Rack: "r", FreeSlots: 8, LargestBlock: 8}}
 
-// receiver is the part of an entry VM that takes requests in hand. Its owner answers when answer is closed.
+// receiver is the part of an entry VM that takes requests in flight. Its owner answers when answer is closed.
 type receiver struct {
 	*VM
 	answer chan struct{}
@@ -66,8 +66,8 @@
 	return r
 }
 
-// take takes the request in hand without sending it to an owner.
-func (r *receiver) take(req job.Request) *inHand {
+// take takes the request in flight without sending it to an owner.
+func (r *receiver) take(req job.Request) *inFlight {
 	h, _ := r.directory.take(req, "digest", r.Clock.Now().Add(req.Timeout.Std()))
 	return h
 }
@@ -89,7 +89,7 @@
 	store := platform.New(platform.Options{Clock: clock})
 	a, b, c := newReceiver(t, "a", clock, store), newReceiver(t, "b", clock, store), newReceiver(t, "c", clock, store)
 	a.take(keptRequest)
-	is.True(a.keep(context.Background(), keptRequest.Key()))
+	is.True(a.persist(context.Background(), keptRequest.Key()))
 	clock.Advance(20 * time.Second)
 	b.adoptFrom(context.Background(), []string{"a"}, nil) // a is not silent yet
 	is.Equal(records(t, store, "a"), 1)
@@ -117,7 +117,7 @@
 	store := platform.New(platform.Options{Clock: clock})
 	a, b := newReceiver(t, "a", clock, store), newReceiver(t, "b", clock, store)
 	a.take(keptRequest)
-	is.True(a.keep(context.Background(), keptRequest.Key()))
+	is.True(a.persist(context.Background(), keptRequest.Key()))
 	clock.Advance(2 * time.Minute)
 	b.adoptAll("a")
 	h, _ := b.directory.find(keptRequest.Key())
@@ -126,20 +126,20 @@
 }
 
 // Guards against records that stay for ever: one whose write brought no reply, and one of a request that its new
-// receiver had in hand already.
+// receiver had in flight already.
 func TestRecordsAreReleased(t *testing.T) {
 	is, clock := is.New(t), clockwork.NewFakeClockAt(start)
 	store := platform.New(platform.Options{Clock: clock})
 	a, b := newReceiver(t, "a", clock, store), newReceiver(t, "b", clock, store)
 	first, second := a.take(keptRequest), b.take(keptRequest)
 	store.SetFaults(fault.Faults{LoseReplies: true})
-	is.True(!a.keep(context.Background(), keptRequest.Key())) // not certain, so the caller is not told that it is durable
+	is.True(!a.persist(context.Background(), keptRequest.Key())) // not certain, so the caller is not told that it is durable
 	store.SetFaults(fault.Faults{})
 	is.Equal(records(t, store, "a"), 1)
 	b.adoptAll("a")
 	is.Equal(records(t, store, "b"), 1)
 	is.Equal(b.directory.openCount(), 1)
-	is.True(a.keep(context.Background(), keptRequest.Key()))
+	is.True(a.persist(context.Background(), keptRequest.Key()))
 	a.directory.end(first, job.Outcome{Key: keptRequest.Key(), Result: job.Done})
 	b.directory.end(second, job.Outcome{Key: keptRequest.Key(), Result: job.Done})
 	clock.Advance(outcomeRetention + time.Second)
@@ -175,12 +175,12 @@
 	store := platform.New(platform.Options{Clock: clock})
 	a := newReceiver(t, "a", clock, store)
 	first := a.take(keptRequest)
-	is.True(a.keep(context.Background(), keptRequest.Key()))
+	is.True(a.persist(context.Background(), keptRequest.Key()))
 	a.directory.end(first, job.NewNotRun(keptRequest.Key(), job.CodeOverloaded, "", 0))
 	clock.Advance(outcomeRetention + time.Second)
 	ended := a.directory.prune()
 	a.take(keptRequest)
-	is.True(a.keep(context.Background(), keptRequest.Key()))
+	is.True(a.persist(context.Background(), keptRequest.Key()))
 	a.drop(context.Background(), ended)
 	is.Equal(records(t, store, "a"), 1)
 }
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -48,8 +48,8 @@
 	})
 }
 
-// hearDemand records another VM's report.
-func hearDemand(s *board.State, now time.Time, report board.Report) {
+// recordDemand records another VM's report.
+func recordDemand(s *board.State, now time.Time, report board.Report) {
 	demands := make(map[quota.Key]quota.Demand, len(report.Demands))
 	for _, d := range report.Demands {
 		demands[quota.Key{Organisation: d.Organisation, Service: d.Service}] = d.Demand
--- a/entry/requests.go
+++ b/entry/requests.go
@@ -16,14 +16,14 @@
 	"clementinepier/trace"
 )
 
-// submit takes a request in hand. The request goes on when the caller's connection breaks, so that its retry finds
+// submit takes a request in flight. The request goes on when the caller's connection breaks, so that its retry finds
 // the outcome.
 func (v *VM) submit(ctx context.Context, req job.Request, digest string) (api.Submission, job.Outcome) {
 	v.Metrics.Add(metrics.RequestsReceived, 1)
 	if v.directory.full() {
-		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeOverloaded, "this entry VM has too many requests in hand", job.Duration(time.Second))
+		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeOverloaded, "this entry VM has too many requests in flight", job.Duration(time.Second))
 	}
-	// A request that is in hand already is not counted again.
+	// A request that is in flight already is not counted again.
 	if _, known := v.directory.find(req.Key()); !known && !v.withinRate(ctx, req) {
 		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeLimitReached, "the organisation's rate for the service is used up", limitHint)
 	}
@@ -32,13 +32,13 @@
 		return api.Submission{}, job.NewNotRun(req.Key(), job.CodeRequestIDConflict, "the id was used for another request", 0)
 	}
 	if created {
-		go v.carry(trace.Inject(ctx), h, req, digest)
+		go v.process(trace.Inject(ctx), h, req, digest)
 	}
 	return api.Submission{Ended: h.ended, Outcome: func() job.Outcome { return h.outcome }}, job.Outcome{}
 }
 
-// carry brings a request to its outcome.
-func (v *VM) carry(traceparent string, h *inHand, req job.Request, digest string) {
+// process brings a request to its outcome.
+func (v *VM) process(traceparent string, h *inFlight, req job.Request, digest string) {
 	ctx, span := v.Tracer.Start(trace.Extract(context.Background(), traceparent), "route")
 	outcome := v.runWithinLimits(ctx, req, digest)
 	span.End(string(outcome.Code))
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -19,7 +19,7 @@
 const Path = "/peer"
 
 // defaultMaxCalls bounds the calls that one entry VM serves at a time. A run call stays open for as long as
-// its job runs, so the bound is on jobs in hand rather than on processor use.
+// its job runs, so the bound is on jobs in flight rather than on processor use.
 const defaultMaxCalls = 8192
 
 // Handler serves one kind of call. Its context ends when the caller's connection does.
--- a/router/locate.go
+++ b/router/locate.go
@@ -16,7 +16,7 @@
 	err   error
 }
 
-// locate returns the owner that has the request in hand.
+// locate returns the owner that has the request in flight.
 func (r *Router) locate(ctx context.Context, key job.Key) (string, bool) {
 	for _, f := range r.ask(ctx, FindCall{Key: key}) {
 		if f.err == nil && f.reply.Found {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -42,7 +42,7 @@
 	asked []string
 	// runs answers the run calls of an owner, one after the other; the last answer is repeated.
 	runs map[string][]func() (job.Outcome, error)
-	// has lists the owners that have the request in hand.
+	// has lists the owners that have the request in flight.
 	has map[string]bool
 }
 
