Give waiting requests back when another rack owner has room

Cause: a request waited in the queue of one rack owner while others had room. After 1 s of waiting the owner looks at the summaries of the others and gives the request back, unless it has a claim, was started, or waits for a reclaim. Summaries now tell what lies under no anchor, because only that is of use to such requests.

Both new tests fail without the change.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,6 +53,8 @@
 	Ledger  *claim.Ledger
 	Settler *claim.Settler
 	Limits  gang.Limits
+	// RoomElsewhere reports whether another owner could start a request now; nil means never.
+	RoomElsewhere func(req job.Request) bool
 	// CallTimeout bounds one call to a worker.
 	CallTimeout time.Duration
 	PoolSize    int
@@ -142,6 +144,8 @@
 			d.enqueue(s, r)
 		case r.phase == phaseResolving && !r.asking && !now.Before(r.askAt):
 			d.ask(r)
+		case r.phase == phaseQueued:
+			d.reroute(s, r, now)
 		case r.phase == phaseActive && !r.wake.IsZero() && !now.Before(r.wake):
 			d.gangEvent(s, r, r.gang, gang.Tick{})
 		}
--- a/dispatch/leaving_test.go
+++ b/dispatch/leaving_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clementinepier/bundle"
+	"clementinepier/job"
 )
 
 // startsOn counts the starts that a worker has logged.
@@ -81,3 +82,29 @@
 	r.ticks(rampWindow)
 	r.Equal(total(), 300)
 }
+
+// Guards against a request that waits at a busy owner while another has room, and against one that is sent away although
+// it has a claim or nobody else has room.
+func TestWaitingRequestGoesWhereRoomIs(t *testing.T) {
+	for _, room := range []bool{false, true} {
+		r := newRig(t)
+		r.a.d.RoomElsewhere = func(job.Request) bool { return room }
+		long := r.newRequest("long", 4, true, `{"run-time": "8s", "size": 1}`)
+		busy := r.a.submit(long)
+		r.ticks(500 * time.Millisecond)
+		waiter := r.a.submit(r.newRequest("q", 4, true, testPayload))
+		r.ticks(rerouteAfter + 200*time.Millisecond)
+		if room {
+			outcome := <-waiter
+			r.Equal(outcome.Result, job.NotRun)
+			r.Equal(outcome.Code, job.CodeNoRack)
+		} else {
+			r.Equal(len(waiter), 0)
+			r.ticks(14 * time.Second)
+			r.Equal(r.result(waiter), job.Done)
+		}
+		r.ticks(10 * time.Second)
+		r.Equal(r.result(busy), job.Done) // what runs stays
+		r.checkEnd()
+	}
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -73,6 +73,8 @@
 	workers  []string
 	nonce    string
 	queuedAt time.Time
+	// rerouteAt is when a queued run is next looked at for another owner with room.
+	rerouteAt time.Time
 	// placedAt is when the current attempt got its capacity; zero while it has none.
 	placedAt time.Time
 	// preempting is true once the current attempt has been asked to give its capacity back.
--- a/dispatch/schedule.go
+++ b/dispatch/schedule.go
@@ -40,7 +40,7 @@
 			return
 		}
 	}
-	r.phase = phaseQueued
+	r.phase, r.rerouteAt = phaseQueued, now.Add(rerouteAfter)
 	if err := s.Queue.Push(item); err != nil {
 		d.end(s, r, job.NewNotRun(r.key(), job.CodeOverloaded, err.Error(), retryHint))
 	}
@@ -135,6 +135,24 @@
 	}
 }
 
+// rerouteAfter is how long a request waits here before it goes to another owner that has room. Summaries in heartbeats are
+// up to half a second old, so a shorter time would send requests back and forth.
+const rerouteAfter = time.Second
+
+// reroute returns a request that waits here to its receiver when another owner has room for it. One that has a claim or
+// was started, or whose victims are stopping, stays.
+func (d *Dispatcher) reroute(s *board.State, r *run, now time.Time) {
+	if d.RoomElsewhere == nil || now.Before(r.rerouteAt) || r.started > 0 || r.claimed > 0 || len(r.claimNonces) > 0 ||
+		!r.reclaimAt.IsZero() {
+		return
+	}
+	r.rerouteAt = now.Add(rerouteAfter)
+	if d.RoomElsewhere(r.request) {
+		d.Metrics.Add(metrics.RequestsReturned, 1)
+		d.end(s, r, job.NewNotRun(r.key(), job.CodeNoRack, "another rack owner has room for the request", retryHint))
+	}
+}
+
 // staleWait is one heartbeat interval and a round trip.
 const staleWait = 600 * time.Millisecond
 
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -22,6 +22,7 @@
 	"clementinepier/config"
 	"clementinepier/dispatch"
 	"clementinepier/gang"
+	"clementinepier/job"
 	"clementinepier/journal"
 	"clementinepier/membership"
 	"clementinepier/metrics"
@@ -214,6 +215,7 @@
 		Ledger:  v.ledger,
 		Settler: &claim.Settler{Ledger: v.ledger, Workers: v.workers.client, Parallel: settleParallel, CallTimeout: workerCallTimeout},
 		Limits:  limits, CallTimeout: workerCallTimeout,
+		RoomElsewhere: func(req job.Request) bool { return v.owners.Load().RoomBesides(v.self.VM, req) },
 	}
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -19,6 +19,7 @@
 	RequestsForwarded    Name = "requests-forwarded"
 	RequestsRerouted     Name = "requests-rerouted"
 	RequestsCancelled    Name = "requests-cancelled"
+	RequestsReturned     Name = "requests-returned"
 	RequestsAdopted      Name = "requests-adopted"
 	RequestsQueued       Name = "requests-queued-gauge"
 	AttemptsStarted      Name = "attempts-started"
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -15,6 +15,10 @@
 	// LargestBlock is the number of accelerators on wholly free workers, or on the freest worker if that is more.
 	LargestBlock int `json:"largest-block"`
 	FreeSlots    int `json:"free-slots"`
+	// OpenAccelerators and OpenSlots are the part of what is free that lies under no anchor, which requests that may
+	// start only once can use besides their own anchors.
+	OpenAccelerators int `json:"open-accelerators"`
+	OpenSlots        int `json:"open-slots"`
 	// Unused has the organisations whose anchors in this rack are not fully used, in name order.
 	Unused []UnusedAnchor `json:"unused"`
 	// Shares tells how anchors in this rack are used, in name order; organisations with nothing to tell are left out.
@@ -53,6 +57,9 @@
 			free := largest(amount{}, w.free())
 			s.FreeAccelerators += free.accelerators
 			s.FreeSlots += free.slots
+			open := smallest(free, largest(amount{}, w.capacity.minus(w.covered)))
+			s.OpenAccelerators += open.accelerators
+			s.OpenSlots += open.slots
 			most = max(most, free.accelerators)
 			if free == w.capacity {
 				whole += free.accelerators
--- a/router/pick.go
+++ b/router/pick.go
@@ -114,6 +114,19 @@
 	p.owners, p.sent = owners, sent
 }
 
+// RoomBesides reports whether an owner other than the VM named could start the request now.
+func (o *Owners) RoomBesides(vm string, req job.Request) bool {
+	for _, owner := range o.List {
+		if owner.VM == vm || !owner.Usable || len(owner.Racks) == 0 {
+			continue
+		}
+		if t, _ := rate(owner, req, job.Shape{}); t <= tierFree {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns the owner whose share of the weights contains at.
 func choose(owners *Owners, weights map[string]int, at int) string {
 	for _, owner := range owners.List {
@@ -132,8 +145,11 @@
 	best, free := tierWait, 0
 	for _, rack := range owner.Racks {
 		free += rack.FreeSlots + rack.FreeAccelerators
-		fits := rack.LargestBlock >= accelerators && rack.FreeSlots >= slots
 		anchored := unused(rack, req.Organisation, accelerators, slots)
+		fits := rack.LargestBlock >= accelerators && rack.FreeSlots >= slots
+		if !req.Idempotent {
+			fits = fits && (anchored || rack.OpenAccelerators >= accelerators && rack.OpenSlots >= slots)
+		}
 		switch {
 		case fits && anchored:
 			best = tierOwnAnchor
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -95,6 +95,7 @@
 func free(vm string, accelerators int) Owner {
 	return Owner{VM: vm, Usable: true, Racks: []placement.RackSummary{{
 		Rack: "rack-" + vm, FreeAccelerators: accelerators, FreeSlots: accelerators, LargestBlock: accelerators,
+		OpenAccelerators: accelerators, OpenSlots: accelerators,
 	}}}
 }
 
@@ -303,3 +304,18 @@
 	r.script("self", notRun(job.CodeViewNotFresh), done)
 	is.Equal(r.Run(context.Background(), request, "digest").Result, job.Done)
 }
+
+// Guards against requests that are sent to an owner without room for them, or back to the one that gave them up.
+func TestRoomBesides(t *testing.T) {
+	is := is.New(t)
+	lent, open := free("lent", 8), free("open", 8)
+	lent.Racks[0].OpenAccelerators, lent.Racks[0].OpenSlots = 0, 0 // all of it lies under anchors of others
+	once, often := request, request
+	often.Idempotent = true
+	is.True((&Owners{List: []Owner{lent}}).RoomBesides("self", often))
+	is.True(!(&Owners{List: []Owner{lent}}).RoomBesides("self", once))
+	is.True((&Owners{List: []Owner{lent, open}}).RoomBesides("self", once))
+	is.True(!(&Owners{List: []Owner{lent, open}}).RoomBesides("open", once))
+	open.Usable = false
+	is.True(!(&Owners{List: []Owner{open}}).RoomBesides("self", once))
+}
