--- a/api/api_test.go
+++ b/api/api_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	_ "embed"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -63,31 +64,14 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// bundleFormat takes the revision and two token digests.
+//
+//go:embed testdata/bundle.toml.format
+var bundleFormat string
+
 // source is a bundle of the revision with the organisations a and b, whose tokens are token-a and token-b.
 func source(revision int) []byte {
-	return fmt.Appendf(nil, `revision = %d
-[[organisations]]
-name = "a"
-token-digest = "%s"
-weight = 1
-[[organisations]]
-name = "b"
-token-digest = "%s"
-weight = 1
-[[failure-domains]]
-name = "north"
-region = "r"
-[[failure-domains.racks]]
-name = "n1"
-workers = 2
-slots = 2
-accelerators = 2
-[[services]]
-name = "match"
-default-timeout = "30s"
-max-timeout = "1m"
-max-payload = 1000
-`, revision, digest("token-a"), digest("token-b"))
+	return fmt.Appendf(nil, bundleFormat, revision, digest("token-a"), digest("token-b"))
 }
 
 func signed(revision int) bundle.Signed {
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -32,33 +33,8 @@
 	"clementinepier/worker"
 )
 
-const testBundle = `revision = 1
-[[organisations]]
-name = "plain"
-token-digest = "2a1c6a9a22c170f788a09a003f0478af3a9315740837288fb457c93bc552bad8"
-weight = 1
-[[organisations]]
-name = "gold"
-token-digest = "d732238fea9152746c67d3cc92e59df4a338827377e068836dfb86d760374865"
-weight = 1
-[[organisations.guarantees]]
-name = "one"
-count = 1
-shape = { tasks = 1, accelerators = 8, slots = 1 }
-[[failure-domains]]
-name = "d"
-region = "r"
-[[failure-domains.racks]]
-name = "r1"
-workers = 4
-slots = 8
-accelerators = 8
-[[services]]
-name = "s"
-default-timeout = "20s"
-max-timeout = "1h"
-max-payload = 1000
-`
+//go:embed testdata/bundle.toml
+var testBundle string
 
 // rig has two owners on the workers and the claims of one rack. Everything runs on the test's goroutine.
 type rig struct {
