Share the scripts' settings writer; expect capacity without building rack summaries

Every new request built the summaries of all racks, with their lists, to add up two numbers; the model adds them up now.

--- a/dispatch/configuration.go
+++ b/dispatch/configuration.go
@@ -37,16 +37,7 @@
 	}
 }
 
-// share is the number of accelerators that an organisation can expect here: its unused anchors and what is free.
+// share is the number of accelerators that an organisation can expect here, with those that it uses.
 func (d *Dispatcher) share(s *board.State, organisation string) int {
-	share := 0
-	for _, rack := range s.Cluster.Summaries() {
-		share += rack.FreeAccelerators
-		for _, u := range rack.Unused {
-			if u.Organisation == organisation {
-				share += u.Accelerators
-			}
-		}
-	}
-	return share + d.running[organisation]
+	return s.Cluster.Expected(organisation) + d.running[organisation]
 }
--- a/placement/summary.go
+++ b/placement/summary.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// Expected returns the accelerators that an organisation can expect in the model's racks: what is free, and what it does
+// not use of its anchors. Workers that take no new tasks offer nothing.
+func (c *Cluster) Expected(organisation string) int {
+	expected := 0
+	for _, name := range c.names {
+		for _, w := range c.racks[name].nodes {
+			if !w.usable() {
+				continue
+			}
+			share := w.share(organisation)
+			expected += max(0, w.free().accelerators) + max(0, share.anchored.minus(share.used).accelerators)
+		}
+	}
+	return expected
+}
+
 func (s *RackSummary) addUnused(organisation string, a amount) {
 	if a == (amount{}) {
 		return
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -20,20 +20,6 @@
   PIDS=()
 }
 
-write_settings() { # NUMBER
-  cat >"$OUT/entry-$1.toml" <<SETTINGS
-name = "entry-$1"
-failure-domain = "near"
-callers-address = "127.0.0.1:$((BASE_PORT + 500 + $1))"
-peers-address = "127.0.0.1:$((BASE_PORT + 600 + $1))"
-platform-address = "$PLATFORM"
-[keys]
-trusted-files = ["author.key.pub", "reviewer.key.pub", "operator.key.pub"]
-[peers]
-secret-files = ["peer.secret"]
-SETTINGS
-}
-
 write_bundle() { # WORKERS ORGANISATIONS
   local i
   echo 'revision = 1'
@@ -73,7 +59,7 @@
   bin/clementinepier bundle sign "$OUT/bundle.toml" --key "$OUT/author.key" --out "$OUT/bundle.signed" >/dev/null
   bin/clementinepier bundle review "$OUT/bundle.signed" --key "$OUT/reviewer.key" --first >"$OUT/review.txt"
   for ((i = 1; i <= $2; i++)); do
-    write_settings "$i"
+    write_settings "entry-$i" near "127.0.0.1:$((BASE_PORT + 500 + i))" "127.0.0.1:$((BASE_PORT + 600 + i))"
     start "entry-$i" bin/clementinepier entry --settings "$OUT/entry-$i.toml"
     bin/standin call "$PLATFORM" /admin/vms/add "{\"name\": \"entry-$i\", \"kind\": \"entry\", \"failure-domain\": \"near\",
       \"address\": \"127.0.0.1:$((BASE_PORT + 600 + i))\"}" >/dev/null
--- a/scripts/path-cost.sh
+++ b/scripts/path-cost.sh
@@ -21,20 +21,6 @@
 PROGRAM=bin/clementinepier
 . scripts/processes.sh
 
-write_settings() { # NAME DOMAIN CALLERS-ADDRESS PEERS-ADDRESS
-  cat >"$OUT/$1.toml" <<SETTINGS
-name = "$1"
-failure-domain = "$2"
-callers-address = "$3"
-peers-address = "$4"
-platform-address = "$PLATFORM"
-[keys]
-trusted-files = ["author.key.pub", "reviewer.key.pub", "operator.key.pub"]
-[peers]
-secret-files = ["peer.secret"]
-SETTINGS
-}
-
 write_bundle() {
   cat >"$OUT/bundle.toml" <<BUNDLE
 revision = 1
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -54,3 +54,18 @@
   tail -n 5 "$OUT/$1.log"
   return 1
 }
+
+# write_settings NAME DOMAIN CALLERS-ADDRESS PEERS-ADDRESS writes the settings file of an entry VM. PLATFORM must be set.
+write_settings() {
+  cat >"$OUT/$1.toml" <<SETTINGS
+name = "$1"
+failure-domain = "$2"
+callers-address = "$3"
+peers-address = "$4"
+platform-address = "$PLATFORM"
+[keys]
+trusted-files = ["author.key.pub", "reviewer.key.pub", "operator.key.pub"]
+[peers]
+secret-files = ["peer.secret"]
+SETTINGS
+}
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -77,21 +77,9 @@
   sed -n 's/.*"acknowledged-at": *"\([^"]*\)".*/\1/p' <<<"$reply" | tail -n 1
 }
 
-write_settings() { # NUMBER: writes the settings file of an entry VM
-  cat >"$OUT/entry-$1.toml" <<SETTINGS
-name = "entry-$1"
-failure-domain = "$(domain_of_entry "$1")"
-callers-address = "127.0.0.1:$((ENTRY_PORT + $1))"
-peers-address = "127.0.0.1:$((PEER_PORT + $1))"
-platform-address = "$PLATFORM"
-[keys]
-trusted-files = ["author.key.pub", "reviewer.key.pub", "operator.key.pub"]
-[peers]
-secret-files = ["peer.secret"]
-[trace]
-output = "file"
-file = "entry-$1.trace"
-SETTINGS
+write_entry_settings() { # NUMBER: writes the settings file of an entry VM, with traces
+  write_settings "entry-$1" "$(domain_of_entry "$1")" "127.0.0.1:$((ENTRY_PORT + $1))" "127.0.0.1:$((PEER_PORT + $1))"
+  printf '[trace]\noutput = "file"\nfile = "entry-%s.trace"\n' "$1" >>"$OUT/entry-$1.toml"
 }
 
 write_bundle() {
@@ -133,7 +121,7 @@
 start_entries() {
   local i
   for ((i = 1; i <= ${#DOMAINS[@]} * ENTRIES_PER_DOMAIN; i++)); do
-    write_settings "$i"
+    write_entry_settings "$i"
     start "entry-$i" bin/clementinepier entry --settings "$OUT/entry-$i.toml"
     platform_call /admin/vms/add "{\"name\": \"entry-$i\", \"kind\": \"entry\", \"failure-domain\": \"$(domain_of_entry "$i")\",
       \"address\": \"127.0.0.1:$((PEER_PORT + i))\"}"
