--- a/api/api_test.go
+++ b/api/api_test.go
@@ -26,8 +26,8 @@
 	"clementinepier/bundle"
 	"clementinepier/config"
 	"clementinepier/job"
+	"clementinepier/kvstore"
 	"clementinepier/message"
-	"clementinepier/platform"
 	"clementinepier/trace"
 )
 
@@ -491,7 +491,7 @@
 	same.Author, same.Reviewer = bundle.SignAuthor(key(1), same.Source), bundle.SignReviewer(key(1), same.Source)
 	invalid := bundle.Signed{Source: []byte("revision = 2")}
 	invalid.Author, invalid.Reviewer = bundle.SignAuthor(key(1), invalid.Source), bundle.SignReviewer(key(2), invalid.Source)
-	unavailable := &platform.ErrUnavailable{Call: "get", Cause: errors.New("down")}
+	unavailable := &kvstore.ErrUnavailable{Call: "get", Cause: errors.New("down")}
 	for name, test := range map[string]struct {
 		change   message.BundleChange
 		storeErr error
@@ -509,7 +509,7 @@
 		"revision skipped":  {message.BundleChange{Signed: signed(3), ChangeID: "c2"}, nil, 409, job.CodeRevisionConflict},
 		"no change id":      {message.BundleChange{Signed: signed(2)}, nil, 400, job.CodeBadRequest},
 		"store unavailable": {message.BundleChange{Signed: signed(2), ChangeID: "c2"}, unavailable, 503, job.CodeStoreUnavailable},
-		"store contended":   {message.BundleChange{Signed: signed(2), ChangeID: "c2"}, &platform.ErrVersionDiffers{}, 503, job.CodeOverloaded},
+		"store contended":   {message.BundleChange{Signed: signed(2), ChangeID: "c2"}, &kvstore.ErrVersionDiffers{}, 503, job.CodeOverloaded},
 		"store unreadable":  {message.BundleChange{Signed: signed(2), ChangeID: "c2"}, &config.ErrDocument{Cause: errors.New("half")}, 503, job.CodeStoreUnavailable},
 		"stopping":          {message.BundleChange{Signed: signed(2), ChangeID: "c2"}, board.ErrStopped, 503, job.CodeStopping},
 		"not yet in force":  {message.BundleChange{Signed: signed(2), ChangeID: "c2"}, &config.ErrNotYetInForce{Bundle: 1}, 409, job.CodeNotYetInForce},
--- a/api/operators.go
+++ b/api/operators.go
@@ -14,8 +14,8 @@
 	"clementinepier/bundle"
 	"clementinepier/config"
 	"clementinepier/job"
+	"clementinepier/kvstore"
 	"clementinepier/message"
-	"clementinepier/platform"
 )
 
 // decodeStrict decodes JSON, refusing unknown fields and anything after the value.
@@ -99,10 +99,10 @@
 	case bundle.IsErrSignatureInvalid(err), bundle.IsErrKeyNotTrusted(err), bundle.IsErrSameSigner(err):
 		body.Code = job.CodeSignatureInvalid
 		return http.StatusForbidden, body
-	case platform.IsErrVersionDiffers(err):
+	case kvstore.IsErrVersionDiffers(err):
 		body.Code = job.CodeOverloaded
 		return http.StatusServiceUnavailable, body
-	case config.IsErrChange(err), bundle.IsErrOrderInvalid(err), platform.IsErrValueTooLarge(err):
+	case config.IsErrChange(err), bundle.IsErrOrderInvalid(err), kvstore.IsErrValueTooLarge(err):
 		body.Code = job.CodeBadRequest
 		return http.StatusBadRequest, body
 	case errors.Is(err, board.ErrStopped):
--- a/journal/journal.go
+++ b/backlog/backlog.go
@@ -1,6 +1,6 @@
-// Package journal keeps, in the platform's key-value service, the requests that callers were told to ask for later, so
+// Package backlog keeps, in the platform's key-value service, the requests that callers were told to ask for later, so
 // that another entry VM goes on with them when their receiver dies.
-package journal
+package backlog
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 const prefix = "requests/"
@@ -40,7 +40,7 @@
 
 // Journal has the records of one receiver. It is safe for concurrent use.
 type Journal struct {
-	Store platform.Store
+	Store kvstore.Store
 	// Receiver is the name of this entry VM.
 	Receiver string
 }
@@ -69,13 +69,13 @@
 	if err != nil {
 		return errors.Wrap(err, "encode journal record")
 	}
-	if len(value) > platform.MaxValueSize {
+	if len(value) > kvstore.MaxValueSize {
 		return &ErrTooLarge{Size: len(value)}
 	}
 	name, version := keyOf(j.Receiver, record.Request.Key()), uint64(0)
 	for range addTries {
 		_, err = j.Store.CompareAndSwap(ctx, name, value, version)
-		if !platform.IsErrVersionDiffers(err) {
+		if !kvstore.IsErrVersionDiffers(err) {
 			return err
 		}
 		current, getErr := j.Store.Get(ctx, name)
@@ -107,7 +107,7 @@
 		return nil
 	}
 	err = j.Store.Delete(ctx, name, current.Version)
-	if platform.IsErrVersionDiffers(err) {
+	if kvstore.IsErrVersionDiffers(err) {
 		return nil
 	}
 	return err
--- a/journal/journal_test.go
+++ b/backlog/backlog_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package backlog_test
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"clementinepier/backlog"
 	"clementinepier/job"
-	"clementinepier/journal"
-	platformapi "clementinepier/platform"
+	platformapi "clementinepier/kvstore"
 	"clementinepier/standin/fault"
 	"clementinepier/standin/platform"
 )
@@ -19,18 +19,18 @@
 
 var deadline = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
 
-func record(id string, at time.Time) journal.Record {
-	return journal.Record{
+func record(id string, at time.Time) backlog.Record {
+	return backlog.Record{
 		Request: job.Request{Organisation: "org", ID: id, Payload: []byte("payload of " + id)}, Digest: "digest of " + id, Deadline: at,
 	}
 }
 
-func newJournals() (store *platform.Platform, a, b *journal.Journal) {
+func newJournals() (store *platform.Platform, a, b *backlog.Journal) {
 	store = platform.New(platform.Options{Clock: clockwork.NewFakeClockAt(deadline)})
-	return store, &journal.Journal{Store: store.Store(), Receiver: "a"}, &journal.Journal{Store: store.Store(), Receiver: "b"}
+	return store, &backlog.Journal{Store: store.Store(), Receiver: "a"}, &backlog.Journal{Store: store.Store(), Receiver: "b"}
 }
 
-func ids(records []journal.Record) string {
+func ids(records []backlog.Record) string {
 	text := ""
 	for _, r := range records {
 		text += r.Request.ID + " " + r.Deadline.Sub(deadline).String() + ";"
@@ -42,11 +42,11 @@
 func TestTakeOver(t *testing.T) {
 	is := is.New(t)
 	store, a, b := newJournals()
-	c := &journal.Journal{Store: store.Store(), Receiver: "c"}
+	c := &backlog.Journal{Store: store.Store(), Receiver: "c"}
 	for _, id := range []string{"q1", "q2"} {
 		is.NoErr(a.Add(ctx, record(id, deadline)))
 	}
-	other := &journal.Journal{Store: store.Store(), Receiver: "a2"} // a name that begins with the other's
+	other := &backlog.Journal{Store: store.Store(), Receiver: "a2"} // a name that begins with the other's
 	is.NoErr(other.Add(ctx, record("q3", deadline)))
 	names, err := b.Receivers(ctx)
 	is.NoErr(err)
@@ -130,5 +130,5 @@
 	is.Equal(ids(taken), "q 0s;")
 	large := record("large", deadline)
 	large.Request.Payload = make([]byte, platformapi.MaxValueSize)
-	is.True(journal.IsErrTooLarge(a.Add(ctx, large)))
+	is.True(backlog.IsErrTooLarge(a.Add(ctx, large)))
 }
--- a/board/state.go
+++ b/board/state.go
@@ -6,10 +6,10 @@
 	"clementinepier/breaker"
 	"clementinepier/config"
 	"clementinepier/job"
+	"clementinepier/kvstore"
 	"clementinepier/membership"
 	"clementinepier/peer"
 	"clementinepier/placement"
-	"clementinepier/platform"
 	"clementinepier/queue"
 	"clementinepier/quota"
 )
@@ -33,7 +33,7 @@
 	Reports map[string]Report
 
 	// Workers are the workers of this failure domain by name, from the platform's list.
-	Workers map[string]platform.VM
+	Workers map[string]kvstore.VM
 	// Leaving has the workers that the platform's list or an operator says are leaving.
 	Leaving map[string]bool
 	// Owned has the racks that this VM owns.
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 const (
 	// MaxSourceSize is the largest bundle source in bytes. The bundle and the orders share one value of the
 	// key-value service; 100 kB are reserved for the signatures and for MaxFailureDomains orders.
-	MaxSourceSize = platform.MaxValueSize - 100_000
+	MaxSourceSize = kvstore.MaxValueSize - 100_000
 	// MaxFailureDomains bounds the orders that are stored beside the bundle, each below 1 kB.
 	MaxFailureDomains = 100
 	// DefaultReclaimBound applies when the source does not set reclaim-bound.
--- a/claim/committer.go
+++ b/claim/committer.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 // change is one conditional change of a record.
@@ -207,7 +207,7 @@
 		// Records that exist may be settled in the space between the two limits.
 		limit := b.maxValue
 		if exists {
-			limit = platform.MaxValueSize
+			limit = kvstore.MaxValueSize
 		}
 		if size := next.size + headerSize; err == nil && size > limit {
 			err = &ErrFull{Shard: shardKey(index), Size: size}
@@ -228,7 +228,7 @@
 }
 
 // readReply handles the reply to a read.
-func (b *committer) readReply(now time.Time, c call, e platform.Entry, err error) {
+func (b *committer) readReply(now time.Time, c call, e kvstore.Entry, err error) {
 	s := &b.shards[c.shard]
 	s.busy = false
 	var v view
@@ -270,9 +270,9 @@
 		return
 	}
 	s.known = false
-	var unavailable *platform.ErrUnavailable
+	var unavailable *kvstore.ErrUnavailable
 	notSent := errors.As(err, &unavailable) && !unavailable.Delivered
-	if !platform.IsErrVersionDiffers(err) && !notSent {
+	if !kvstore.IsErrVersionDiffers(err) && !notSent {
 		for _, v := range c.verdicts {
 			if v.written {
 				v.change.doubtful, v.change.doubtfulAt = true, c.version
--- a/claim/committer_test.go
+++ b/claim/committer_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 // TestMain fixes rapid's seed, so that the verdict is the same in each run. The command line overrides it.
@@ -33,15 +33,15 @@
 
 // values is a store without faults; onWrite sees every write.
 type values struct {
-	entries map[string]platform.Entry
+	entries map[string]kvstore.Entry
 	onWrite func(key string, value []byte)
 	writes  int
 	reads   int
 }
 
-func newValues() *values { return &values{entries: map[string]platform.Entry{}} }
+func newValues() *values { return &values{entries: map[string]kvstore.Entry{}} }
 
-func (s *values) get(key string) platform.Entry {
+func (s *values) get(key string) kvstore.Entry {
 	s.reads++
 	e := s.entries[key]
 	e.Key = key
@@ -52,9 +52,9 @@
 	s.writes++
 	have := s.entries[key].Version
 	if have != version {
-		return 0, &platform.ErrVersionDiffers{Key: key, Want: version, Have: have}
+		return 0, &kvstore.ErrVersionDiffers{Key: key, Want: version, Have: have}
 	}
-	s.entries[key] = platform.Entry{Key: key, Value: value, Version: version + 1}
+	s.entries[key] = kvstore.Entry{Key: key, Value: value, Version: version + 1}
 	if s.onWrite != nil {
 		s.onWrite(key, value)
 	}
@@ -110,7 +110,7 @@
 	}
 	r.store.onWrite = r.check
 	for range owners {
-		l := NewLedger(platform.Store{}, nil)
+		l := NewLedger(kvstore.Store{}, nil)
 		l.NewBackOff = constantBackOff
 		r.committers, r.ledgers = append(r.committers, l.committer()), append(r.ledgers, l)
 	}
@@ -218,7 +218,7 @@
 	f := r.flights[i]
 	r.flights = append(r.flights[:i], r.flights[i+1:]...)
 	key := shardKey(f.call.shard)
-	out := reply{call: f.call, err: &platform.ErrUnavailable{Call: "call", Delivered: fate != "down", Cause: errLost}}
+	out := reply{call: f.call, err: &kvstore.ErrUnavailable{Call: "call", Delivered: fate != "down", Cause: errLost}}
 	switch {
 	case fate == "ok" && f.call.write:
 		out.version, out.err = r.store.swap(key, f.call.value, f.call.version)
@@ -332,7 +332,7 @@
 // Guards against settlements that take writes of their own while claims are made, and against one that is never written.
 func TestSettlementTravelsWithClaim(t *testing.T) {
 	is := is.New(t)
-	b := NewLedger(platform.Store{}, nil).committer()
+	b := NewLedger(kvstore.Store{}, nil).committer()
 	now := time.Unix(1000, 0)
 	first, second := testKey(0), testKey(1)
 	for i := 2; shardOf(second) != shardOf(first); i++ {
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 // Defaults of a Ledger.
@@ -32,7 +32,7 @@
 // Ledger changes records with one goroutine for the control of all shards and one call in flight per shard. Its
 // exported fields are set before Run.
 type Ledger struct {
-	Store       platform.Store
+	Store       kvstore.Store
 	Clock       clockwork.Clock
 	MinInterval time.Duration
 	Retention   time.Duration
@@ -60,13 +60,13 @@
 
 type reply struct {
 	call    call
-	entry   platform.Entry
+	entry   kvstore.Entry
 	version uint64
 	err     error
 }
 
 // NewLedger returns a ledger with the default settings.
-func NewLedger(store platform.Store, clock clockwork.Clock) *Ledger {
+func NewLedger(store kvstore.Store, clock clockwork.Clock) *Ledger {
 	l := &Ledger{
 		Store: store, Clock: clock, MinInterval: DefaultMinInterval, Retention: DefaultRetention,
 		MaxValue: DefaultMaxValue, CallTimeout: DefaultCallTimeout,
--- a/claim/ledger_test.go
+++ b/claim/ledger_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 	"clementinepier/worker"
 )
 
@@ -30,10 +30,10 @@
 
 func newStoreRig(t *testing.T, interval time.Duration) *storeRig {
 	r := &storeRig{values: newValues(), clock: clockwork.NewFakeClock(), before: func(context.Context, bool) error { return nil }}
-	store := platform.Store{
-		Get: func(ctx context.Context, key string) (platform.Entry, error) {
+	store := kvstore.Store{
+		Get: func(ctx context.Context, key string) (kvstore.Entry, error) {
 			if err := r.before(ctx, false); err != nil {
-				return platform.Entry{}, err
+				return kvstore.Entry{}, err
 			}
 			r.Lock()
 			defer r.Unlock()
@@ -117,7 +117,7 @@
 			}
 			cancel()
 			<-call.Done()
-			return &platform.ErrUnavailable{Call: hangs, Delivered: true, Cause: call.Err()}
+			return &kvstore.ErrUnavailable{Call: hangs, Delivered: true, Cause: call.Err()}
 		}
 		existing, err := r.ledger.Claim(ctx, record(0))
 		var unavailable *ErrStoreUnavailable
@@ -233,7 +233,7 @@
 			is.NoErr(v.put(rec))
 			value, err := v.encode()
 			is.NoErr(err)
-			r.entries[shardKey(0)] = platform.Entry{Value: value, Version: 1}
+			r.entries[shardKey(0)] = kvstore.Entry{Value: value, Version: 1}
 			clients := map[string]*worker.Client{"a": c.a.client(rec.task(0), rec.Nonce), "b": c.b.client(rec.task(1), rec.Nonce)}
 			s := &Settler{Ledger: r.ledger, Parallel: i % 3, Workers: func(name string) (*worker.Client, bool) {
 				client, ok := clients[name]
--- a/claim/sim_test.go
+++ b/claim/sim_test.go
@@ -9,7 +9,7 @@
 
 	"clementinepier/gang"
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 	"clementinepier/worker"
 )
 
@@ -87,7 +87,7 @@
 		s.workers[name] = &simWorker{sim: s, name: name, tasks: map[job.TaskID]*simTask{}}
 	}
 	for i := range owners {
-		l := NewLedger(platform.Store{}, nil)
+		l := NewLedger(kvstore.Store{}, nil)
 		l.NewBackOff = constantBackOff
 		s.owners = append(s.owners, &simOwner{sim: s, id: i, ledger: l, committer: l.committer(), killAt: -1})
 	}
@@ -534,7 +534,7 @@
 				r.entry, r.err = s.store.get(shardKey(c.shard)), nil
 			}
 		}
-		lost := &platform.ErrUnavailable{Call: "call", Delivered: fate != 8, Cause: errLost}
+		lost := &kvstore.ErrUnavailable{Call: "call", Delivered: fate != 8, Cause: errLost}
 		switch fate {
 		case 8: // down
 			r.err, delay = lost, time.Second
--- a/config/document.go
+++ b/config/document.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"clementinepier/bundle"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 // RecentChanges is how many accepted change ids a document keeps, so that a late retry is recognised.
@@ -84,8 +84,8 @@
 // Encode returns the document as deterministic CBOR. It returns an *ErrDocument if the store could not hold the result.
 func Encode(d Document) ([]byte, error) {
 	data, err := encoding.Marshal(d)
-	if err == nil && len(data) > platform.MaxValueSize {
-		err = errors.Errorf("%d bytes, the store holds %d", len(data), platform.MaxValueSize)
+	if err == nil && len(data) > kvstore.MaxValueSize {
+		err = errors.Errorf("%d bytes, the store holds %d", len(data), kvstore.MaxValueSize)
 	}
 	if err != nil {
 		return nil, &ErrDocument{Cause: err}
@@ -96,7 +96,7 @@
 // Decode returns the document in data. It returns an *ErrDocument for truncated, malformed or oversized data.
 // Signatures are checked by Join.
 func Decode(data []byte) (Document, error) {
-	if len(data) > platform.MaxValueSize {
+	if len(data) > kvstore.MaxValueSize {
 		return Document{}, &ErrDocument{Cause: errors.Errorf("%d bytes", len(data))}
 	}
 	var d Document
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -7,8 +7,8 @@
 
 	"clementinepier/claim"
 	"clementinepier/job"
+	"clementinepier/kvstore"
 	"clementinepier/placement"
-	"clementinepier/platform"
 	"clementinepier/standin/fault"
 	standin "clementinepier/standin/worker"
 )
@@ -20,7 +20,7 @@
 }
 
 func (o *owner) show(name string) {
-	o.s.Workers[name] = platform.VM{Name: name, Kind: platform.KindWorker, FailureDomain: "d", Rack: "r1"}
+	o.s.Workers[name] = kvstore.VM{Name: name, Kind: kvstore.KindWorker, FailureDomain: "d", Rack: "r1"}
 	o.d.SetRacks(o.s)
 	o.drain()
 }
--- a/dispatch/rig_test.go
+++ b/dispatch/rig_test.go
@@ -23,10 +23,10 @@
 	"clementinepier/config"
 	"clementinepier/gang"
 	"clementinepier/job"
+	"clementinepier/kvstore"
 	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/placement"
-	"clementinepier/platform"
 	"clementinepier/queue"
 	standin "clementinepier/standin/worker"
 	"clementinepier/trace"
@@ -135,15 +135,15 @@
 	}
 	o.s = &board.State{
 		Self: peer.Identity{VM: name, FailureDomain: "d"}, View: r.view, Freshness: &config.Freshness{FailureDomain: "d"},
-		Workers: map[string]platform.VM{}, Leaving: map[string]bool{}, Owned: map[string]bool{},
+		Workers: map[string]kvstore.VM{}, Leaving: map[string]bool{}, Owned: map[string]bool{},
 		Cluster: placement.New(placement.Options{}), Queue: queue.New(queue.Options{}),
 		Breaker: breaker.New(), Retries: breaker.NewRetryBudget(),
 	}
 	o.s.Freshness.SetView(r.view)
 	for worker := range r.workers {
-		o.s.Workers[worker] = platform.VM{Name: worker, Kind: platform.KindWorker, FailureDomain: "d", Rack: "r1"}
+		o.s.Workers[worker] = kvstore.VM{Name: worker, Kind: kvstore.KindWorker, FailureDomain: "d", Rack: "r1"}
 	}
-	ledger := claim.NewLedger(platform.Store{}, r.clock)
+	ledger := claim.NewLedger(kvstore.Store{}, r.clock)
 	ledger.Do = o.change
 	tracer, err := trace.New(name, "")
 	r.NoErr(err)
--- a/entry/changes.go
+++ b/entry/changes.go
@@ -14,10 +14,10 @@
 	"clementinepier/board"
 	"clementinepier/bundle"
 	"clementinepier/config"
+	"clementinepier/kvstore"
 	"clementinepier/membership"
 	"clementinepier/message"
 	"clementinepier/placement"
-	"clementinepier/platform"
 )
 
 // maxChangeTries bounds the compare-and-swaps of one change. Every lost race means that another change won, so a
@@ -70,7 +70,7 @@
 		if err == nil {
 			return message.Accepted{ChangeID: accepted.ChangeID, Revision: accepted.Revision}, nil
 		}
-		if !platform.IsErrUnavailable(err) && !platform.IsErrVersionDiffers(err) {
+		if !kvstore.IsErrUnavailable(err) && !kvstore.IsErrVersionDiffers(err) {
 			return message.Accepted{}, err
 		}
 		last = err
--- a/entry/changes_test.go
+++ b/entry/changes_test.go
@@ -19,9 +19,9 @@
 	"clementinepier/board"
 	"clementinepier/bundle"
 	"clementinepier/config"
+	"clementinepier/kvstore"
 	"clementinepier/message"
 	"clementinepier/metrics"
-	"clementinepier/platform"
 	"clementinepier/settings"
 	"clementinepier/standin/fault"
 	standin "clementinepier/standin/platform"
@@ -49,7 +49,7 @@
 var exporters sync.Map
 
 // newVM returns an entry VM whose control goroutine runs, without listeners and loops.
-func newVM(t *testing.T, name string, store platform.Store, clock clockwork.Clock) *VM {
+func newVM(t *testing.T, name string, store kvstore.Store, clock clockwork.Clock) *VM {
 	source := fmt.Sprintf(`name = %q
 failure-domain = "north"
 callers-address = "127.0.0.1:1"
@@ -162,7 +162,7 @@
 	first := newVM(t, "entry-1", p.Store(), clock)
 	store, raced := p.Store(), false
 	get := store.Get
-	store.Get = func(ctx context.Context, key string) (platform.Entry, error) {
+	store.Get = func(ctx context.Context, key string) (kvstore.Entry, error) {
 		entry, err := get(ctx, key)
 		if !raced && key == headKey {
 			// The other operator's change comes between this one's read and its write.
@@ -198,9 +198,9 @@
 	v := newVM(t, "entry-1", p.Store(), clock)
 	p.SetFaults(fault.Faults{Down: true})
 	_, err := v.roll(ctx, roll("c1", 1))
-	is.True(platform.IsErrUnavailable(err))
+	is.True(kvstore.IsErrUnavailable(err))
 	_, err = v.changeProgress(ctx, "c1")
-	is.True(platform.IsErrUnavailable(err))
+	is.True(kvstore.IsErrUnavailable(err))
 	is.True(v.view.Load().Bundle() == nil)
 	p.SetFaults(fault.Faults{})
 	_, err = v.changeProgress(ctx, "c1")
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -11,9 +11,9 @@
 
 	"clementinepier/board"
 	"clementinepier/config"
+	"clementinepier/kvstore"
 	"clementinepier/membership"
 	"clementinepier/metrics"
-	"clementinepier/platform"
 )
 
 const (
@@ -92,7 +92,7 @@
 
 // storeRead applies a value of the store that was read by a call sent at the time given. A value that cannot be
 // decoded, or of which a part is refused, says nothing about how fresh the view is.
-func (v *VM) storeRead(ctx context.Context, sent time.Time, entry platform.Entry) (complete bool) {
+func (v *VM) storeRead(ctx context.Context, sent time.Time, entry kvstore.Entry) (complete bool) {
 	if entry.Version == 0 {
 		return true
 	}
@@ -182,7 +182,7 @@
 	return version, true
 }
 
-func parseRegistration(e platform.Entry) membership.Registration {
+func parseRegistration(e kvstore.Entry) membership.Registration {
 	return membership.Registration{
 		VM: path.Base(e.Key), FailureDomain: strings.TrimPrefix(path.Dir(e.Key), registrationPrefix), Version: e.Version,
 	}
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"clementinepier/board"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 	"clementinepier/worker"
 )
 
@@ -37,11 +37,11 @@
 }
 
 // update adds new workers and replaces the client of a worker with a new address.
-func (w *workerClients) update(list []platform.VM) {
+func (w *workerClients) update(list []kvstore.VM) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, vm := range list {
-		if vm.Kind != platform.KindWorker || w.addresses[vm.Name] == vm.Address {
+		if vm.Kind != kvstore.KindWorker || w.addresses[vm.Name] == vm.Address {
 			continue
 		}
 		w.addresses[vm.Name] = vm.Address
@@ -64,11 +64,11 @@
 
 // listed records the platform's list. Workers that it drops are forgotten; an empty list is taken for a fault of the
 // platform, since it would stop all work.
-func (v *VM) listed(s *board.State, list []platform.VM) {
+func (v *VM) listed(s *board.State, list []kvstore.VM) {
 	s.Members.SetList(v.Clock.Now(), list)
-	workers, leaving := map[string]platform.VM{}, map[string]bool{}
+	workers, leaving := map[string]kvstore.VM{}, map[string]bool{}
 	for _, vm := range list {
-		if vm.Kind != platform.KindWorker || vm.FailureDomain != s.Self.FailureDomain {
+		if vm.Kind != kvstore.KindWorker || vm.FailureDomain != s.Self.FailureDomain {
 			continue
 		}
 		workers[vm.Name] = vm
--- a/entry/journal.go
+++ b/entry/journal.go
@@ -7,9 +7,9 @@
 
 	"k8s.io/klog/v2"
 
+	"clementinepier/backlog"
 	"clementinepier/board"
 	"clementinepier/job"
-	"clementinepier/journal"
 	"clementinepier/membership"
 	"clementinepier/metrics"
 	"clementinepier/trace"
@@ -32,9 +32,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
 	defer cancel()
-	record := journal.Record{Request: h.request, Digest: h.digest, Deadline: h.deadline}
+	record := backlog.Record{Request: h.request, Digest: h.digest, Deadline: h.deadline}
 	err := v.journal.Add(ctx, record)
-	if !journal.IsErrTooLarge(err) {
+	if !backlog.IsErrTooLarge(err) {
 		// A write whose reply was lost may have taken effect, so its record is dropped in the end, too.
 		v.directory.setKept(h, h.deadline)
 	}
@@ -138,7 +138,7 @@
 }
 
 // adopt goes on with one kept request.
-func (v *VM) adopt(record journal.Record) {
+func (v *VM) adopt(record backlog.Record) {
 	req := record.Request
 	left := record.Deadline.Sub(v.Clock.Now())
 	h, created := v.directory.take(req, record.Digest, record.Deadline)
--- a/entry/journal_test.go
+++ b/entry/journal_test.go
@@ -8,9 +8,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"clementinepier/backlog"
 	"clementinepier/board"
 	"clementinepier/job"
-	"clementinepier/journal"
 	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/placement"
@@ -43,7 +43,7 @@
 	r := &receiver{answer: make(chan struct{}), runs: make(chan job.Request, 8)}
 	r.VM = &VM{
 		Clock: clock, Metrics: &metrics.Set{}, Tracer: tracer, self: peer.Identity{VM: name}, directory: newRequestDirectory(clock),
-		journal: &journal.Journal{Store: store.Store(), Receiver: name}, limitWaits: map[quota.Key]int{},
+		journal: &backlog.Journal{Store: store.Store(), Receiver: name}, limitWaits: map[quota.Key]int{},
 		board: board.New(&board.State{Quota: quota.New(name)}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/entry/run.go
+++ b/entry/run.go
@@ -5,8 +5,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"clementinepier/kvstore"
 	"clementinepier/metrics"
-	"clementinepier/platform"
 	"clementinepier/settings"
 	"clementinepier/trace"
 )
@@ -23,10 +23,10 @@
 	}
 	counters := &metrics.Set{}
 	counters.Publish()
-	options := platform.Options{Address: s.PlatformAddress()}
+	options := kvstore.Options{Address: s.PlatformAddress()}
 	vm := &VM{
-		Settings: s, Clock: clockwork.NewRealClock(), Store: platform.NewStore(options),
-		Directory: platform.NewDirectory(options), Metrics: counters, Tracer: tracer,
+		Settings: s, Clock: clockwork.NewRealClock(), Store: kvstore.NewStore(options),
+		Directory: kvstore.NewDirectory(options), Metrics: counters, Tracer: tracer,
 	}
 	return vm.Run(ctx.Done())
 }
--- a/entry/store.go
+++ b/entry/store.go
@@ -4,25 +4,25 @@
 	"context"
 	"time"
 
+	"clementinepier/kvstore"
 	"clementinepier/metrics"
-	"clementinepier/platform"
 )
 
 // countStore returns a store that counts the calls by kind, and those that brought no usable reply.
-func countStore(s platform.Store, m *metrics.Set) platform.Store {
+func countStore(s kvstore.Store, m *metrics.Set) kvstore.Store {
 	count := func(kind metrics.Name, err error) {
 		m.Add(kind, 1)
-		if platform.IsErrUnavailable(err) {
+		if kvstore.IsErrUnavailable(err) {
 			m.Add(metrics.StoreErrors, 1)
 		}
 	}
-	return platform.Store{
-		Get: func(ctx context.Context, key string) (platform.Entry, error) {
+	return kvstore.Store{
+		Get: func(ctx context.Context, key string) (kvstore.Entry, error) {
 			entry, err := s.Get(ctx, key)
 			count(metrics.StoreGets, err)
 			return entry, err
 		},
-		List: func(ctx context.Context, prefix string) ([]platform.Entry, error) {
+		List: func(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
 			entries, err := s.List(ctx, prefix)
 			count(metrics.StoreLists, err)
 			return entries, err
@@ -37,7 +37,7 @@
 			count(metrics.StoreDeletes, err)
 			return err
 		},
-		Watch: func(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Entry, error) {
+		Watch: func(ctx context.Context, key string, after uint64, wait time.Duration) (kvstore.Entry, error) {
 			entry, err := s.Watch(ctx, key, after, wait)
 			count(metrics.StoreWatches, err)
 			return entry, err
@@ -46,11 +46,11 @@
 }
 
 // countDirectory returns a VM list that counts the calls.
-func countDirectory(d platform.Directory, m *metrics.Set) platform.Directory {
-	return platform.Directory{VMs: func(ctx context.Context) ([]platform.VM, error) {
+func countDirectory(d kvstore.Directory, m *metrics.Set) kvstore.Directory {
+	return kvstore.Directory{VMs: func(ctx context.Context) ([]kvstore.VM, error) {
 		list, err := d.VMs(ctx)
 		m.Add(metrics.VMLists, 1)
-		if platform.IsErrUnavailable(err) {
+		if kvstore.IsErrUnavailable(err) {
 			m.Add(metrics.StoreErrors, 1)
 		}
 		return list, err
--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -22,11 +22,11 @@
 	"clementinepier/config"
 	"clementinepier/job"
 	"clementinepier/jsonhttp"
+	"clementinepier/kvstore"
 	"clementinepier/message"
 	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/placement"
-	"clementinepier/platform"
 	"clementinepier/router"
 	standinworker "clementinepier/standin/worker"
 	"clementinepier/trace"
@@ -63,7 +63,7 @@
 	is.NoErr(v.board.Do(ctx, func(s *board.State) {
 		is.NoErr(v.join(s, document))
 		s.Freshness.StoreRead(v.Clock.Now(), s.View.Revision())
-		s.Workers["w1"] = platform.VM{Name: "w1", Rack: "north-1", FailureDomain: "north"}
+		s.Workers["w1"] = kvstore.VM{Name: "w1", Rack: "north-1", FailureDomain: "north"}
 		s.Owned["north-1"] = true
 		v.dispatcher.SetRacks(s)
 		v.dispatcher.SetConfiguration(s)
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"clementinepier/backlog"
 	"clementinepier/board"
 	"clementinepier/breaker"
 	"clementinepier/claim"
@@ -23,12 +24,11 @@
 	"clementinepier/dispatch"
 	"clementinepier/gang"
 	"clementinepier/job"
-	"clementinepier/journal"
+	"clementinepier/kvstore"
 	"clementinepier/membership"
 	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/placement"
-	"clementinepier/platform"
 	"clementinepier/queue"
 	"clementinepier/quota"
 	"clementinepier/router"
@@ -59,8 +59,8 @@
 type VM struct {
 	Settings  *settings.Settings
 	Clock     clockwork.Clock
-	Store     platform.Store
-	Directory platform.Directory
+	Store     kvstore.Store
+	Directory kvstore.Directory
 	Metrics   *metrics.Set
 	Tracer    *trace.Tracer
 
@@ -72,7 +72,7 @@
 	ledger     *claim.Ledger
 	workers    *workerClients
 	directory  *requestDirectory
-	journal    *journal.Journal
+	journal    *backlog.Journal
 	// unreleased are the journal records of ended requests that could not be dropped yet; only release touches it.
 	unreleased []keptRecord
 	// owners is replaced by the control goroutine and read by traffic.
@@ -156,7 +156,7 @@
 	v.limitWaits = map[quota.Key]int{}
 	v.workers = newWorkerClients(v.Clock)
 	v.directory = newRequestDirectory(v.Clock)
-	v.journal = &journal.Journal{Store: v.Store, Receiver: v.self.VM}
+	v.journal = &backlog.Journal{Store: v.Store, Receiver: v.self.VM}
 	v.board = board.New(v.newState(empty))
 	v.buildHub()
 	v.ledger = claim.NewLedger(v.Store, v.Clock)
@@ -180,7 +180,7 @@
 		Members:   &membership.Table{Self: v.self.VM, RemoveAfter: removeAfter + v.Settings.IsolatedWindow()},
 		Ownership: &membership.Ownership{Self: v.self.VM},
 		Reports:   map[string]board.Report{},
-		Workers:   map[string]platform.VM{}, Leaving: map[string]bool{}, Owned: map[string]bool{},
+		Workers:   map[string]kvstore.VM{}, Leaving: map[string]bool{}, Owned: map[string]bool{},
 		Cluster: placement.New(placement.Options{}),
 		Queue:   queue.New(queue.Options{MaxLength: v.Settings.QueueLength()}),
 		Breaker: breaker.New(), Retries: breaker.NewRetryBudget(), Quota: quota.New(v.self.VM),
--- a/platform/client.go
+++ b/kvstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/kvstore/kvstore.go
@@ -1,5 +1,5 @@
-// Package platform is the only place that knows how to talk to the platform: its key-value service and its list of VMs.
-package platform
+// Package kvstore is the only place that knows how to talk to the platform: its key-value service and its list of VMs.
+package kvstore
 
 import (
 	"context"
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 // TestMain fixes the seed of rapid, so that every run gives the same verdict, and keeps it from writing failure files.
@@ -32,8 +32,8 @@
 	return Member{Name: name, FailureDomain: "a", Address: "127.0.0.1:1", BootID: boot, Registered: true}
 }
 
-func testVM(name string) platform.VM {
-	return platform.VM{Name: name, Kind: platform.KindEntry, FailureDomain: "a", Address: "127.0.0.1:1"}
+func testVM(name string) kvstore.VM {
+	return kvstore.VM{Name: name, Kind: kvstore.KindEntry, FailureDomain: "a", Address: "127.0.0.1:1"}
 }
 
 // Guards against racks of silent or leaving members, and against a late message that undoes a newer one.
@@ -76,16 +76,16 @@
 		"list says leaving": {func(t *Table) Event {
 			vm := testVM("v1")
 			vm.Leaving = true
-			t.SetList(at(1), []platform.VM{vm})
+			t.SetList(at(1), []kvstore.VM{vm})
 			return EventNone
 		}, 1, []string{"v2"}, EventNone},
 		"list drops a live member": {func(t *Table) Event {
-			t.SetList(at(0), []platform.VM{testVM("v1"), testVM("v2")})
+			t.SetList(at(0), []kvstore.VM{testVM("v1"), testVM("v2")})
 			t.SetList(at(1), nil)
 			return EventNone
 		}, 1, []string{"v1", "v2"}, EventNone},
 		"list makes none live": {func(t *Table) Event {
-			t.SetList(at(1), []platform.VM{testVM("v1"), testVM("v9")})
+			t.SetList(at(1), []kvstore.VM{testVM("v1"), testVM("v9")})
 			return EventNone
 		}, 5, nil, EventNone},
 	} {
@@ -103,10 +103,10 @@
 
 // Guards against removing the registration of a VM that may still answer heartbeats, and against never removing one.
 func TestRemovable(t *testing.T) {
-	both, self := []platform.VM{testVM("v1"), testVM("v2")}, []platform.VM{testVM("v1")}
+	both, self := []kvstore.VM{testVM("v1"), testVM("v2")}, []kvstore.VM{testVM("v1")}
 	registrations := []Registration{{"v1", "a", 1}, {"v2", "a", 2}}
 	for name, c := range map[string]struct {
-		before, after []platform.VM
+		before, after []kvstore.VM
 		do            func(*Table)
 		now           float64
 		want          []Registration
@@ -143,7 +143,7 @@
 	for i := range 100 {
 		table.Heard(at(float64(i)), testMember(fmt.Sprintf("v%02d", i), "x"))
 	}
-	table.SetList(at(100), []platform.VM{testVM("v0"), testVM("v00"), testVM("w"), {Name: "worker", Kind: platform.KindWorker}})
+	table.SetList(at(100), []kvstore.VM{testVM("v0"), testVM("v00"), testVM("w"), {Name: "worker", Kind: kvstore.KindWorker}})
 	table.SetRegistrations(at(100), []Registration{{"v01", "a", 1}})
 	is.Equal(len(table.Forget(at(100))), 69)
 	var names []string
--- a/membership/table.go
+++ b/membership/table.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 // Defaults of Table.
@@ -99,7 +99,7 @@
 
 // listEntry is what the platform's lists have said about a VM.
 type listEntry struct {
-	vm      platform.VM
+	vm      kvstore.VM
 	present bool
 }
 
@@ -147,7 +147,7 @@
 
 // SetList records the platform's list. It only adds hints: a listed VM may be contacted, a leaving one owns nothing, and
 // a VM that was dropped may lose its registration. It makes no member live or silent.
-func (t *Table) SetList(now time.Time, list []platform.VM) {
+func (t *Table) SetList(now time.Time, list []kvstore.VM) {
 	if t.listed == nil {
 		t.listed = map[string]listEntry{}
 	}
@@ -156,7 +156,7 @@
 		t.listed[name] = entry
 	}
 	for _, vm := range list {
-		if vm.Kind == platform.KindEntry {
+		if vm.Kind == kvstore.KindEntry {
 			t.listed[vm.Name] = listEntry{vm: vm, present: true}
 		}
 	}
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"clementinepier/jsonhttp"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 	standinplatform "clementinepier/standin/platform"
 	standinworker "clementinepier/standin/worker"
 	"clementinepier/worker"
@@ -83,7 +83,7 @@
 }
 
 func (c *workerCommand) register(address string) error {
-	vm := platform.VM{Name: c.Name, Kind: platform.KindWorker, FailureDomain: c.FailureDomain, Rack: c.Rack, Address: address}
+	vm := kvstore.VM{Name: c.Name, Kind: kvstore.KindWorker, FailureDomain: c.FailureDomain, Rack: c.Rack, Address: address}
 	_, err := call(c.Platform, "/admin/vms/add", vm)
 	return errors.Wrap(err, "register with the platform")
 }
--- a/standin/platform/contract_test.go
+++ b/standin/platform/contract_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"clementinepier/job"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 	"clementinepier/standin/fault"
 	standin "clementinepier/standin/platform"
 )
@@ -23,8 +23,8 @@
 	ctx       context.Context
 	clock     *clockwork.FakeClock
 	stand     *standin.Platform
-	store     platform.Store
-	directory platform.Directory
+	store     kvstore.Store
+	directory kvstore.Directory
 	refuse    func()
 }
 
@@ -38,8 +38,8 @@
 		server := httptest.NewServer(f.stand.Handler())
 		t.Cleanup(server.Close)
 		// The client's own clock stands still, so its timeout never interferes.
-		o := platform.Options{Address: server.Listener.Addr().String(), Clock: clockwork.NewFakeClock()}
-		f.store, f.directory = platform.NewStore(o), platform.NewDirectory(o)
+		o := kvstore.Options{Address: server.Listener.Addr().String(), Clock: clockwork.NewFakeClock()}
+		f.store, f.directory = kvstore.NewStore(o), kvstore.NewDirectory(o)
 		f.refuse = server.Close
 	},
 }
@@ -80,7 +80,7 @@
 	return written
 }
 
-func (f *fixture) get(key string) platform.Entry {
+func (f *fixture) get(key string) kvstore.Entry {
 	f.Helper()
 	entry, err := f.store.Get(f.ctx, key)
 	f.NoErr(err)
@@ -90,23 +90,23 @@
 // delivered requires an *ErrUnavailable and returns its mark.
 func (f *fixture) delivered(err error) bool {
 	f.Helper()
-	var unavailable *platform.ErrUnavailable
+	var unavailable *kvstore.ErrUnavailable
 	f.True(errors.As(err, &unavailable))
 	return unavailable.Delivered
 }
 
 // Guards against two writers that both believe they won, also after a deletion.
 func writesCheckVersions(f *fixture) {
-	f.Equal(f.get("k"), platform.Entry{Key: "k"})
+	f.Equal(f.get("k"), kvstore.Entry{Key: "k"})
 	first := f.put("k", "a", 0)
 	_, err := f.store.CompareAndSwap(f.ctx, "k", []byte("b"), 0)
-	var differs *platform.ErrVersionDiffers
+	var differs *kvstore.ErrVersionDiffers
 	f.True(errors.As(err, &differs))
-	f.Equal(*differs, platform.ErrVersionDiffers{Key: "k", Want: 0, Have: first})
+	f.Equal(*differs, kvstore.ErrVersionDiffers{Key: "k", Want: 0, Have: first})
 	second := f.put("k", "b", first)
 	f.True(second > first)
-	f.True(platform.IsErrVersionDiffers(f.store.Delete(f.ctx, "k", first)))
-	f.Equal(f.get("k"), platform.Entry{Key: "k", Value: []byte("b"), Version: second})
+	f.True(kvstore.IsErrVersionDiffers(f.store.Delete(f.ctx, "k", first)))
+	f.Equal(f.get("k"), kvstore.Entry{Key: "k", Value: []byte("b"), Version: second})
 	f.NoErr(f.store.Delete(f.ctx, "k", second))
 	f.Equal(f.get("k").Version, uint64(0))
 	f.True(f.put("k", "c", 0) > second) // a version is never used twice
@@ -126,16 +126,16 @@
 
 // Guards against a value that is cut or stored in spite of the limit.
 func largeValuesAreRefused(f *fixture) {
-	largest := make([]byte, platform.MaxValueSize)
+	largest := make([]byte, kvstore.MaxValueSize)
 	version, err := f.store.CompareAndSwap(f.ctx, "k", largest, 0)
 	f.NoErr(err)
 	_, err = f.store.CompareAndSwap(f.ctx, "k", append(largest, 1), version)
-	f.True(platform.IsErrValueTooLarge(err))
-	f.Equal(len(f.get("k").Value), platform.MaxValueSize)
+	f.True(kvstore.IsErrValueTooLarge(err))
+	f.Equal(len(f.get("k").Value), kvstore.MaxValueSize)
 }
 
 type watched struct {
-	entry platform.Entry
+	entry kvstore.Entry
 	err   error
 }
 
@@ -188,8 +188,8 @@
 		}
 		return names
 	}
-	f.stand.AddVM(platform.VM{Name: "b", Address: "127.0.0.1:1"})
-	f.stand.AddVM(platform.VM{Name: "a", Address: "127.0.0.1:2"})
+	f.stand.AddVM(kvstore.VM{Name: "b", Address: "127.0.0.1:1"})
+	f.stand.AddVM(kvstore.VM{Name: "a", Address: "127.0.0.1:2"})
 	f.Equal(names(), nil)
 	f.clock.Advance(lag)
 	f.Equal(names(), []string{"a", "b"})
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -9,7 +9,7 @@
 
 	"clementinepier/job"
 	"clementinepier/jsonhttp"
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 	"clementinepier/standin/fault"
 )
 
@@ -31,7 +31,7 @@
 	type keyed struct {
 		Key string `json:"key"`
 	}
-	jsonhttp.Handle(mux, "/v1/get", func(ctx context.Context, in keyed) (platform.Entry, error) {
+	jsonhttp.Handle(mux, "/v1/get", func(ctx context.Context, in keyed) (kvstore.Entry, error) {
 		entry, err := p.get(detach(ctx), in.Key)
 		return entry, httpError(err)
 	})
@@ -47,7 +47,7 @@
 		After uint64       `json:"after"`
 		Wait  job.Duration `json:"wait"`
 	}
-	jsonhttp.Handle(mux, "/v1/watch", func(ctx context.Context, in watched) (platform.Entry, error) {
+	jsonhttp.Handle(mux, "/v1/watch", func(ctx context.Context, in watched) (kvstore.Entry, error) {
 		entry, err := p.watch(ctx, in.Key, in.After, in.Wait.Std())
 		return entry, httpError(err)
 	})
@@ -99,7 +99,7 @@
 		p.SetLag(in.Lag.Std())
 		return empty{}, nil
 	})
-	jsonhttp.Handle(mux, "/admin/vms/add", func(_ context.Context, in platform.VM) (empty, error) {
+	jsonhttp.Handle(mux, "/admin/vms/add", func(_ context.Context, in kvstore.VM) (empty, error) {
 		if in.Name == "" || in.Address == "" {
 			return empty{}, errors.New("a VM needs a name and an address")
 		}
@@ -123,7 +123,7 @@
 }
 
 func httpError(err error) error {
-	var differs *platform.ErrVersionDiffers
+	var differs *kvstore.ErrVersionDiffers
 	var lease *ErrLeaseNotExist
 	switch {
 	case err == nil:
@@ -133,7 +133,7 @@
 		return &jsonhttp.ErrStatus{Status: http.StatusConflict, Body: body}
 	case errors.As(err, &lease):
 		return &jsonhttp.ErrStatus{Status: http.StatusNotFound, Body: []byte(err.Error())}
-	case platform.IsErrValueTooLarge(err):
+	case kvstore.IsErrValueTooLarge(err):
 		return &jsonhttp.ErrStatus{Status: http.StatusRequestEntityTooLarge, Body: []byte(err.Error())}
 	}
 	return jsonhttp.ErrAbort
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -10,7 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 	"clementinepier/standin/fault"
 )
 
@@ -37,7 +37,7 @@
 	changed   chan struct{}
 
 	lag time.Duration
-	vms map[string]platform.VM
+	vms map[string]kvstore.VM
 	// history holds the visible list and every later one, oldest first.
 	history []snapshot
 }
@@ -50,7 +50,7 @@
 
 type snapshot struct {
 	at  time.Time
-	vms []platform.VM
+	vms []kvstore.VM
 }
 
 // New returns an empty stand-in.
@@ -65,7 +65,7 @@
 		leases:  map[uint64]time.Time{},
 		changed: make(chan struct{}),
 		lag:     o.Lag,
-		vms:     map[string]platform.VM{},
+		vms:     map[string]kvstore.VM{},
 	}
 }
 
@@ -76,8 +76,8 @@
 func (p *Platform) Calls() map[string]uint64 { return p.gate.Calls() }
 
 // Store returns a store that calls the memory directly.
-func (p *Platform) Store() platform.Store {
-	return platform.Store{
+func (p *Platform) Store() kvstore.Store {
+	return kvstore.Store{
 		Get:  p.get,
 		List: p.list,
 		CompareAndSwap: func(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
@@ -89,7 +89,7 @@
 }
 
 // Directory returns a VM list that reads the memory directly.
-func (p *Platform) Directory() platform.Directory { return platform.Directory{VMs: p.listVMs} }
+func (p *Platform) Directory() kvstore.Directory { return kvstore.Directory{VMs: p.listVMs} }
 
 // do runs one call under the faults, with p.mu held during effect.
 func (p *Platform) do(ctx context.Context, call string, effect func()) error {
@@ -103,26 +103,26 @@
 
 func (p *Platform) through(ctx context.Context, call string, effect func()) error {
 	if delivered, err := p.gate.Do(ctx, call, effect); err != nil {
-		return &platform.ErrUnavailable{Call: call, Delivered: delivered, Cause: err}
+		return &kvstore.ErrUnavailable{Call: call, Delivered: delivered, Cause: err}
 	}
 	return nil
 }
 
-func (p *Platform) entry(key string) platform.Entry {
+func (p *Platform) entry(key string) kvstore.Entry {
 	s := p.entries[key]
-	return platform.Entry{Key: key, Value: append([]byte(nil), s.value...), Version: s.version}
+	return kvstore.Entry{Key: key, Value: append([]byte(nil), s.value...), Version: s.version}
 }
 
-func (p *Platform) get(ctx context.Context, key string) (entry platform.Entry, err error) {
+func (p *Platform) get(ctx context.Context, key string) (entry kvstore.Entry, err error) {
 	err = p.do(ctx, "get", func() { entry = p.entry(key) })
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	return entry, nil
 }
 
-func (p *Platform) list(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	var entries []platform.Entry
+func (p *Platform) list(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
+	var entries []kvstore.Entry
 	err := p.do(ctx, "list", func() {
 		for key := range p.entries {
 			if strings.HasPrefix(key, prefix) {
@@ -139,14 +139,14 @@
 
 // CompareAndSwapLeased is CompareAndSwap with a lease: the key is removed when the lease expires. Lease 0 means none.
 func (p *Platform) CompareAndSwapLeased(ctx context.Context, key string, value []byte, version, lease uint64) (uint64, error) {
-	if len(value) > platform.MaxValueSize {
-		return 0, &platform.ErrValueTooLarge{Key: key, Size: len(value)}
+	if len(value) > kvstore.MaxValueSize {
+		return 0, &kvstore.ErrValueTooLarge{Key: key, Size: len(value)}
 	}
 	var written uint64
 	var conflict error
 	err := p.do(ctx, "compare-and-swap", func() {
 		if have := p.entries[key].version; have != version {
-			conflict = &platform.ErrVersionDiffers{Key: key, Want: version, Have: have}
+			conflict = &kvstore.ErrVersionDiffers{Key: key, Want: version, Have: have}
 			return
 		}
 		if _, ok := p.leases[lease]; lease != 0 && !ok {
@@ -171,7 +171,7 @@
 	var conflict error
 	err := p.do(ctx, "delete", func() {
 		if have := p.entries[key].version; have != version {
-			conflict = &platform.ErrVersionDiffers{Key: key, Want: version, Have: have}
+			conflict = &kvstore.ErrVersionDiffers{Key: key, Want: version, Have: have}
 			return
 		}
 		delete(p.entries, key)
@@ -183,15 +183,15 @@
 	return conflict
 }
 
-func (p *Platform) watch(ctx context.Context, key string, after uint64, wait time.Duration) (entry platform.Entry, err error) {
+func (p *Platform) watch(ctx context.Context, key string, after uint64, wait time.Duration) (entry kvstore.Entry, err error) {
 	err = p.through(ctx, "watch", func() { entry = p.await(ctx, key, after, wait) })
 	if err != nil {
-		return platform.Entry{}, err
+		return kvstore.Entry{}, err
 	}
 	return entry, nil
 }
 
-func (p *Platform) await(ctx context.Context, key string, after uint64, wait time.Duration) platform.Entry {
+func (p *Platform) await(ctx context.Context, key string, after uint64, wait time.Duration) kvstore.Entry {
 	timer := p.clock.NewTimer(wait)
 	defer timer.Stop()
 	for passed := wait <= 0; ; {
--- a/standin/platform/vms.go
+++ b/standin/platform/vms.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"clementinepier/platform"
+	"clementinepier/kvstore"
 )
 
 // SetLag changes how long a change of the VM list stays invisible.
@@ -16,7 +16,7 @@
 }
 
 // AddVM puts a VM on the list; one of the same name is replaced.
-func (p *Platform) AddVM(vm platform.VM) {
+func (p *Platform) AddVM(vm kvstore.VM) {
 	p.changeVMs(func() { p.vms[vm.Name] = vm })
 }
 
@@ -42,7 +42,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	change()
-	vms := make([]platform.VM, 0, len(p.vms))
+	vms := make([]kvstore.VM, 0, len(p.vms))
 	for _, vm := range p.vms {
 		vms = append(vms, vm)
 	}
@@ -50,8 +50,8 @@
 	p.history = append(p.history, snapshot{at: p.clock.Now(), vms: vms})
 }
 
-func (p *Platform) listVMs(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+func (p *Platform) listVMs(ctx context.Context) ([]kvstore.VM, error) {
+	var vms []kvstore.VM
 	err := p.do(ctx, "vms", func() {
 		visible := p.clock.Now().Add(-p.lag)
 		for len(p.history) > 1 && !p.history[1].at.After(visible) {
