Let the lease of a worker that does not answer lapse

Ruled out: a lost record (the task was placed) and missing room (under half was in use). Test: TestRunsOfLostWorkerStartAgainOnceItsLeaseHasLapsed, seen failing. The engine's tests run in virtual time, so the planner now waits for its goroutines when it ends.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -109,7 +109,8 @@
 func (p *Planner) look(w *workerState, now time.Time) {
 	order := LookOrder{Fence: p.Term.Fence(), Noted: w.seen}
 	if w.known && w.clock != 0 {
-		if len(w.runs) > 0 {
+		// A worker that does not answer gets no longer lease, so that its runs end in bounded time.
+		if len(w.runs) > 0 && w.failing.IsZero() {
 			order.Until = p.grant(w, p.Bounds.MaxLease)
 			order.Wait = lookWait
 		}
@@ -166,7 +167,7 @@
 		p.takeEnd(w, e)
 	}
 	p.reconcile(w, sent, view)
-	if order.Wait == 0 && order.Until != 0 {
+	if order.Wait == 0 && order.Until != 0 && len(view.Ends) == 0 {
 		w.nextLook = now.Add(shortLook)
 	}
 }
--- /dev/null
+++ b/engine/lapse_test.go
@@ -0,0 +1,124 @@
+package engine_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"clementinepier/engine"
+	"clementinepier/workload"
+)
+
+// Guards against a path that does not work at all.
+func TestJobRunsToItsEnd(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 2)
+		p, stop := r.planner("a")
+		defer stop()
+		r.submit(p, "j1", 1, single(1), time.Second)
+		r.submit(p, "j2", 1, gang(4, 4), time.Second)
+		r.await(p, "j1", workload.StateCompleted, 3*time.Second)
+		r.await(p, "j2", workload.StateCompleted, 3*time.Second)
+	})
+}
+
+// Guards against looks that extend the lease of a worker that does not answer, so that its runs are never given up.
+func TestRunsOfLostWorkerStartAgainOnceItsLeaseHasLapsed(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 2)
+		p, stop := r.planner("a")
+		defer stop()
+		r.submit(p, "j1", 1, single(8), 3*time.Second)
+		time.Sleep(time.Second)
+		at := r.where("j1")
+		r.Equal(len(at), 1)
+		r.set(at[0], func(w *fakeWorker) { w.dead = true })
+		r.unlist(r.workers[at[0]])
+		r.await(p, "j1", workload.StateCompleted, maxLease+6*time.Second)
+	})
+}
+
+// Guards against giving a run up while its worker, cut off from the planner, may still have it.
+func TestRunsOfSilentWorkerAreNotStartedTwice(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 2)
+		p, stop := r.planner("a")
+		defer stop()
+		r.submit(p, "j1", 1, single(8), 9*time.Second)
+		time.Sleep(time.Second)
+		at := r.where("j1")[0]
+		r.set(at, func(w *fakeWorker) { w.silent = true })
+		time.Sleep(6 * time.Second)
+		r.set(at, func(w *fakeWorker) { w.silent = false })
+		r.await(p, "j1", workload.StateCompleted, 5*time.Second)
+		r.Equal(r.workers[at].starts, 1)
+	})
+}
+
+// Guards against a successor that starts again what runs, or that forgets what was accepted.
+func TestSuccessorTakesOverRunsAndJobs(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 2)
+		p, stop := r.planner("a")
+		r.submit(p, "j1", 1, gang(2, 8), 5*time.Second)
+		r.submit(p, "j2", 1, single(8), time.Second)
+		time.Sleep(time.Second)
+		stop()
+		p, stop = r.planner("b")
+		defer stop()
+		r.await(p, "j1", workload.StateCompleted, 6*time.Second)
+		r.await(p, "j2", workload.StateCompleted, 3*time.Second)
+	})
+}
+
+// Guards against a job that is lost or doubled when the answer to its write is lost.
+func TestLostAnswerOfTheStoreDoublesNothing(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 2)
+		p, stop := r.planner("a")
+		defer stop()
+		r.store.mu.Lock()
+		r.store.loseWrites = true
+		r.store.mu.Unlock()
+		time.AfterFunc(300*time.Millisecond, func() {
+			r.store.mu.Lock()
+			defer r.store.mu.Unlock()
+			r.store.loseWrites = false
+		})
+		r.submit(p, "j1", 1, single(1), time.Second)
+		r.await(p, "j1", workload.StateCompleted, 3*time.Second)
+	})
+}
+
+// Guards against a start that got no answer and is given up although the worker has the run.
+func TestUnansweredStartIsSettledBeforeTheTaskStartsElsewhere(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 2)
+		for _, w := range r.workers {
+			w.loseStarts = true
+		}
+		p, stop := r.planner("a")
+		defer stop()
+		r.submit(p, "j1", 1, single(8), time.Second)
+		time.Sleep(500 * time.Millisecond)
+		for id := range r.workers {
+			r.set(id, func(w *fakeWorker) { w.loseStarts = false })
+		}
+		r.await(p, "j1", workload.StateCompleted, 8*time.Second)
+	})
+}
+
+// Guards against orders of a planner that may have a successor.
+func TestPlannerWithoutStoreStopsStarting(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 1)
+		p, stop := r.planner("a")
+		defer stop()
+		r.store.setSilent(true)
+		time.Sleep(engine.TermLength + time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		r.Equal(p.State(ctx, "j1").Verdict, engine.VerdictUnknown)
+		r.Equal(r.workers["r1-w0"].starts, 0)
+	})
+}
--- a/engine/load.go
+++ b/engine/load.go
@@ -18,6 +18,9 @@
 	watchWait = 3 * time.Second
 	// watchTimeout bounds the watch on top of its wait.
 	watchTimeout = 800 * time.Millisecond
+	// watchPause gathers changes, since each answer of a watch counts as a call. Workers change their entries all the
+	// time, and a worker that leaves has to be known within 2 s.
+	watchPause = 0 * time.Millisecond
 	// watchRetry is the pause after a watch that failed.
 	watchRetry = 100 * time.Millisecond
 )
@@ -240,40 +243,46 @@
 	}
 }
 
-// goWatch follows the markers and the workers' entries.
-func (p *Planner) goWatch(ctx context.Context) {
-	go p.watch(ctx, markerPrefix, p.markersAt, p.takeMarker)
-	go p.watch(ctx, p.AdvertPrefix, p.advertsAt, p.takeAdvert)
+// watch hands every change under a prefix to take, on the control goroutine, until ctx ends. The channel is closed then.
+func (p *Planner) watch(ctx context.Context, prefix string, at int64, take func(Item)) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			at = p.watchOnce(ctx, prefix, at, take)
+		}
+	}()
+	return done
 }
 
-// watch hands every change under a prefix to take, on the control goroutine. When history is missing it lists the prefix again.
-func (p *Planner) watch(ctx context.Context, prefix string, at int64, take func(Item)) {
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
-		events, next, err := p.Store.Watch(callCtx, prefix, at, watchWait)
-		cancel()
-		if IsErrCompacted(err) {
-			events, next, err = p.relist(ctx, prefix)
+// watchOnce waits for changes after a revision and returns the revision to go on from. When history is missing it lists
+// the prefix again.
+func (p *Planner) watchOnce(ctx context.Context, prefix string, at int64, take func(Item)) int64 {
+	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
+	events, next, err := p.Store.Watch(callCtx, prefix, at, watchWait)
+	cancel()
+	if IsErrCompacted(err) {
+		events, next, err = p.relist(ctx, prefix)
+	}
+	pause := watchPause
+	switch {
+	case err != nil:
+		if ctx.Err() == nil {
+			p.Log.Event("watch-failed", "prefix", prefix, "after", at, "error", err)
 		}
-		if err != nil {
-			if ctx.Err() == nil {
-				p.Log.Event("watch-failed", "prefix", prefix, "after", at, "error", err)
-			}
-			select {
-			case <-ctx.Done():
-			case <-p.Clock.After(watchRetry):
+		next, pause = at, watchRetry
+	case len(events) > 0:
+		p.post(func() {
+			for _, e := range events {
+				take(e)
 			}
-			continue
-		}
-		at = next
-		if len(events) > 0 {
-			p.post(func() {
-				for _, e := range events {
-					take(e)
-				}
-			})
-		}
+		})
+	}
+	select {
+	case <-ctx.Done():
+	case <-p.Clock.After(pause):
 	}
+	return next
 }
 
 // relist returns the content of a prefix as events, with deletions for the workers that are no longer listed.
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -39,6 +39,8 @@
 	maxCalls = 512
 	// inboxSize bounds the events that wait; senders block when it is full.
 	inboxSize = 1024
+	// releaseTimeout bounds the wait for calls that end with the planner.
+	releaseTimeout = time.Second
 	// leaseMargin is how long before the end of its lease the planner stops giving orders.
 	leaseMargin = 100 * time.Millisecond
 )
@@ -71,6 +73,8 @@
 	ready   chan struct{}
 	// markersAt and advertsAt are the revisions from which the watches go on.
 	markersAt, advertsAt int64
+	// watches report the ends of the goroutines that follow the store.
+	watches []<-chan struct{}
 
 	started time.Time
 	jobs    map[string]*jobState
@@ -115,9 +119,15 @@
 	p.breaker = breaker.New()
 	done := make(chan error, 1)
 	go func() {
-		defer pool.Release()
-		defer cancel()
-		done <- p.loop(ctx)
+		err := p.loop(ctx)
+		cancel()
+		for _, watch := range p.watches {
+			<-watch
+		}
+		if poolErr := pool.ReleaseTimeout(releaseTimeout); poolErr != nil {
+			p.Log.Event("calls-left-behind", "error", poolErr)
+		}
+		done <- err
 	}()
 	return done, nil
 }
@@ -132,7 +142,7 @@
 	close(p.ready)
 	p.Log.Event("planner-ready", "fence", p.Term.Fence(), "jobs", len(p.jobs), "workers", len(p.workers),
 		"took", p.Clock.Since(p.started))
-	p.goWatch(ctx)
+	p.watches = append(p.watches, p.watch(ctx, markerPrefix, p.markersAt, p.takeMarker), p.watch(ctx, p.AdvertPrefix, p.advertsAt, p.takeAdvert))
 	ticker := p.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
