--- a/engine/load.go
+++ b/engine/load.go
@@ -20,7 +20,7 @@
 	watchTimeout = 800 * time.Millisecond
 	// watchPause gathers changes, since each answer of a watch counts as a call. Workers change their entries all the
 	// time, and a worker that leaves has to be known within 2 s.
-	watchPause = 0 * time.Millisecond
+	watchPause = 250 * time.Millisecond
 	// watchRetry is the pause after a watch that failed.
 	watchRetry = 100 * time.Millisecond
 )
