--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -363,8 +363,12 @@
 	<-p.Ready()
 	return p, func() {
 		cancel()
-		<-renewed
-		<-planned
+		if err := <-renewed; err != nil {
+			r.t.Log("term:", err)
+		}
+		if err := <-planned; err != nil {
+			r.t.Log("planner:", err)
+		}
 	}
 }
 
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -60,7 +60,7 @@
 			}
 			continue
 		}
-		if u.Guaranteed {
+		if u.Guaranteed || u.Job.Priority == 0 {
 			f.reclaim(now, u, &d)
 			continue
 		}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,138 @@
+package policy_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"clementinepier/policy"
+	"clementinepier/workload"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// worker has 32 cores, 64 GB and 8 accelerators, of which some are in use.
+func worker(id, rack string, used int64) *policy.Worker {
+	capacity := workload.Resources{MilliCPU: 32000, MemoryMB: 64 << 10, Accelerators: 8}
+	free := capacity.Sub(workload.Resources{MilliCPU: 1000 * used, Accelerators: used})
+	return &policy.Worker{ID: id, Rack: rack, Labels: []string{"a", rack}, Capacity: capacity, Free: free, Soon: free, Usable: true}
+}
+
+// borrow fills a worker with a group that may be stopped.
+func borrow(w *policy.Worker, waste float64) *policy.Group {
+	g := &policy.Group{Priority: 2, Waste: waste, Uses: map[string]workload.Resources{w.ID: w.Free}, Handle: w.ID}
+	w.Free, w.Soon, w.Victims = workload.Resources{}, workload.Resources{}, append(w.Victims, g)
+	return g
+}
+
+// unit is work of n tasks with the given accelerators each.
+func unit(id string, priority, n int, accelerators int64) *policy.Unit {
+	u := &policy.Unit{
+		Job: &workload.Job{ID: id, Priority: priority, Steps: []workload.Step{{
+			Tasks: n, Gang: n > 1, Need: workload.Resources{MilliCPU: 1000, MemoryMB: 100, Accelerators: accelerators}, Estimate: 2 * time.Second,
+		}}},
+		Since: start, Due: at(5 * time.Second), Expired: at(15 * time.Second), Avoid: map[string]bool{},
+	}
+	for i := range n {
+		u.Tasks = append(u.Tasks, i)
+	}
+	return u
+}
+
+func plan(now time.Time, workers []*policy.Worker, units ...*policy.Unit) policy.Decision {
+	policy.Order(now, units)
+	return policy.NewFleet(workers).Plan(now, units)
+}
+
+// Guards against urgent work that waits behind borrowers when its organisation is beyond its guarantee, in a burst of
+// urgent jobs while long work fills every worker.
+func TestUrgentWorkMakesRoomBeyondGuarantee(t *testing.T) {
+	is := is.New(t)
+	w1, w2 := worker("w1", "r1", 0), worker("w2", "r1", 0)
+	borrow(w1, 500)
+	cheap := borrow(w2, 10)
+	d := plan(start, []*policy.Worker{w1, w2}, unit("urgent", 0, 1, 8))
+	is.Equal(len(d.Placements), 0)
+	is.Equal(d.Stops, []*policy.Group{cheap})
+}
+
+// Guards against work of lower priority that is stopped for work that is not urgent.
+func TestOtherWorkMakesNoRoom(t *testing.T) {
+	w1 := worker("w1", "r1", 0)
+	borrow(w1, 1)
+	d := plan(start, []*policy.Worker{w1}, unit("batch", 1, 1, 8))
+	is.New(t).Equal(len(d.Stops), 0)
+}
+
+// Guards against stopping again for a unit whose room is being made already.
+func TestRoomThatIsBeingMadeIsCounted(t *testing.T) {
+	is := is.New(t)
+	w1, w2 := worker("w1", "r1", 0), worker("w2", "r1", 0)
+	borrow(w1, 10)
+	borrow(w2, 10)
+	w1.Soon = w1.Capacity
+	u := unit("urgent", 0, 1, 8)
+	u.Guaranteed = true
+	d := plan(start, []*policy.Worker{w1, w2}, u)
+	is.Equal(len(d.Stops), 0)
+	is.Equal(len(d.Placements), 0)
+}
+
+// Guards against small work that takes what a waiting gang could already use.
+func TestBlockedGangKeepsRoomFromWorkBehindIt(t *testing.T) {
+	is := is.New(t)
+	workers := []*policy.Worker{worker("w1", "r1", 0), worker("w2", "r1", 8), worker("w3", "r1", 4)}
+	for i := range 3 {
+		workers = append(workers, worker(fmt.Sprintf("x%d", i), "r2", 8))
+	}
+	big, small := unit("big", 1, 2, 8), unit("small", 2, 1, 4)
+	small.Due = at(20 * time.Second)
+	d := plan(start, workers, big, small)
+	is.Equal(len(d.Placements), 1)
+	is.Equal(d.Placements[0].Worker, "w3")
+}
+
+// Guards against spreading small work over whole workers, which gangs need.
+func TestSmallWorkGoesWhereLeastIsFree(t *testing.T) {
+	is := is.New(t)
+	d := plan(start, []*policy.Worker{worker("w1", "r1", 0), worker("w2", "r1", 6), worker("w3", "r1", 3)}, unit("small", 2, 1, 1))
+	is.Equal(d.Placements[0].Worker, "w2")
+}
+
+// Guards against a gang that is split over racks although a rack has room, and against one that waits for ever.
+func TestSameRackGang(t *testing.T) {
+	is := is.New(t)
+	fleet := func() []*policy.Worker {
+		return []*policy.Worker{worker("a1", "r1", 0), worker("a2", "r1", 8), worker("b1", "r2", 0), worker("b2", "r2", 0), worker("c1", "r3", 0)}
+	}
+	u := unit("gang", 1, 2, 8)
+	u.Job.Steps[0].SameRack = true
+	d := plan(start, fleet(), u)
+	is.Equal(len(d.Placements), 2)
+	for _, p := range d.Placements {
+		is.True(p.Worker == "b1" || p.Worker == "b2")
+	}
+	busy := fleet()
+	busy[3].Free, busy[3].Soon = workload.Resources{}, workload.Resources{}
+	is.Equal(len(plan(start, busy, u).Placements), 0)
+	is.Equal(len(plan(at(4*time.Second), busy, u).Placements), 2)
+}
+
+// Guards against work that is still in time waiting behind work that is of no use any more.
+func TestOrderPutsExpiredWorkLast(t *testing.T) {
+	is := is.New(t)
+	old, fresh := unit("old", 1, 1, 1), unit("fresh", 2, 1, 1)
+	old.Due, old.Expired = at(-20*time.Second), at(-time.Second)
+	units := []*policy.Unit{old, fresh}
+	policy.Order(start, units)
+	is.Equal(units[0], fresh)
+	guaranteed := unit("guaranteed", 0, 1, 1)
+	guaranteed.Guaranteed, guaranteed.Due, guaranteed.Expired = true, old.Due, old.Expired
+	units = append(units, guaranteed)
+	policy.Order(start, units)
+	is.Equal(units[0], guaranteed)
+}
