Turn jobs away at once when the store certainly did not take them; send nothing to a planner that is silent

Now the planner withdraws a job whose writes were all refused and answers that it did not run; an entry VM sends no call to a planner that left one unanswered until a probe of its own is answered. Tests: TestJobIsTurnedAwayWhenTheStoreRefusesToWrite (seen failing, also with a planner that never tries again), TestJobWhoseWriteGotNoAnswerIsNotTurnedAway. TestPlannerWithoutStoreStopsStarting now expects the more precise verdict.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -22,6 +22,8 @@
 	commitRetry = 30 * time.Millisecond
 	// failingAfter is how long commits fail before new jobs are turned away at once.
 	failingAfter = 250 * time.Millisecond
+	// failedPause is how long after a failed commit new jobs are turned away without another try.
+	failedPause = 300 * time.Millisecond
 	// deletesWait is the number of keys to delete that is worth a commit of its own.
 	deletesWait = 8
 )
@@ -31,7 +33,6 @@
 	job *jobState
 	// change is the newest change that the written value includes.
 	change uint64
-	value  []byte
 }
 
 // flush starts a commit of the oldest changes unless one is under way.
@@ -59,7 +60,8 @@
 			break
 		}
 		t.Writes = append(t.Writes, Write{Key: jobPrefix + j.id(), Value: value, Expected: j.revision})
-		entries = append(entries, entry{job: j, change: j.lastChange, value: value})
+		entries = append(entries, entry{job: j, change: j.lastChange})
+		j.writing = true
 	}
 	room := MaxTxnEntries - 1 - 2*len(entries)
 	deletes := p.deletes[:min(room, len(p.deletes))]
@@ -78,6 +80,9 @@
 // committed takes in the outcome of a commit.
 func (p *Planner) committed(entries []entry, deletes int, revision int64, err error) {
 	p.committing = false
+	for _, e := range entries {
+		e.job.writing = false
+	}
 	now := p.Clock.Now()
 	p.Metrics.Observe(metrics.CommitTime, now.Sub(p.commitFrom))
 	var conflict *ErrConflict
@@ -100,7 +105,25 @@
 			p.Log.Event("store-lost", "error", err)
 		}
 		p.Metrics.Add(metrics.StoreErrors, 1)
-		p.commitAfter = now.Add(commitRetry)
+		p.commitAfter, p.storeFailed = now.Add(commitRetry), now
+		if !IsErrNotDone(err) {
+			for _, e := range entries {
+				e.job.offered = true
+			}
+		}
+		p.withdrawUnstored(now)
+	}
+}
+
+// withdrawUnstored turns away the jobs that cannot be stored, as long as it is certain that none of them was.
+func (p *Planner) withdrawUnstored(now time.Time) {
+	if now.Sub(p.storeFailing) < failingAfter {
+		return
+	}
+	for _, j := range p.jobs {
+		if j.revision == 0 && !j.offered {
+			p.withdraw(j)
+		}
 	}
 }
 
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"clementinepier/metrics"
 	"clementinepier/workload"
 )
@@ -46,7 +48,10 @@
 
 // await returns the result, or that it is unknown when the context ends first.
 func await(ctx, planner context.Context, result <-chan Result, err error) Result {
-	if err != nil {
+	switch {
+	case errors.Is(err, errNotTaken):
+		return Result{Verdict: VerdictUnavailable, Reason: err.Error()}
+	case err != nil && !errors.Is(err, errStopped):
 		return Result{Verdict: VerdictUnknown, Reason: err.Error()}
 	}
 	select {
@@ -55,6 +60,12 @@
 	case <-ctx.Done():
 		return Result{Verdict: VerdictUnknown, Reason: "the store did not confirm in time"}
 	case <-planner.Done():
+	}
+	// The planner tells those who wait before it ends.
+	select {
+	case r := <-result:
+		return r
+	default:
 		return Result{Verdict: VerdictUnknown, Reason: errStopped.Error()}
 	}
 }
@@ -67,12 +78,20 @@
 			return
 		}
 		j = newJobState(workload.Record{Job: job, Progress: *workload.NewProgress(&job)}, p.Clock.Now())
+		p.waiters[j] = nil
 		p.jobs[job.ID], p.active[job.ID] = j, j
 		p.touch(j)
 		p.replan = true
 	}
 	from := p.Clock.Now()
+	if waiters, unstored := p.waiters[j]; unstored {
+		p.waiters[j] = append(waiters, result)
+	}
 	p.whenDurable(j.lastChange, func() {
+		if j.withdrawn {
+			return
+		}
+		delete(p.waiters, j)
 		if !known {
 			p.Log.Event("job-accepted", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation,
 				"priority", job.Priority, "tasks", job.Steps[0].Tasks, "accelerators", job.FirstStepAccelerators(),
@@ -83,12 +102,41 @@
 	})
 }
 
+// withdraw forgets a job that was certainly not stored, and tells those who wait for it.
+func (p *Planner) withdraw(j *jobState) {
+	j.withdrawn = true
+	delete(p.jobs, j.id())
+	delete(p.active, j.id())
+	delete(p.dirty, j)
+	for _, g := range j.groups {
+		for _, r := range g.runs {
+			// Runs are ordered once the job is stored, so none of these was.
+			r.ended = true
+			delete(r.worker.runs, r.name)
+		}
+	}
+	for _, result := range p.waiters[j] {
+		result <- Result{Verdict: VerdictUnavailable, Reason: "the store does not answer"}
+	}
+	delete(p.waiters, j)
+	p.Log.Event("job-withdrawn", "job", j.id(), "queue", j.record.Job.Queue, "store-failing", p.storeFailing)
+}
+
+// withdrawAll turns away, when the planner ends, the jobs of which no write was sent or all were certainly refused.
+func (p *Planner) withdrawAll() {
+	for j := range p.waiters {
+		if j.revision == 0 && !j.offered && !j.writing {
+			p.withdraw(j)
+		}
+	}
+}
+
 // unavailable reports whether changes cannot be stored now.
 func (p *Planner) unavailable() (Result, bool) {
 	if !p.holdsTerm() {
 		return Result{Verdict: VerdictUnavailable, Reason: "the planner's lease is not renewed"}, true
 	}
-	if !p.storeFailing.IsZero() && p.Clock.Since(p.storeFailing) > failingAfter {
+	if !p.storeFailing.IsZero() && p.Clock.Since(p.storeFailing) > failingAfter && p.Clock.Since(p.storeFailed) < failedPause {
 		return Result{Verdict: VerdictUnavailable, Reason: "the store does not answer"}, true
 	}
 	return Result{}, false
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -83,17 +83,21 @@
 	workers map[string]*workerState
 	breaker *breaker.Breaker
 
-	change     uint64
-	durable    uint64
-	dirty      map[*jobState]bool
+	change  uint64
+	durable uint64
+	dirty   map[*jobState]bool
+	// waiters are the callers of jobs that are not stored yet.
+	waiters    map[*jobState][]chan<- Result
 	waiting    []durableCall
 	deletes    []string
 	committing bool
 	commitFrom time.Time
 	// storeFailing is when commits began to fail; zero while they succeed.
 	storeFailing time.Time
-	commitAfter  time.Time
-	replan       bool
+	// storeFailed is when a commit last failed.
+	storeFailed time.Time
+	commitAfter time.Time
+	replan      bool
 }
 
 // durableCall runs once a change is stored.
@@ -115,11 +119,12 @@
 	p.ready = make(chan struct{})
 	p.started = p.Clock.Now()
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
-	p.dirty = map[*jobState]bool{}
+	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker = breaker.New()
 	done := make(chan error, 1)
 	go func() {
 		err := p.loop(ctx)
+		p.withdrawAll()
 		cancel()
 		for _, watch := range p.watches {
 			<-watch
@@ -188,9 +193,9 @@
 	select {
 	case p.inbox <- func() { f(); close(done) }:
 	case <-ctx.Done():
-		return ctx.Err()
+		return errNotTaken
 	case <-p.ctx.Done():
-		return errStopped
+		return errNotTaken
 	}
 	select {
 	case <-done:
@@ -202,7 +207,11 @@
 	}
 }
 
-var errStopped = errors.New("the planner has stopped")
+var (
+	errStopped = errors.New("the planner has stopped")
+	// errNotTaken means that a call did not reach the control goroutine.
+	errNotTaken = errors.New("the planner takes no calls")
+)
 
 // call runs f on the pool; f must post its result.
 func (p *Planner) call(f func()) {
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -44,7 +44,9 @@
 	silent bool
 	// loseWrites makes writes take effect and time out.
 	loseWrites bool
-	commits    int
+	// refusing makes writes fail without effect.
+	refusing bool
+	commits  int
 }
 
 func newFakeStore() *fakeStore {
@@ -107,6 +109,9 @@
 		return 0, err
 	}
 	defer s.mu.Unlock()
+	if s.refusing {
+		return 0, &engine.ErrNotDone{Cause: errSilent}
+	}
 	var conflict []engine.Item
 	check := func(key string, expected int64) {
 		current := s.items[key]
@@ -230,6 +235,13 @@
 	return nil
 }
 
+// setRefusing makes the store refuse writes, or accept them again.
+func (s *fakeStore) setRefusing(refusing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = refusing
+}
+
 // setSilent makes the store stop or start answering.
 func (s *fakeStore) setSilent(silent bool) {
 	s.mu.Lock()
--- a/engine/state.go
+++ b/engine/state.go
@@ -20,6 +20,12 @@
 	groups   map[groupKey]*group
 	// avoid has workers on which a run of this job stood still or failed.
 	avoid map[string]bool
+	// offered is set once a commit that creates the job's key may have been carried out.
+	offered bool
+	// writing is set while a commit of the job is under way.
+	writing bool
+	// withdrawn is set when the job was turned away after all.
+	withdrawn bool
 	// cancelledAt is set once the job was cancelled.
 	cancelledAt time.Time
 }
--- a/front/peers.go
+++ b/front/peers.go
@@ -23,11 +23,17 @@
 	// secretRetry is the pause before the secret is asked for again.
 	secretRetry   = 200 * time.Millisecond
 	secretTimeout = time.Second
+	// probeInterval and probeTimeout belong to the calls to a planner that did not answer.
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = 500 * time.Millisecond
 )
 
 // errNoPlanner is the cause of calls that were made while no planner was known.
 var errNoPlanner = errors.New("no planner is known")
 
+// errPlannerSilent is the cause of calls that were not sent because the planner did not answer earlier ones.
+var errPlannerSilent = errors.New("the planner does not answer")
+
 // codeNotPlanner refuses a call to an entry VM that is not the planner.
 const codeNotPlanner job.Code = "not-planner"
 
@@ -98,7 +104,52 @@
 	if h == nil || !v.secretKnown.Load() || h.VM == v.Settings.Name {
 		return &peer.ErrPeerUnavailable{Kind: kind, Cause: errNoPlanner}
 	}
-	return v.hub.Call(ctx, h.VM, kind, body, reply)
+	if v.plannerSilent.Load() {
+		return &peer.ErrPeerUnavailable{VM: h.VM, Kind: kind, Cause: errPlannerSilent}
+	}
+	err := v.hub.Call(ctx, h.VM, kind, body, reply)
+	if peer.WasDelivered(err) && v.plannerSilent.CompareAndSwap(false, true) {
+		v.log.Event("planner-silent", "vm", h.VM, "error", err)
+		v.silent <- *h
+	}
+	return err
+}
+
+// probeSilent calls a planner that did not answer until it does or another one is known. Meanwhile no call of a caller
+// is sent to it, since its outcome would not be known.
+func (v *VM) probeSilent(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case h := <-v.silent:
+				v.probe(ctx, h)
+				v.plannerSilent.Store(false)
+			}
+		}
+	}()
+	return done
+}
+
+func (v *VM) probe(ctx context.Context, h engine.Holder) {
+	from := v.Clock.Now()
+	for ctx.Err() == nil {
+		if current := v.holder.Load(); current == nil || *current != h {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+		var reply engine.Result
+		err := v.hub.Call(callCtx, h.VM, peer.KindWaiting, "", &reply)
+		cancel()
+		if err == nil || peer.IsErrRefused(err) {
+			v.log.Event("planner-answers", "vm", h.VM, "after", v.Clock.Since(from))
+			return
+		}
+		v.pause(ctx, probeInterval)
+	}
 }
 
 // handlers serve the calls of other entry VMs to this one as the planner.
--- a/front/receiver.go
+++ b/front/receiver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
 
 	"clementinepier/engine"
 	"clementinepier/eventlog"
@@ -247,7 +248,7 @@
 		case peer.WasDelivered(err):
 			r.Suspect()
 			return engine.Result{Verdict: engine.VerdictUnknown, Reason: err.Error()}
-		case peer.IsRefused(err) || !r.Clock.Now().Before(waitUntil):
+		case peer.IsRefused(err) || errors.Is(err, errPlannerSilent) || !r.Clock.Now().Before(waitUntil):
 			r.Suspect()
 			return engine.Result{Verdict: engine.VerdictUnavailable, Reason: err.Error()}
 		}
--- a/front/vm.go
+++ b/front/vm.go
@@ -75,6 +75,10 @@
 	// suspect asks the election to look at the planner's key.
 	suspect chan struct{}
 	leaving atomic.Bool
+	// plannerSilent is set while the planner does not answer.
+	plannerSilent atomic.Bool
+	// silent has the planner that did not answer, for the goroutine that probes it.
+	silent chan engine.Holder
 	// storeFailing is when calls to the store began to fail, in Unix nanoseconds of the clock; 0 while they succeed.
 	storeFailing atomic.Int64
 }
@@ -83,7 +87,7 @@
 func (v *VM) Run(ctx context.Context) error {
 	v.log = &eventlog.Log{Clock: v.Clock, Budget: v.Settings.Log.Budget}
 	v.boot = newBoot()
-	v.suspect = make(chan struct{}, 1)
+	v.suspect, v.silent = make(chan struct{}, 1), make(chan engine.Holder, 1)
 	v.metrics.Publish()
 	v.log.Event("started", "vm", v.Settings.Name, "failure-domain", v.Settings.FailureDomain, "boot", v.boot,
 		"callers", v.Settings.CallersAddress, "store", v.Settings.StoreAddress)
@@ -101,7 +105,7 @@
 	server := v.NewServer(v.receiver(), v.leaving.Load)
 	ended := []<-chan error{
 		server.Serve(listeners.callers), v.serveReady(listeners.ready), v.serveMetrics(listeners.metrics),
-		v.servePeers(work, listeners.peers), v.follow(work), v.reload(work),
+		v.servePeers(work, listeners.peers), v.follow(work), v.reload(work), v.probeSilent(work),
 	}
 	elections, endElections := context.WithCancel(work)
 	defer endElections()
