Settle lost members of a gang by the time that members wait for each other

A member that is left alone ends within the gang's timeout, and a start is not carried out after the lease that it names, now 3 s for every start; a start is tried twice in 0.9 s, not three times in 1.9 s. A call to a planner that has ended is now always told apart from one that it took. Tests: TestGangThatLostAWorkerStartsAgainBeforeTheLeaseLapses, TestGangWhoseStartIsLostStartsAgainBeforeTheLeaseLapses, both seen failing.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -263,13 +263,27 @@
 			}
 			continue
 		}
-		if now.Before(w.granted) {
-			continue
-		}
 		for _, r := range w.runs {
-			if r.phase != runRecorded && !r.ordering {
+			if r.phase != runRecorded && !r.ordering && (!now.Before(w.granted) || p.leftAlone(r, now)) {
 				p.endRun(r, EndLapsed, r.checkpoint)
 			}
 		}
 	}
 }
+
+// leftAlone reports whether a gang's member on a worker that does not answer has surely ended because another one has. A
+// gang that loses a worker can then start again long before the worker's lease lapses.
+func (p *Planner) leftAlone(r *run, now time.Time) bool {
+	g := r.group
+	if g.key.index >= 0 || !g.breaking || g.parted.IsZero() || r.worker.failing.IsZero() || r.phase == runInherited {
+		return false
+	}
+	last := g.parted
+	if r.phase == runOrdered {
+		// The start may still be carried out until its own lease has ended.
+		if latest := r.orderSent.Add(p.leaseBound(firstLease)); latest.After(last) {
+			last = latest
+		}
+	}
+	return now.Sub(last) > p.leaseBound(p.Bounds.GangTimeout)
+}
--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -155,3 +155,40 @@
 		r.Equal(p.Submit(ctx, newJob("j1", 0, single(1))).Verdict, engine.VerdictUnknown)
 	})
 }
+
+// Guards against a gang that waits for the lease of a lost worker although its other members have ended, which the lost
+// one cannot outlive by more than the time that members wait for each other.
+func TestGangThatLostAWorkerStartsAgainBeforeTheLeaseLapses(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 4)
+		p, stop := r.planner("a")
+		defer stop()
+		r.submit(p, "j1", 0, gang(2, 8), 3*time.Second)
+		time.Sleep(time.Second)
+		at := r.where("j1")
+		r.Equal(len(at), 2)
+		r.set(at[0], func(w *fakeWorker) { w.dead = true })
+		r.set(at[1], func(w *fakeWorker) {
+			for task, run := range w.runs {
+				w.end(task, run, engine.EndBroken)
+			}
+		})
+		r.await(p, "j1", workload.StateCompleted, 9*time.Second)
+	})
+}
+
+// Guards against a gang that waits for the longest lease because one of its starts went to a worker that was just lost.
+func TestGangWhoseStartIsLostStartsAgainBeforeTheLeaseLapses(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 5)
+		p, stop := r.planner("a")
+		defer stop()
+		// Another run makes the lease of the worker as long as it can be.
+		r.submit(p, "j0", 1, single(0), time.Minute)
+		time.Sleep(time.Second)
+		busy := r.where("j0")[0]
+		r.set(busy, func(w *fakeWorker) { w.dead = true })
+		r.submit(p, "j1", 0, gang(4, 8), time.Second)
+		r.await(p, "j1", workload.StateCompleted, 9*time.Second)
+	})
+}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -11,15 +11,14 @@
 
 const (
 	// orderTimeout bounds one start or stop; workers answer within a few milliseconds.
-	orderTimeout = 600 * time.Millisecond
+	orderTimeout = 450 * time.Millisecond
 	// orderRetry is the pause before an order that got no answer is sent again.
 	orderRetry = 50 * time.Millisecond
 	// startTries is how often a start is sent before its group is given up. A gang's members wait 3 s for each other.
-	startTries = 3
+	startTries = 2
 	// stopRetry is the pause before a stop is sent again for a run that has not ended.
 	stopRetry = 500 * time.Millisecond
-	// firstLease is the lease of a start on a worker that has no other runs. A look extends it at once; a start that got
-	// no answer is settled when it lapses.
+	// firstLease is the lease of a start. A look extends it at once; a start that got no answer is not carried out after it.
 	firstLease = 3 * time.Second
 	// clockSlowness is how much slower a worker's clock may run; source: the users' protocol page.
 	clockSlowness = 0.02
@@ -49,18 +48,15 @@
 		return
 	}
 	w := r.worker
-	lease := firstLease
-	if len(w.runs) > 1 {
-		lease = p.Bounds.MaxLease
-	}
 	task := r.group.job.task(r.task)
 	order := StartOrder{
-		Task: r.name, Run: r.number, Payload: r.group.job.record.Job.Payload, Until: p.grant(w, min(lease, p.Bounds.MaxLease)),
+		Task: r.name, Run: r.number, Payload: r.group.job.record.Job.Payload, Until: p.grant(w, min(firstLease, p.Bounds.MaxLease)),
 		Fence: p.Term.Fence(), Checkpoint: task.Checkpoint,
 	}
 	r.phase, r.ordering = runOrdered, true
 	r.attempts++
 	from := p.Clock.Now()
+	r.orderSent = from
 	target := Target{ID: w.id(), Address: w.advert.Address}
 	p.call(func() {
 		ctx, cancel := context.WithTimeout(p.ctx, orderTimeout)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -189,6 +189,9 @@
 
 // do runs f on the control goroutine and waits for it.
 func (p *Planner) do(ctx context.Context, f func()) error {
+	if p.ctx.Err() != nil {
+		return errNotTaken
+	}
 	done := make(chan struct{})
 	select {
 	case p.inbox <- func() { f(); close(done) }:
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -53,6 +53,9 @@
 	if checkpoint != "" {
 		r.checkpoint = checkpoint
 	}
+	if g.key.index < 0 && r.phase != runInherited && g.parted.IsZero() {
+		g.parted = p.Clock.Now()
+	}
 	p.Metrics.Add(metrics.Name("runs-ended-"+string(how)), 1)
 	p.Log.Event("run-ended", "task", r.name, "run", r.number, "worker", r.worker.id(), "how", how,
 		"percent", r.percent, "after", p.Clock.Since(g.started), "reason", g.reason)
--- a/engine/state.go
+++ b/engine/state.go
@@ -58,6 +58,9 @@
 	breaking bool
 	reason   string
 	started  time.Time
+	// parted is when a member of a gang was first known to have ended. The others then end too: at once as broken, or alone
+	// after the time that a gang's members wait for each other.
+	parted time.Time
 	// working is when all runs were known to be present; zero before that.
 	working time.Time
 }
@@ -92,6 +95,8 @@
 	// doubtful is set when an order to start it got no answer, so that it may be carried out later.
 	doubtful bool
 	attempts int
+	// orderSent is when the last order to start it was sent.
+	orderSent time.Time
 	// ordering and stopping are set while a call is under way.
 	ordering, stopping bool
 	// stopWanted is set when the run has to end; stopSent is when the last order to do so was sent.
@@ -101,7 +106,6 @@
 	// moved is when the percentage last changed.
 	moved      time.Time
 	checkpoint string
-	// lapses is when the run has surely ended if nothing is heard of its worker.
 	ended bool
 }
 
