Tell the lives of workers apart by what confirmed a run; check workers again before an order; let small planners yield

Two faults besides the slow planner: the entry of a restarted worker in the store can be older than a run in its new life, and the answer to a start can come from a life that is not known yet; in both cases the run was taken for dead and started again. And an order went out on what was known when the worker was chosen. Now a run ends with a life only if that life confirmed it; a worker is checked again before the first order, and nothing is started on a view of the workers that is older than 1.8 s; the planner on a VM 1.5 times smaller than another yields to it. Tests: TestOldEntryOfRestartedWorkerEndsNoRun, TestStartInNewLifeIsNotRepeated, TestWorkerIsCheckedAgainBeforeTheOrder, all seen failing.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -63,12 +63,13 @@
 	w.nextLook = p.Clock.Now()
 	for _, r := range w.runs {
 		switch {
-		case r.phase == runRecorded || r.ordering:
 		case r.doubtful:
 			// A start that got no answer may still be carried out in the new life.
 			p.breakGroup(r.group, "its worker has started anew")
-		default:
+		case r.born != 0:
 			p.endRun(r, EndLapsed, "")
+		default:
+			// The run may belong to the new life: the store's entry can be older than the run. The next look tells.
 		}
 	}
 }
@@ -141,7 +142,7 @@
 
 func (p *Planner) looked(w *workerState, sent time.Time, order LookOrder, view View, err error) {
 	w.looking = false
-	now := p.Clock.Now()
+	now, asked := p.Clock.Now(), w.born
 	w.nextLook = now
 	if err != nil {
 		w.nextLook = now.Add(lookRetry)
@@ -162,7 +163,9 @@
 		w.known = true
 		p.replan = true
 	}
-	w.noted = max(w.noted, order.Noted)
+	if w.born == asked {
+		w.noted = max(w.noted, order.Noted)
+	}
 	for _, e := range view.Ends {
 		p.takeEnd(w, e)
 	}
--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -192,3 +192,60 @@
 		r.await(p, "j1", workload.StateCompleted, 9*time.Second)
 	})
 }
+
+// Guards against a successor that takes a run for dead because the store's entry of its worker is older than the run.
+func TestOldEntryOfRestartedWorkerEndsNoRun(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 1)
+		w := r.workers["r1-w0"]
+		entry := w.advert
+		// The worker has started anew; its entry in the store still names the earlier life.
+		w.advert.Born++
+		r.entries = map[string]engine.Advert{"r1-w0": entry}
+		p, stop := r.planner("a")
+		r.submit(p, "j1", 1, single(8), 4*time.Second)
+		time.Sleep(time.Second)
+		stop()
+		p, stop = r.planner("b")
+		defer stop()
+		r.await(p, "j1", workload.StateCompleted, 5*time.Second)
+		r.Equal(w.starts, 1)
+	})
+}
+
+// Guards against a start that comes from a life of the worker that is not known yet, and is then taken for dead.
+func TestStartInNewLifeIsNotRepeated(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 2)
+		p, stop := r.planner("a")
+		defer stop()
+		time.Sleep(time.Second)
+		for id := range r.workers {
+			r.set(id, func(w *fakeWorker) { w.advert.Born += 500; w.start = time.Now() })
+		}
+		r.submit(p, "j1", 1, single(8), 3*time.Second)
+		r.await(p, "j1", workload.StateCompleted, 5*time.Second)
+		r.Equal(r.workers["r1-w0"].starts+r.workers["r1-w1"].starts, 1)
+	})
+}
+
+// Guards against a start on a worker that has begun to leave since it was chosen.
+func TestWorkerIsCheckedAgainBeforeTheOrder(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.addWorkers("r1", 1)
+		p, stop := r.planner("a")
+		defer stop()
+		time.Sleep(time.Second)
+		r.store.setRefusing(true)
+		submitted := make(chan engine.Result, 1)
+		go func() { submitted <- p.Submit(context.Background(), newJob("j1", 1, single(1))) }()
+		time.Sleep(100 * time.Millisecond)
+		r.set("r1-w0", func(w *fakeWorker) { w.advert.Draining = true })
+		r.list(r.workers["r1-w0"])
+		time.Sleep(140 * time.Millisecond)
+		r.store.setRefusing(false)
+		r.Equal((<-submitted).Verdict, engine.VerdictAccepted)
+		time.Sleep(time.Second)
+		r.Equal(r.workers["r1-w0"].starts, 0)
+	})
+}
--- a/engine/load.go
+++ b/engine/load.go
@@ -15,7 +15,7 @@
 	// loadTimeout bounds one listing of the store.
 	loadTimeout = 5 * time.Second
 	// watchWait is how long a watch waits for a change; a silent connection is noticed after it.
-	watchWait = 3 * time.Second
+	watchWait = time.Second
 	// watchTimeout bounds the watch on top of its wait.
 	watchTimeout = 800 * time.Millisecond
 	// watchPause gathers changes, since each answer of a watch counts as a call. Workers change their entries all the
@@ -53,7 +53,7 @@
 	for _, item := range adverts.items {
 		p.takeAdvert(item)
 	}
-	p.markersAt, p.advertsAt = markers.at, adverts.at
+	p.markersAt, p.advertsAt, p.advertsSeen = markers.at, adverts.at, adverts.from
 	p.replan = true
 	return nil
 }
@@ -62,15 +62,18 @@
 type listing struct {
 	items []Item
 	at    int64
+	// from is when the listing was begun.
+	from time.Time
 }
 
 func (p *Planner) list(ctx context.Context, prefix string) (listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	for {
+		from := p.Clock.Now()
 		items, at, err := p.Store.List(ctx, prefix)
 		if err == nil {
-			return listing{items: items, at: at}, nil
+			return listing{items: items, at: at, from: from}, nil
 		}
 		p.Log.Event("list-failed", "prefix", prefix, "error", err)
 		select {
@@ -258,6 +261,7 @@
 // watchOnce waits for changes after a revision and returns the revision to go on from. When history is missing it lists
 // the prefix again.
 func (p *Planner) watchOnce(ctx context.Context, prefix string, at int64, take func(Item)) int64 {
+	from := p.Clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
 	events, next, err := p.Store.Watch(callCtx, prefix, at, watchWait)
 	cancel()
@@ -271,11 +275,14 @@
 			p.Log.Event("watch-failed", "prefix", prefix, "after", at, "error", err)
 		}
 		next, pause = at, watchRetry
-	case len(events) > 0:
+	default:
 		p.post(func() {
 			for _, e := range events {
 				take(e)
 			}
+			if prefix == p.AdvertPrefix {
+				p.advertsSeen = p.knownAt(from, len(events) == 0)
+			}
 		})
 	}
 	select {
@@ -285,6 +292,15 @@
 	return next
 }
 
+// knownAt returns as of when a watch that was begun at from has told everything. A watch that has waited in vain is
+// answered when its wait is over.
+func (p *Planner) knownAt(from time.Time, waited bool) time.Time {
+	if waited {
+		return from.Add(watchWait)
+	}
+	return from
+}
+
 // relist returns the content of a prefix as events, with deletions for the workers that are no longer listed.
 func (p *Planner) relist(ctx context.Context, prefix string) ([]Item, int64, error) {
 	l, err := p.list(ctx, prefix)
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -48,6 +48,11 @@
 		return
 	}
 	w := r.worker
+	if r.attempts == 0 && !p.usable(w, p.Clock.Now(), p.Configuration()) {
+		// Something has become known of the worker since it was chosen.
+		p.endRun(r, EndStopped, "")
+		return
+	}
 	task := r.group.job.task(r.task)
 	order := StartOrder{
 		Task: r.name, Run: r.number, Payload: r.group.job.record.Job.Payload, Until: p.grant(w, min(firstLease, p.Bounds.MaxLease)),
@@ -103,7 +108,7 @@
 		return
 	}
 	now := p.Clock.Now()
-	r.phase, r.present, r.moved = runRunning, now, now
+	r.phase, r.present, r.moved, r.born = runRunning, now, now, r.worker.born
 	r.worker.nextLook = now
 	g := r.group
 	for _, other := range g.runs {
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -73,6 +73,8 @@
 	ready   chan struct{}
 	// markersAt and advertsAt are the revisions from which the watches go on.
 	markersAt, advertsAt int64
+	// advertsSeen is as of when the workers' entries are known.
+	advertsSeen time.Time
 	// watches report the ends of the goroutines that follow the store.
 	watches []<-chan struct{}
 
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -290,6 +290,8 @@
 	conf *engine.Configuration
 	// faults are the broken promises that the oracle has seen.
 	faults []string
+	// entries replaces what the store says of a worker; nil when the store is up to date.
+	entries map[string]engine.Advert
 	// done counts ends as done by task.
 	done map[string]int
 }
@@ -366,7 +368,11 @@
 		DecodeAdvert: func(key string, _ []byte) (engine.Advert, error) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			return r.workers[strings.TrimPrefix(key, advertPrefix)].advert, nil
+			id := strings.TrimPrefix(key, advertPrefix)
+			if entry, ok := r.entries[id]; ok {
+				return entry, nil
+			}
+			return r.workers[id].advert, nil
 		},
 	}
 	renewed := term.Run(ctx, nil)
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -14,6 +14,10 @@
 // lateFactor times the objective is when completing a job stops being of use; source: the users' rules on payoff.
 const lateFactor = 3
 
+// advertsPatience is how old the view of the workers' entries may be when work is started: a worker that leaves gets
+// nothing new after 2 s. A watch is answered within watchWait.
+const advertsPatience = 1800 * time.Millisecond
+
 // plan starts what fits and makes room for what is guaranteed.
 func (p *Planner) plan() {
 	now := p.Clock.Now()
@@ -204,7 +208,7 @@
 
 // usable reports whether new runs may be started on a worker.
 func (p *Planner) usable(w *workerState, now time.Time, conf *Configuration) bool {
-	return w.listed && w.known && w.clock != 0 && !w.draining && w.failing.IsZero() && w.foreign == 0 &&
+	return now.Sub(p.advertsSeen) < advertsPatience && w.listed && w.known && w.clock != 0 && !w.draining && w.failing.IsZero() && w.foreign == 0 &&
 		!conf.Evacuated[w.advert.FailureDomain] && !now.Before(w.unhealthyUntil) && !p.breaker.Quarantined(w.id())
 }
 
--- a/engine/state.go
+++ b/engine/state.go
@@ -90,6 +90,8 @@
 	worker *workerState
 	need   workload.Resources
 	phase  phase
+	// born is the life of the worker that confirmed the run; 0 while none has.
+	born int64
 	// present is when the worker first confirmed the run. A look that was sent later and does not show it means that it ended.
 	present time.Time
 	// doubtful is set when an order to start it got no answer, so that it may be carried out later.
@@ -106,7 +108,7 @@
 	// moved is when the percentage last changed.
 	moved      time.Time
 	checkpoint string
-	ended bool
+	ended      bool
 }
 
 // workerState is a backend server in the planner's memory.
--- a/engine/term.go
+++ b/engine/term.go
@@ -29,6 +29,8 @@
 	Address string `cbor:"2,keyasint"`
 	// Boot differs between two processes of one VM.
 	Boot string `cbor:"3,keyasint"`
+	// Cores is the processor time of the entry VM, in cores.
+	Cores float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Term is the time for which this process is the planner.
--- a/front/election.go
+++ b/front/election.go
@@ -9,6 +9,7 @@
 
 	"clementinepier/engine"
 	"clementinepier/metrics"
+	"clementinepier/peer"
 )
 
 const (
@@ -23,10 +24,17 @@
 	claimCoreDelay = 40 * time.Millisecond
 	// claimMaxDelay bounds the wait of a very small entry VM.
 	claimMaxDelay = 500 * time.Millisecond
+	// yieldFactor is how much larger an entry VM must be than the planner's to take over from it.
+	yieldFactor = 1.5
+	// yieldPause leaves a new planner the time to settle, and the link to it the time to open.
+	yieldPause = 300 * time.Millisecond
 	// electionRetry is the pause after a read that failed.
 	electionRetry = 200 * time.Millisecond
 )
 
+// errYielded is why a planner ends that left the term to a larger entry VM.
+var errYielded = errors.New("a larger entry VM asked for the term")
+
 // elect follows who is the planner, and makes this process the planner when there is none. The channel receives one
 // value when ctx has ended and the term, if any, is over.
 func (v *VM) elect(ctx context.Context) <-chan error {
@@ -50,6 +58,9 @@
 	}
 	if revision != 0 {
 		v.setHolder(&holder)
+		if v.outranks(holder) {
+			v.askToYield(ctx, holder)
+		}
 		v.awaitChange(ctx, revision)
 		return
 	}
@@ -69,6 +80,22 @@
 	return min(claimMaxDelay, time.Duration(float64(claimCoreDelay)/cores))
 }
 
+// outranks reports whether this entry VM is so much larger than the planner's that it should be the planner.
+func (v *VM) outranks(h engine.Holder) bool {
+	return h.Cores*yieldFactor < v.Settings.Cores && h.VM != v.Settings.Name && !v.leaving.Load() && v.storeAnswers() &&
+		v.configuration.Load() != nil
+}
+
+// askToYield asks a planner on a smaller entry VM to give its term up.
+func (v *VM) askToYield(ctx context.Context, h engine.Holder) {
+	v.pause(ctx, yieldPause)
+	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	var reply engine.Result
+	err := v.forward(callCtx, peer.KindYield, v.Settings.Cores, &reply)
+	v.log.Event("yield-asked", "vm", h.VM, "cores", h.Cores, "own", v.Settings.Cores, "error", err)
+}
+
 // awaitChange waits until the planner's key changes, or somebody suspects that the planner is gone.
 func (v *VM) awaitChange(ctx context.Context, revision int64) {
 	watchCtx, cancel := context.WithTimeout(ctx, holderWatch+holderTimeout)
@@ -99,7 +126,7 @@
 
 // claim tries to become the planner and plans until the term is over.
 func (v *VM) claim(ctx context.Context) {
-	holder := engine.Holder{VM: v.Settings.Name, Address: v.Settings.PeersAddress, Boot: v.boot}
+	holder := engine.Holder{VM: v.Settings.Name, Address: v.Settings.PeersAddress, Boot: v.boot, Cores: v.Settings.Cores}
 	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
 	term, err := engine.Claim(callCtx, v.Store, v.Clock, holder)
 	cancel()
@@ -131,6 +158,11 @@
 		Clock: v.Clock, TimeOfDay: time.Now, Store: v.Store, Workers: v.Workers, Bounds: v.Settings.Bounds.engine(), Term: term,
 		Configuration: v.configuration.Load, DecodeAdvert: v.DecodeAdvert, AdvertPrefix: v.AdvertPrefix, Log: v.log, Metrics: &v.metrics,
 	}
+	select {
+	case <-v.yield:
+		// The request was meant for an earlier term.
+	default:
+	}
 	renewal := term.Run(ctx, v.log)
 	planning, err := p.Run(ctx)
 	if err != nil {
@@ -139,6 +171,14 @@
 	ready := p.Ready()
 	for {
 		select {
+		case <-v.yield:
+			cancel()
+			for _, ended := range []<-chan error{renewal, planning} {
+				if err := <-ended; err != nil {
+					v.log.Event("term-over", "reason", err)
+				}
+			}
+			return errYielded
 		case <-ready:
 			v.planner.Store(p)
 			ready = nil
--- a/front/peers.go
+++ b/front/peers.go
@@ -161,6 +161,15 @@
 		peer.KindWaiting: serve(v, func(ctx context.Context, p *engine.Planner, queue string) engine.Result {
 			return p.Waiting(ctx, queue)
 		}),
+		peer.KindYield: serve(v, func(_ context.Context, _ *engine.Planner, cores float64) engine.Result {
+			if cores > v.Settings.Cores {
+				select {
+				case v.yield <- struct{}{}:
+				default:
+				}
+			}
+			return engine.Result{Verdict: engine.VerdictAccepted}
+		}),
 	}
 }
 
--- a/front/vm.go
+++ b/front/vm.go
@@ -74,6 +74,8 @@
 	holder        atomic.Pointer[engine.Holder]
 	// suspect asks the election to look at the planner's key.
 	suspect chan struct{}
+	// yield asks this process to end its term as the planner.
+	yield   chan struct{}
 	leaving atomic.Bool
 	// plannerSilent is set while the planner does not answer.
 	plannerSilent atomic.Bool
@@ -87,7 +89,7 @@
 func (v *VM) Run(ctx context.Context) error {
 	v.log = &eventlog.Log{Clock: v.Clock, Budget: v.Settings.Log.Budget}
 	v.boot = newBoot()
-	v.suspect, v.silent = make(chan struct{}, 1), make(chan engine.Holder, 1)
+	v.suspect, v.silent, v.yield = make(chan struct{}, 1), make(chan engine.Holder, 1), make(chan struct{}, 1)
 	v.metrics.Publish()
 	v.log.Event("started", "vm", v.Settings.Name, "failure-domain", v.Settings.FailureDomain, "boot", v.boot,
 		"callers", v.Settings.CallersAddress, "store", v.Settings.StoreAddress)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -30,6 +30,8 @@
 	KindState   Kind = "job-state"
 	KindEnd     Kind = "end-job"
 	KindWaiting Kind = "waiting-jobs"
+	// KindYield asks a planner on a small entry VM to leave the term to a larger one.
+	KindYield Kind = "yield"
 )
 
 // frame is the unit on the wire. A reply has Reply set and the ID of its call.
