--- a/engine/planner.go
+++ b/engine/planner.go
@@ -41,6 +41,10 @@
 	inboxSize = 1024
 	// releaseTimeout bounds the wait for calls that end with the planner.
 	releaseTimeout = time.Second
+	// planPauseFactor times the length of a planning pass is the pause after it, which leaves most of the processor for orders.
+	planPauseFactor = 3
+	// maxPlanPause bounds that pause well below the shortest objective.
+	maxPlanPause = 100 * time.Millisecond
 	// leaseMargin is how long before the end of its lease the planner stops giving orders.
 	leaseMargin = 100 * time.Millisecond
 )
@@ -100,6 +104,9 @@
 	storeFailed time.Time
 	commitAfter time.Time
 	replan      bool
+	// planAfter is when the next planning pass may begin; planPosted is set while a timer waits for it.
+	planAfter  time.Time
+	planPosted bool
 }
 
 // durableCall runs once a change is stored.
@@ -231,14 +238,29 @@
 	if !p.holdsTerm() {
 		return
 	}
-	if p.replan {
-		p.replan = false
-		p.plan()
-	}
+	p.planWhenDue()
 	p.flush()
 	p.contact()
 }
 
+// planWhenDue plans, with pauses that keep planning from taking more than its share of the processor.
+func (p *Planner) planWhenDue() {
+	now := p.Clock.Now()
+	if !p.replan || p.planPosted {
+		return
+	}
+	if wait := p.planAfter.Sub(now); wait > 0 {
+		p.planPosted = true
+		p.Clock.AfterFunc(wait, func() { p.post(func() { p.planPosted = false }) })
+		return
+	}
+	p.replan = false
+	p.plan()
+	took := p.Clock.Since(now)
+	p.planAfter = p.Clock.Now().Add(min(maxPlanPause, took*planPauseFactor))
+	p.Metrics.Observe(metrics.PlanTime, took)
+}
+
 // tick does what depends on time only.
 func (p *Planner) tick() {
 	now := p.Clock.Now()
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -83,6 +83,8 @@
 	JobTime Name = "job-time"
 	// CommitTime is one write of the store.
 	CommitTime Name = "commit-time"
+	// PlanTime is one planning pass.
+	PlanTime Name = "plan-time"
 	// OrderTime is one order to a worker.
 	OrderTime Name = "order-time"
 )
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -30,6 +30,15 @@
 	// names has the racks in a fixed order.
 	names []string
 	total int64
+	// slots is used again by each fillSome.
+	slots []slot
+}
+
+// slot is a worker with what a unit may still take of it.
+type slot struct {
+	worker *Worker
+	free   workload.Resources
+	tasks  int
 }
 
 // NewFleet returns a fleet of the workers, which it changes as it places work on them.
@@ -52,7 +61,12 @@
 func (f *Fleet) Plan(now time.Time, units []*Unit) Decision {
 	var d Decision
 	reserved := int64(0)
+	blocked := map[sameNeed]bool{}
 	for _, u := range units {
+		key := sameNeed{job: u.Job, occurrence: u.Occurrence, step: u.Step}
+		if blocked[key] {
+			continue
+		}
 		if chosen := f.place(now, u, free); chosen != nil {
 			for i, w := range chosen {
 				d.Placements = append(d.Placements, Placement{Unit: u, Task: u.Tasks[i], Worker: w.ID})
@@ -60,6 +74,9 @@
 			}
 			continue
 		}
+		if u.Job.Priority > 0 {
+			blocked[key] = true
+		}
 		if u.Guaranteed || u.Job.Priority == 0 {
 			f.reclaim(now, u, &d)
 			continue
@@ -72,6 +89,12 @@
 	return d
 }
 
+// sameNeed identifies the tasks of one step. When one of them finds no room, no other does in the same pass.
+type sameNeed struct {
+	job              *workload.Job
+	occurrence, step int
+}
+
 // take records that a task of the unit starts on the worker.
 func (f *Fleet) take(w *Worker, u *Unit) {
 	need := u.step().Need
@@ -165,12 +188,7 @@
 // fillSome places as many tasks as fit.
 func (f *Fleet) fillSome(u *Unit, workers []*Worker, v view, usable bool) []*Worker {
 	s := u.step()
-	type slot struct {
-		worker *Worker
-		free   workload.Resources
-		tasks  int
-	}
-	slots := make([]slot, 0, len(workers))
+	slots := f.slots[:0]
 	for _, w := range workers {
 		if usable && (!w.Usable || u.Avoid[w.ID]) || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 			continue
@@ -179,6 +197,7 @@
 			slots = append(slots, slot{worker: w, free: available, tasks: u.OnWorkers[w.ID]})
 		}
 	}
+	f.slots = slots
 	slices.SortStableFunc(slots, func(a, b slot) int {
 		return cmp.Or(
 			cmp.Compare(a.free.Accelerators, b.free.Accelerators),
@@ -186,6 +205,9 @@
 			cmp.Compare(a.free.MemoryMB, b.free.MemoryMB),
 		)
 	})
+	if len(slots) == 0 {
+		return nil
+	}
 	chosen := make([]*Worker, 0, len(u.Tasks))
 	for i := 0; i < len(slots) && len(chosen) < len(u.Tasks); {
 		slot := &slots[i]
--- a/policy/reclaim.go
+++ b/policy/reclaim.go
@@ -3,11 +3,15 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 	"time"
 
 	"clementinepier/workload"
 )
 
+// leastHeld keeps a group that holds no accelerators from dividing by zero.
+const leastHeld = 0.1
+
 // reclaim makes room for a guaranteed unit. It answers bursts of borrowers that hold an organisation's guarantee when
 // its urgent work arrives: the groups that lose least work are stopped, and what is being stopped already is counted
 // first, so that one unit never stops work twice.
@@ -65,36 +69,47 @@
 
 // victims returns the groups to stop so that the unit fits on the workers, and where it then goes.
 func (f *Fleet) victims(u *Unit, workers []*Worker) ([]*Group, []*Worker) {
-	candidates := map[*Group]bool{}
+	// held is what each candidate has on these workers.
+	held := map[*Group]float64{}
 	for _, w := range workers {
 		if !w.Usable {
 			continue
 		}
 		for _, g := range w.Victims {
 			if !g.Stopped && g.Priority > u.Job.Priority {
-				candidates[g] = true
+				held[g] += leastHeld + float64(g.Uses[w.ID].Accelerators)
 			}
 		}
 	}
-	order := make([]*Group, 0, len(candidates))
-	for g := range candidates {
+	order := make([]*Group, 0, len(held))
+	for g := range held {
 		order = append(order, g)
 	}
 	slices.SortFunc(order, func(a, b *Group) int {
-		return cmp.Or(cmp.Compare(a.Waste/a.accelerators(workers), b.Waste/b.accelerators(workers)),
-			cmp.Compare(a.Waste, b.Waste), cmp.Compare(a.first(), b.first()))
+		return cmp.Or(cmp.Compare(a.Waste/held[a], b.Waste/held[b]), cmp.Compare(a.Waste, b.Waste), cmp.Compare(a.first(), b.first()))
 	})
 	gained := map[string]workload.Resources{}
 	with := func(w *Worker) workload.Resources { return w.Soon.Add(gained[w.ID]) }
-	for i, g := range order {
+	// Each further group only adds room, so the shortest sufficient list is found by bisection.
+	count := sort.Search(len(order)+1, func(n int) bool {
+		clear(gained)
+		for _, g := range order[:n] {
+			for id, used := range g.Uses {
+				gained[id] = gained[id].Add(used)
+			}
+		}
+		return f.fill(u, workers, with, true) != nil
+	})
+	if count > len(order) {
+		return nil, nil
+	}
+	clear(gained)
+	for _, g := range order[:count] {
 		for id, used := range g.Uses {
 			gained[id] = gained[id].Add(used)
 		}
-		if room := f.fill(u, workers, with, true); room != nil {
-			return f.needed(u, workers, order[:i+1], gained, with)
-		}
 	}
-	return nil, nil
+	return f.needed(u, workers, order[:count], gained, with)
 }
 
 // needed drops the groups without which the unit still fits, those with the most waste first.
@@ -116,15 +131,6 @@
 	return kept, f.fill(u, workers, with, true)
 }
 
-// accelerators returns what the group holds on the workers, at least a little so that it can divide.
-func (g *Group) accelerators(workers []*Worker) float64 {
-	total := 0.1
-	for _, w := range workers {
-		total += float64(g.Uses[w.ID].Accelerators)
-	}
-	return total
-}
-
 // first returns the group's first worker by name, which makes the order of equal groups fixed.
 func (g *Group) first() string {
 	least := ""
