--- a/engine/contact.go
+++ b/engine/contact.go
@@ -45,6 +45,19 @@
 	}
 }
 
+// takeReplaced takes in that another worker answers at a worker's address: the one that was asked for has ended, and what
+// is still on its way to it is refused.
+func (p *Planner) takeReplaced(w *workerState) {
+	if w.advert.Address == "" {
+		return
+	}
+	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.advert.Address, "runs", len(w.runs))
+	w.listed, w.known, w.advert.Address = false, false, ""
+	for _, r := range w.runs {
+		p.endRun(r, EndLapsed, r.checkpoint)
+	}
+}
+
 // takeLife notices that a worker has started anew, so that nothing of its earlier life runs any more.
 func (p *Planner) takeLife(w *workerState, born int64) {
 	if born <= w.born {
@@ -108,7 +121,12 @@
 
 // look renews the worker's lease and asks what it has.
 func (p *Planner) look(w *workerState, now time.Time) {
-	order := LookOrder{Fence: p.Term.Fence(), Noted: w.seen}
+	order := LookOrder{Fence: p.Term.Fence()}
+	if w.seen > w.noted && w.failing.IsZero() {
+		// A worker that has started anew would forget ends of its new life, so a number is sent only as long as it tells
+		// something new.
+		order.Noted = w.seen
+	}
 	if w.known && w.clock != 0 {
 		// A worker that does not answer gets no longer lease, so that its runs end in bounded time.
 		if len(w.runs) > 0 && w.failing.IsZero() {
@@ -153,9 +171,7 @@
 		}
 		p.heard(w, refused.Answer)
 		p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
-		if refused.Reason == RefusedFence {
-			p.deposed = &ErrDeposed{Reason: "worker " + w.id() + " has seen a higher fence"}
-		}
+		p.takeRefusal(w, refused.Reason)
 		return
 	}
 	p.heard(w, view.Answer)
@@ -222,6 +238,17 @@
 	return t.Occurrence < len(tasks) && t.Step < len(tasks[t.Occurrence]) && t.Index < len(tasks[t.Occurrence][t.Step])
 }
 
+// takeRefusal takes in the refusals that tell something of the worker or of this planner.
+func (p *Planner) takeRefusal(w *workerState, reason Refusal) {
+	switch reason {
+	case RefusedFence:
+		p.deposed = &ErrDeposed{Reason: "worker " + w.id() + " has seen a higher fence"}
+	case RefusedLife:
+		p.takeReplaced(w)
+	default:
+	}
+}
+
 // reconcile compares what a worker has with what it should have.
 func (p *Planner) reconcile(w *workerState, sent time.Time, view View) {
 	now := p.Clock.Now()
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -128,8 +128,8 @@
 	p.Log.Event("start-refused", "task", r.name, "run", r.number, "worker", w.id(), "reason", reason, "doubtful", r.doubtful)
 	p.Metrics.Add(metrics.Name("starts-refused-"+string(reason)), 1)
 	switch reason {
-	case RefusedFence:
-		p.deposed = &ErrDeposed{Reason: "worker " + w.id() + " has seen a higher fence"}
+	case RefusedFence, RefusedLife:
+		p.takeRefusal(w, reason)
 		return
 	case RefusedLate:
 		w.nextLook = p.Clock.Now()
@@ -137,14 +137,13 @@
 			p.Clock.AfterFunc(orderRetry, func() { p.post(func() { p.start(r) }) })
 			return
 		}
-	case RefusedLife:
-		w.known = false
 	case RefusedOld:
 		// An earlier try was carried out, and the run has ended or was stopped; the next look tells how.
 		r.present, r.phase = p.Clock.Now(), runRunning
 		w.nextLook = p.Clock.Now()
 		return
-	case RefusedRoom, RefusedUnhealthy, RefusedInvalid:
+	default:
+		// Among them RefusedRoom, RefusedUnhealthy and reasons that are not known here.
 		w.unhealthyUntil = p.Clock.Now().Add(unhealthyPause)
 	}
 	if r.doubtful {
@@ -197,9 +196,7 @@
 	case errors.As(err, &refused):
 		p.heard(w, refused.Answer)
 		p.Log.Event("stop-refused", "task", r.name, "run", r.number, "worker", w.id(), "reason", refused.Reason)
-		if refused.Reason == RefusedFence {
-			p.deposed = &ErrDeposed{Reason: "worker " + w.id() + " has seen a higher fence"}
-		}
+		p.takeRefusal(w, refused.Reason)
 	default:
 		p.Log.Event("stop-unanswered", "task", r.name, "run", r.number, "worker", w.id(), "error", err)
 		p.unheard(w)
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -99,7 +99,7 @@
 func (p *Planner) takeDone(r *run) {
 	g, j := r.group, r.group.job
 	p.breaker.Succeeded(r.worker.id(), breakerKey(j))
-	if g.done {
+	if g.done || g.step().Lasting {
 		return
 	}
 	g.done = true
--- a/engine/term.go
+++ b/engine/term.go
@@ -75,12 +75,24 @@
 		}
 		return nil, nil
 	case err != nil:
-		return nil, errors.Wrap(err, "write the planner's key")
+		if revision = writtenAt(ctx, store, value); revision == 0 {
+			return nil, errors.Wrap(err, "write the planner's key")
+		}
 	}
 	t.key = Item{Key: plannerKey, Revision: revision}
 	return t, nil
 }
 
+// writtenAt returns the revision of the planner's key if it has the value, and 0 otherwise. It tells whether a write that
+// got no answer was carried out.
+func writtenAt(ctx context.Context, store Store, value []byte) int64 {
+	item, err := store.Get(ctx, plannerKey)
+	if err != nil || string(item.Value) != string(value) {
+		return 0
+	}
+	return item.Revision
+}
+
 // Key returns the key and revision that every write of this planner depends on.
 func (t *Term) Key() Item { return t.key }
 
