Bound the form of jobs, refuse bodies above the configuration's limit, print a job's story from saved logs

A job of a few bytes could ask for a thousand million tasks, whose progress would not fit into the memory; the configuration's limit on bodies was read and not kept. clementinepier story orders the lines of all VMs about an id. The gauge of dropped log lines is set. Unused settings and code are removed.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -82,6 +82,7 @@
 	Settings *settingsGroup  `arg:"subcommand:settings" help:"settings of an entry VM"`
 	Entry    *entryCommand   `arg:"subcommand:entry" help:"run an entry VM"`
 	Front    *frontCommand   `arg:"subcommand:front" help:"run an entry VM on the users' platform"`
+	Story    *storyCommand   `arg:"subcommand:story" help:"print what saved logs tell of a job, in order"`
 	Version  *versionCommand `arg:"subcommand:version" help:"show the version"`
 }
 
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -69,7 +69,7 @@
 
 var leaves = []string{
 	"key new", "bundle check", "bundle sign", "bundle review", "bundle show", "bundle roll", "domain out", "domain back",
-	"domain list", "request submit", "request show", "request result", "request cancel", "status", "settings check", "entry", "front", "version",
+	"domain list", "request submit", "request show", "request result", "request cancel", "status", "settings check", "entry", "front", "story", "version",
 }
 
 // Guards against a subcommand without help, and against examples and exit codes that do not match the program.
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -24,8 +24,6 @@
 	StopGrace time.Duration
 	// GangTimeout is how long a gang's member waits for the others.
 	GangTimeout time.Duration
-	// EarlyStart is how much before its time a scheduled task may start.
-	EarlyStart time.Duration
 	// Retention is how long the state of an ended job can be asked for.
 	Retention time.Duration
 	// CheckpointInterval is the work between two checkpoints of a task.
--- a/front/receiver.go
+++ b/front/receiver.go
@@ -38,6 +38,8 @@
 	Path string
 	// Key authenticates the organisation.
 	Key string
+	// Size is the length of the body in bytes.
+	Size int
 	// Deadline is how long the caller waits; 0 means that it does not say.
 	Deadline time.Duration
 }
@@ -59,6 +61,8 @@
 	OutcomeAbsent Outcome = "absent"
 	// OutcomeInvalid means that the job has no valid form; it never runs.
 	OutcomeInvalid Outcome = "invalid"
+	// OutcomeTooLarge means that the body is larger than the configuration allows; the job never runs.
+	OutcomeTooLarge Outcome = "too-large"
 	// OutcomeRefused means that the job was not accepted and never runs.
 	OutcomeRefused Outcome = "refused"
 	// OutcomeUnknown means that the call may have been carried out; the caller has to ask again.
@@ -133,6 +137,10 @@
 	if refused != nil {
 		return *refused
 	}
+	if limit := r.Configuration().MaxBody; limit > 0 && c.Size > limit {
+		r.Log.Event("job-too-large", "job", id, "queue", queue.Name, "size", c.Size, "limit", limit)
+		return Reply{Outcome: OutcomeTooLarge}
+	}
 	job, err := decode()
 	if err == nil {
 		err = job.Check()
--- a/front/settings.go
+++ b/front/settings.go
@@ -45,7 +45,6 @@
 	MaxLease           job.Duration `toml:"max-lease"`
 	StopGrace          job.Duration `toml:"stop-grace"`
 	GangTimeout        job.Duration `toml:"gang-timeout"`
-	EarlyStart         job.Duration `toml:"early-start"`
 	Retention          job.Duration `toml:"retention"`
 	CheckpointInterval job.Duration `toml:"checkpoint-interval"`
 }
@@ -124,7 +123,7 @@
 func (b Bounds) engine() engine.Bounds {
 	return engine.Bounds{
 		MaxLease: time.Duration(b.MaxLease), StopGrace: time.Duration(b.StopGrace), GangTimeout: time.Duration(b.GangTimeout),
-		EarlyStart: time.Duration(b.EarlyStart), Retention: time.Duration(b.Retention),
+		Retention:          time.Duration(b.Retention),
 		CheckpointInterval: time.Duration(b.CheckpointInterval),
 	}
 }
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -21,7 +21,7 @@
 		"{{Node|json}}": `"front-a-1"`, "{{Zone|json}}": `"a"`, "{{Listen.Front|json}}": `"10.1.0.19:8521"`,
 		"{{Listen.Ready|json}}": `"10.1.0.19:8523"`, "{{Ip}}": "10.1.0.19", "{{PortRange.0}}": "7000",
 		"{{platform.Address|json}}": `"10.200.1.7:8524"`, "{{Limits.CpuShare}}": "0.4", "{{Bounds.GraceS}}": "6",
-		"{{Bounds.MaxHoldMs}}": "10000", "{{Bounds.StopGraceMs}}": "400", "{{Bounds.GangTimeoutMs}}": "3000", "{{Bounds.early_ms}}": "250",
+		"{{Bounds.MaxHoldMs}}": "10000", "{{Bounds.StopGraceMs}}": "400", "{{Bounds.GangTimeoutMs}}": "3000",
 		"{{Bounds.status_s}}": "120", "{{Bounds.CheckpointS}}": "2",
 	}
 	text := string(template)
--- a/front/vm.go
+++ b/front/vm.go
@@ -59,6 +59,8 @@
 	DecodeAdvert   func(key string, value []byte) (engine.Advert, error)
 	// NewServer returns the server for callers.
 	NewServer func(r *Receiver, leaving func() bool) Server
+	// LinesDropped returns how many log lines were dropped because their reader was slow.
+	LinesDropped func() int64
 	// Reload delivers a value when the settings may have changed.
 	Reload <-chan os.Signal
 	// LoadSettings reads the settings again.
@@ -192,6 +194,7 @@
 func (v *VM) serveMetrics(listener net.Listener) <-chan error {
 	return v.serveHTTP(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		v.metrics.SetGauge(metrics.LogLinesDropped, v.LinesDropped())
 		v.metrics.WriteText(w)
 	}))
 }
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -104,19 +104,14 @@
 	}
 }
 
-// EverFits reports whether the unit would fit if the workers had nothing else to do.
-func (f *Fleet) EverFits(u *Unit) bool {
-	return f.fill(u, f.workers, func(w *Worker) workload.Resources { return w.Capacity }, false) != nil
-}
-
 // place returns a worker for each task of the unit, or nil if it has to wait.
 func (f *Fleet) place(now time.Time, u *Unit, v view) []*Worker {
 	s := u.step()
 	if !s.SameRack && s.DataRack == "" {
-		return f.fill(u, f.workers, v, true)
+		return f.fill(u, f.workers, v)
 	}
 	if s.DataRack != "" && !s.SameRack {
-		if chosen := f.fill(u, f.racks[s.DataRack], v, true); chosen != nil {
+		if chosen := f.fill(u, f.racks[s.DataRack], v); chosen != nil {
 			return chosen
 		}
 	} else if chosen := f.bestRack(u, v); chosen != nil {
@@ -125,7 +120,7 @@
 	if f.waitsForRack(now, u) {
 		return nil
 	}
-	return f.fill(u, f.workers, v, true)
+	return f.fill(u, f.workers, v)
 }
 
 // waitsForRack reports whether the unit is better off waiting than running at a fraction of its speed.
@@ -135,7 +130,7 @@
 		if s := u.step(); s.DataRack != "" && !s.SameRack && name != s.DataRack {
 			continue
 		}
-		if f.fill(u, f.racks[name], func(w *Worker) workload.Resources { return w.Capacity }, true) != nil {
+		if f.fill(u, f.racks[name], func(w *Worker) workload.Resources { return w.Capacity }) != nil {
 			fits = true
 			break
 		}
@@ -153,14 +148,14 @@
 // bestRack places the unit in the rack that it fills most, the data's rack before the others.
 func (f *Fleet) bestRack(u *Unit, v view) []*Worker {
 	if rack := u.step().DataRack; rack != "" {
-		if chosen := f.fill(u, f.racks[rack], v, true); chosen != nil {
+		if chosen := f.fill(u, f.racks[rack], v); chosen != nil {
 			return chosen
 		}
 	}
 	var best []*Worker
 	left := int64(0)
 	for _, name := range f.names {
-		chosen := f.fill(u, f.racks[name], v, true)
+		chosen := f.fill(u, f.racks[name], v)
 		if chosen == nil {
 			continue
 		}
@@ -177,8 +172,8 @@
 
 // fill places every task of the unit on the given workers, each on the one that it leaves least of. It returns nil if
 // not all tasks fit.
-func (f *Fleet) fill(u *Unit, workers []*Worker, v view, usable bool) []*Worker {
-	chosen := f.fillSome(u, workers, v, usable)
+func (f *Fleet) fill(u *Unit, workers []*Worker, v view) []*Worker {
+	chosen := f.fillSome(u, workers, v)
 	if len(chosen) < len(u.Tasks) {
 		return nil
 	}
@@ -186,11 +181,11 @@
 }
 
 // fillSome places as many tasks as fit.
-func (f *Fleet) fillSome(u *Unit, workers []*Worker, v view, usable bool) []*Worker {
+func (f *Fleet) fillSome(u *Unit, workers []*Worker, v view) []*Worker {
 	s := u.step()
 	slots := f.slots[:0]
 	for _, w := range workers {
-		if usable && (!w.Usable || u.Avoid[w.ID]) || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+		if !w.Usable || u.Avoid[w.ID] || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 			continue
 		}
 		if available := v(w); s.Need.Fits(available) {
@@ -229,13 +224,13 @@
 	if u.step().SameRack {
 		most := -1
 		for _, name := range f.names {
-			if n := len(f.fillSome(u, f.racks[name], soon, true)); n > most {
+			if n := len(f.fillSome(u, f.racks[name], soon)); n > most {
 				most, workers = n, f.racks[name]
 			}
 		}
 	}
 	var kept int64
-	for _, w := range f.fillSome(u, workers, soon, true) {
+	for _, w := range f.fillSome(u, workers, soon) {
 		f.take(w, u)
 		kept += u.step().Need.Accelerators
 	}
--- a/policy/reclaim.go
+++ b/policy/reclaim.go
@@ -98,7 +98,7 @@
 				gained[id] = gained[id].Add(used)
 			}
 		}
-		return f.fill(u, workers, with, true) != nil
+		return f.fill(u, workers, with) != nil
 	})
 	if count > len(order) {
 		return nil, nil
@@ -120,7 +120,7 @@
 		for id, used := range g.Uses {
 			gained[id] = gained[id].Sub(used)
 		}
-		if f.fill(u, workers, with, true) != nil {
+		if f.fill(u, workers, with) != nil {
 			kept = slices.Delete(kept, i, i+1)
 			continue
 		}
@@ -128,7 +128,7 @@
 			gained[id] = gained[id].Add(used)
 		}
 	}
-	return kept, f.fill(u, workers, with, true)
+	return kept, f.fill(u, workers, with)
 }
 
 // first returns the group's first worker by name, which makes the order of equal groups fixed.
--- a/workload/job.go
+++ b/workload/job.go
@@ -121,14 +121,28 @@
 	return longest
 }
 
+const (
+	// MaxTasks bounds the tasks of a job over all occurrences, so that its record fits into one value of the store (1 MB).
+	MaxTasks = 20000
+	// MaxOccurrences bounds how often the steps of a job run.
+	MaxOccurrences = 10000
+)
+
 // Check returns an error when the job has no form that can be scheduled.
 func (j *Job) Check() error {
 	if len(j.Steps) == 0 {
 		return &ErrInvalidJob{Reason: "it has no steps"}
 	}
+	if j.Repeat > MaxOccurrences {
+		return &ErrInvalidJob{Reason: fmt.Sprintf("it has more than %d occurrences", MaxOccurrences)}
+	}
+	total := 0
 	for i, s := range j.Steps {
-		if s.Tasks <= 0 {
-			return &ErrInvalidJob{Reason: fmt.Sprintf("step %d has no tasks", i)}
+		if s.Tasks <= 0 || s.Tasks > MaxTasks {
+			return &ErrInvalidJob{Reason: fmt.Sprintf("step %d has %d tasks, not 1 to %d", i, s.Tasks, MaxTasks)}
+		}
+		if total += s.Tasks * j.Occurrences(); total > MaxTasks {
+			return &ErrInvalidJob{Reason: fmt.Sprintf("it has more than %d tasks", MaxTasks)}
 		}
 		if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 {
 			return &ErrInvalidJob{Reason: fmt.Sprintf("step %d needs a negative amount", i)}
