--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -265,7 +265,7 @@
 		p.Metrics.Observe(metrics.WaitTime, now.Sub(j.accepted))
 	}
 	p.Log.Event("group-placed", "job", j.id(), "occurrence", key.occurrence, "step", key.step, "run", number, "runs", len(g.runs),
-		"worker", g.runs[0].worker.id(), "waited", now.Sub(u.Since), "guaranteed", u.Guaranteed)
+		"first", g.runs[0].name, "worker", g.runs[0].worker.id(), "waited", now.Sub(u.Since), "guaranteed", u.Guaranteed)
 	p.whenDurable(p.touch(j), func() {
 		for _, r := range slices.Clone(g.runs) {
 			p.start(r)
--- a/front/peers.go
+++ b/front/peers.go
@@ -108,7 +108,7 @@
 		return &peer.ErrPeerUnavailable{VM: h.VM, Kind: kind, Cause: errPlannerSilent}
 	}
 	err := v.hub.Call(ctx, h.VM, kind, body, reply)
-	if err != nil && peer.WasDelivered(err) && v.plannerSilent.CompareAndSwap(false, true) {
+	if peer.IsErrPeerUnavailable(err) && peer.WasDelivered(err) && v.plannerSilent.CompareAndSwap(false, true) {
 		v.log.Event("planner-silent", "vm", h.VM, "error", err)
 		v.silent <- *h
 	}
--- a/front/peers_test.go
+++ b/front/peers_test.go
@@ -81,3 +81,13 @@
 	is.True(err != nil)
 	is.True(!peer.WasDelivered(err))
 }
+
+// Guards against a planner that is taken for silent because it answered that it is not the planner any more.
+func TestRefusalIsAnAnswer(t *testing.T) {
+	is := is.New(t)
+	v := linked(t, func(context.Context, peer.Identity, []byte) (any, error) {
+		return nil, &peer.ErrRefused{Code: codeNotPlanner, Detail: "this entry VM is not the planner"}
+	})
+	is.True(peer.IsErrRefused(call(t, v, 5*time.Second)))
+	is.True(!v.plannerSilent.Load())
+}
