--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -8,13 +8,14 @@
 	"github.com/jonboulle/clockwork"
 
 	"clementinepier/engine"
+	"clementinepier/standin/site"
 	"clementinepier/workload"
 )
 
 // Guards against a path that does not work at all.
 func TestJobRunsToItsEnd(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 1, single(1), time.Second)
@@ -27,15 +28,15 @@
 // Guards against looks that extend the lease of a worker that does not answer, so that its runs are never given up.
 func TestRunsOfLostWorkerStartAgainOnceItsLeaseHasLapsed(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 3*time.Second)
 		time.Sleep(time.Second)
-		at := r.where("j1")
+		at := r.Where("j1")
 		r.Equal(len(at), 1)
-		r.set(at[0], func(w *fakeWorker) { w.dead = true })
-		r.unlist(r.workers[at[0]])
+		r.Set(at[0], func(w *site.Worker) { w.Dead = true })
+		r.Unlist(r.Worker(at[0]))
 		r.await(p, "j1", workload.StateCompleted, maxLease+6*time.Second)
 	})
 }
@@ -43,24 +44,24 @@
 // Guards against giving a run up while its worker, cut off from the planner, may still have it.
 func TestRunsOfSilentWorkerAreNotStartedTwice(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 9*time.Second)
 		time.Sleep(time.Second)
-		at := r.where("j1")[0]
-		r.set(at, func(w *fakeWorker) { w.silent = true })
+		at := r.Where("j1")[0]
+		r.Set(at, func(w *site.Worker) { w.Silent = true })
 		time.Sleep(6 * time.Second)
-		r.set(at, func(w *fakeWorker) { w.silent = false })
+		r.Set(at, func(w *site.Worker) { w.Silent = false })
 		r.await(p, "j1", workload.StateCompleted, 5*time.Second)
-		r.Equal(r.workers[at].starts, 1)
+		r.Equal(r.Worker(at).Starts, 1)
 	})
 }
 
 // Guards against a successor that starts again what runs, or that forgets what was accepted.
 func TestSuccessorTakesOverRunsAndJobs(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		r.submit(p, "j1", 1, gang(2, 8), 5*time.Second)
 		r.submit(p, "j2", 1, single(8), time.Second)
@@ -76,11 +77,11 @@
 // Guards against a job that is lost or doubled when the answer to its write is lost.
 func TestLostAnswerOfTheStoreDoublesNothing(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
-		r.store.setLosing(true)
-		time.AfterFunc(300*time.Millisecond, func() { r.store.setLosing(false) })
+		r.Store.SetLosing(true)
+		time.AfterFunc(300*time.Millisecond, func() { r.Store.SetLosing(false) })
 		r.submit(p, "j1", 1, single(1), time.Second)
 		r.await(p, "j1", workload.StateCompleted, 3*time.Second)
 	})
@@ -89,16 +90,17 @@
 // Guards against a start that got no answer and is given up although the worker has the run.
 func TestUnansweredStartIsSettledBeforeTheTaskStartsElsewhere(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
-		for _, w := range r.workers {
-			w.loseStarts = true
+		r.AddWorkers("r1", 2)
+		for _, id := range r.IDs() {
+			w := r.Worker(id)
+			w.LoseStarts = true
 		}
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 1, single(8), time.Second)
 		time.Sleep(500 * time.Millisecond)
-		for id := range r.workers {
-			r.set(id, func(w *fakeWorker) { w.loseStarts = false })
+		for _, id := range r.IDs() {
+			r.Set(id, func(w *site.Worker) { w.LoseStarts = false })
 		}
 		r.await(p, "j1", workload.StateCompleted, 8*time.Second)
 	})
@@ -107,15 +109,15 @@
 // Guards against orders of a planner that may have a successor.
 func TestPlannerWithoutStoreStopsStarting(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 1)
+		r.AddWorkers("r1", 1)
 		p, stop := r.planner("a")
 		defer stop()
-		r.store.setSilent(true)
+		r.Store.SetSilent(true)
 		time.Sleep(engine.TermLength + time.Second)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		r.Equal(p.State(ctx, "j1").Verdict, engine.VerdictUnavailable)
-		r.Equal(r.workers["r1-w0"].starts, 0)
+		r.Equal(r.Worker("r1-w0").Starts, 0)
 	})
 }
 
@@ -123,17 +125,17 @@
 // that runs after it was turned away.
 func TestJobIsTurnedAwayWhenTheStoreRefusesToWrite(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 1)
+		r.AddWorkers("r1", 1)
 		p, stop := r.planner("a")
 		defer stop()
-		r.store.setRefusing(true)
+		r.Store.SetRefusing(true)
 		ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
 		defer cancel()
 		r.Equal(p.Submit(ctx, newJob("j1", 0, single(1))).Verdict, engine.VerdictUnavailable)
-		r.store.setRefusing(false)
+		r.Store.SetRefusing(false)
 		time.Sleep(500 * time.Millisecond)
 		r.Equal(p.State(context.Background(), "j1").Verdict, engine.VerdictAbsent)
-		r.Equal(r.workers["r1-w0"].starts, 0)
+		r.Equal(r.Worker("r1-w0").Starts, 0)
 		r.submit(p, "j1", 0, single(1), time.Second)
 		r.await(p, "j1", workload.StateCompleted, 3*time.Second)
 	})
@@ -142,10 +144,10 @@
 // Guards against telling a caller that a job was not run whose write may have been carried out.
 func TestJobWhoseWriteGotNoAnswerIsNotTurnedAway(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 1)
+		r.AddWorkers("r1", 1)
 		p, stop := r.planner("a")
 		defer stop()
-		r.store.setSilent(true)
+		r.Store.SetSilent(true)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
 		r.Equal(p.Submit(ctx, newJob("j1", 0, single(1))).Verdict, engine.VerdictUnknown)
@@ -156,18 +158,16 @@
 // one cannot outlive by more than the time that members wait for each other.
 func TestGangThatLostAWorkerStartsAgainBeforeTheLeaseLapses(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 4)
+		r.AddWorkers("r1", 4)
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 0, gang(2, 8), 3*time.Second)
 		time.Sleep(time.Second)
-		at := r.where("j1")
+		at := r.Where("j1")
 		r.Equal(len(at), 2)
-		r.set(at[0], func(w *fakeWorker) { w.dead = true })
-		r.set(at[1], func(w *fakeWorker) {
-			for task, run := range w.runs {
-				w.end(task, run, engine.EndBroken)
-			}
+		r.Set(at[0], func(w *site.Worker) { w.Dead = true })
+		r.Set(at[1], func(w *site.Worker) {
+			w.EndAll(engine.EndBroken)
 		})
 		r.await(p, "j1", workload.StateCompleted, 9*time.Second)
 	})
@@ -176,14 +176,14 @@
 // Guards against a gang that waits for the longest lease because one of its starts went to a worker that was just lost.
 func TestGangWhoseStartIsLostStartsAgainBeforeTheLeaseLapses(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 5)
+		r.AddWorkers("r1", 5)
 		p, stop := r.planner("a")
 		defer stop()
 		// Another run makes the lease of the worker as long as it can be.
 		r.submit(p, "j0", 1, single(0), time.Minute)
 		time.Sleep(time.Second)
-		busy := r.where("j0")[0]
-		r.set(busy, func(w *fakeWorker) { w.dead = true })
+		busy := r.Where("j0")[0]
+		r.Set(busy, func(w *site.Worker) { w.Dead = true })
 		r.submit(p, "j1", 0, gang(4, 8), time.Second)
 		r.await(p, "j1", workload.StateCompleted, 9*time.Second)
 	})
@@ -192,11 +192,11 @@
 // Guards against a successor that takes a run for dead because the store's entry of its worker is older than the run.
 func TestOldEntryOfRestartedWorkerEndsNoRun(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 1)
-		w := r.workers["r1-w0"]
-		entry := w.advert
+		r.AddWorkers("r1", 1)
+		w := r.Worker("r1-w0")
+		entry := w.Advert
 		// The worker has started anew; its entry in the store still names the earlier life.
-		w.advert.Born++
+		w.Advert.Born++
 		r.entries = map[string]engine.Advert{"r1-w0": entry}
 		p, stop := r.planner("a")
 		r.submit(p, "j1", 1, single(8), 4*time.Second)
@@ -205,69 +205,69 @@
 		p, stop = r.planner("b")
 		defer stop()
 		r.await(p, "j1", workload.StateCompleted, 5*time.Second)
-		r.Equal(w.starts, 1)
+		r.Equal(w.Starts, 1)
 	})
 }
 
 // Guards against a start that comes from a life of the worker that is not known yet, and is then taken for dead.
 func TestStartInNewLifeIsNotRepeated(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		time.Sleep(time.Second)
-		for id := range r.workers {
-			r.set(id, func(w *fakeWorker) { w.advert.Born += 500; w.start = time.Now() })
+		for _, id := range r.IDs() {
+			r.Set(id, (*site.Worker).Restart)
 		}
 		r.submit(p, "j1", 1, single(8), 3*time.Second)
 		r.await(p, "j1", workload.StateCompleted, 5*time.Second)
-		r.Equal(r.workers["r1-w0"].starts+r.workers["r1-w1"].starts, 1)
+		r.Equal(r.Worker("r1-w0").Starts+r.Worker("r1-w1").Starts, 1)
 	})
 }
 
 // Guards against a start on a worker that has begun to leave since it was chosen.
 func TestWorkerIsCheckedAgainBeforeTheOrder(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 1)
+		r.AddWorkers("r1", 1)
 		p, stop := r.planner("a")
 		defer stop()
 		time.Sleep(time.Second)
-		r.store.setRefusing(true)
+		r.Store.SetRefusing(true)
 		submitted := make(chan engine.Result, 1)
 		go func() { submitted <- p.Submit(context.Background(), newJob("j1", 1, single(1))) }()
 		time.Sleep(100 * time.Millisecond)
-		r.set("r1-w0", func(w *fakeWorker) { w.advert.Draining = true })
-		r.list(r.workers["r1-w0"])
+		r.Set("r1-w0", func(w *site.Worker) { w.Advert.Draining = true })
+		r.List(r.Worker("r1-w0"))
 		time.Sleep(140 * time.Millisecond)
-		r.store.setRefusing(false)
+		r.Store.SetRefusing(false)
 		r.Equal((<-submitted).Verdict, engine.VerdictAccepted)
 		time.Sleep(time.Second)
-		r.Equal(r.workers["r1-w0"].starts, 0)
+		r.Equal(r.Worker("r1-w0").Starts, 0)
 	})
 }
 
 // Guards against a claim that succeeded and is given up because its answer was lost, so that nobody plans for a while.
 func TestClaimWhoseAnswerIsLostHolds(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.store.setLosing(true)
-		term, err := engine.Claim(context.Background(), r.store.store(), clockwork.NewRealClock(), engine.Holder{VM: "a", Boot: "b"})
+		r.Store.SetLosing(true)
+		term, err := engine.Claim(context.Background(), r.Store.Engine(), clockwork.NewRealClock(), engine.Holder{VM: "a", Boot: "b"})
 		r.NoErr(err)
 		r.True(term != nil)
-		r.Equal(term.Fence(), r.store.items["clementinepier/planner"].Revision)
+		r.Equal(term.Fence(), r.Store.Revision("clementinepier/planner"))
 	})
 }
 
 // Guards against runs that are never given up because another worker answers at the address of theirs.
 func TestRunsEndWhenAnotherWorkerHasTheAddress(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 3*time.Second)
 		time.Sleep(time.Second)
-		at := r.where("j1")[0]
-		r.set(at, func(w *fakeWorker) { w.replaced = true })
-		r.unlist(r.workers[at])
+		at := r.Where("j1")[0]
+		r.Set(at, func(w *site.Worker) { w.Replaced = true })
+		r.Unlist(r.Worker(at))
 		r.await(p, "j1", workload.StateCompleted, 6*time.Second)
 	})
 }
@@ -275,17 +275,17 @@
 // Guards against an end that the worker has forgotten before the store has it, so that a successor runs the task again.
 func TestEndIsStoredBeforeTheWorkerForgetsIt(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		r.submit(p, "j1", 1, single(8), time.Second)
 		time.Sleep(900 * time.Millisecond)
-		r.store.setRefusing(true)
+		r.Store.SetRefusing(true)
 		time.Sleep(900 * time.Millisecond)
 		stop()
-		r.store.setRefusing(false)
+		r.Store.SetRefusing(false)
 		p, stop = r.planner("b")
 		defer stop()
 		r.await(p, "j1", workload.StateCompleted, 3*time.Second)
-		r.Equal(r.workers["r1-w0"].starts+r.workers["r1-w1"].starts, 1)
+		r.Equal(r.Worker("r1-w0").Starts+r.Worker("r1-w1").Starts, 1)
 	})
 }
--- a/engine/random_test.go
+++ b/engine/random_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clementinepier/engine"
+	"clementinepier/standin/site"
 	"clementinepier/workload"
 )
 
@@ -37,8 +38,8 @@
 }
 
 func playRandomly(r *rig, random *rand.Rand) {
-	r.addWorkers("r1", 3)
-	r.addWorkers("r2", 3)
+	r.AddWorkers("r1", 3)
+	r.AddWorkers("r2", 3)
 	d := &player{rig: r, random: random}
 	d.replacePlanner()
 	for range 40 {
@@ -55,7 +56,7 @@
 	}
 	for _, id := range d.cancelled {
 		r.await(d.planner, id, workload.StateCancelled, 5*time.Second)
-		r.Equal(len(r.where(id)), 0)
+		r.Equal(len(r.Where(id)), 0)
 	}
 }
 
@@ -75,21 +76,21 @@
 	case 0:
 		d.replacePlanner()
 	case 1:
-		d.set(id, func(w *fakeWorker) { w.silent = true })
+		d.Set(id, func(w *site.Worker) { w.Silent = true })
 	case 2:
-		d.set(id, func(w *fakeWorker) { w.dead = true })
+		d.Set(id, func(w *site.Worker) { w.Dead = true })
 	case 3:
-		d.set(id, (*fakeWorker).restart)
+		d.Set(id, (*site.Worker).Restart)
 	case 4:
-		d.set(id, func(w *fakeWorker) { w.loseStarts = !w.loseStarts })
+		d.Set(id, func(w *site.Worker) { w.LoseStarts = !w.LoseStarts })
 	case 5:
-		d.set(id, func(w *fakeWorker) { w.lateStarts = !w.lateStarts })
+		d.Set(id, func(w *site.Worker) { w.LateStarts = !w.LateStarts })
 	case 6:
-		d.store.setLosing(true)
-		time.AfterFunc(time.Second, func() { d.store.setLosing(false) })
+		d.Store.SetLosing(true)
+		time.AfterFunc(time.Second, func() { d.Store.SetLosing(false) })
 	case 7:
 		for _, other := range ids {
-			d.set(other, func(w *fakeWorker) { w.silent = false })
+			d.Set(other, func(w *site.Worker) { w.Silent = false })
 		}
 	case 8:
 		if len(d.accepted) > 0 {
@@ -107,9 +108,7 @@
 		step = gang(1+d.random.IntN(3), int64(1+d.random.IntN(8)))
 	}
 	work := time.Duration(200+d.random.IntN(4000)) * time.Millisecond
-	d.mu.Lock()
-	d.expect(id, step, work)
-	d.mu.Unlock()
+	d.Expect(id, step, work)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	if d.planner.Submit(ctx, newJob(id, d.random.IntN(3), step)).Verdict == engine.VerdictAccepted {
@@ -128,14 +127,14 @@
 
 // heal ends all failures.
 func (d *player) heal() {
-	d.store.setLosing(false)
-	for id := range d.workers {
-		d.set(id, func(w *fakeWorker) {
-			if w.dead {
-				w.restart()
+	d.Store.SetLosing(false)
+	for _, id := range d.IDs() {
+		d.Set(id, func(w *site.Worker) {
+			if w.Dead {
+				w.Restart()
 			}
-			w.silent, w.loseStarts, w.lateStarts = false, false, false
+			w.Silent, w.LoseStarts, w.LateStarts = false, false, false
 		})
-		d.list(d.workers[id])
+		d.List(d.Worker(id))
 	}
 }
--- a/engine/steps_test.go
+++ b/engine/steps_test.go
@@ -6,23 +6,24 @@
 	"time"
 
 	"clementinepier/engine"
+	"clementinepier/standin/site"
 	"clementinepier/workload"
 )
 
 // Guards against steps that start before the steps they wait for are done.
 func TestStepWaitsForEarlierOnes(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		second := single(1)
 		second.After = []int{0}
 		job := newJob("j1", 1, single(1))
 		job.Steps = append(job.Steps, second)
-		r.work["j1"] = 2 * time.Second
+		r.Expect("j1", job.Steps[0], 2*time.Second)
 		r.Equal(p.Submit(context.Background(), job).Verdict, engine.VerdictAccepted)
 		time.Sleep(1900 * time.Millisecond)
-		r.Equal(len(r.where("j1")), 1)
+		r.Equal(len(r.Where("j1")), 1)
 		r.await(p, "j1", workload.StateCompleted, 4*time.Second)
 	})
 }
@@ -30,19 +31,19 @@
 // Guards against occurrences that start before their time, or that wait for each other.
 func TestOccurrencesStartOnTime(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		job := newJob("j1", 1, single(1))
 		job.Repeat, job.FirstRun, job.Interval = 3, time.Now().Add(2*time.Second), time.Second
-		r.work["j1"] = 2500 * time.Millisecond
+		r.Expect("j1", job.Steps[0], 2500*time.Millisecond)
 		r.Equal(p.Submit(context.Background(), job).Verdict, engine.VerdictAccepted)
 		for _, step := range []struct {
 			after time.Duration
 			runs  int
 		}{{1900 * time.Millisecond, 0}, {400 * time.Millisecond, 1}, {time.Second, 2}, {time.Second, 3}} {
 			time.Sleep(step.after)
-			r.Equal(len(r.where("j1")), step.runs)
+			r.Equal(len(r.Where("j1")), step.runs)
 		}
 		r.await(p, "j1", workload.StateCompleted, 4*time.Second)
 	})
@@ -51,19 +52,19 @@
 // Guards against a lasting task that is not started again when it ends, and against one that outlives its cancelling.
 func TestLastingTaskIsStartedAgainUntilItsJobIsCancelled(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		lasting := single(1)
 		lasting.Lasting = true
-		r.lasting = true
+		r.Lasting = true
 		r.submit(p, "j1", 1, lasting, time.Second)
 		time.Sleep(3500 * time.Millisecond)
-		r.Equal(len(r.where("j1")), 1)
+		r.Equal(len(r.Where("j1")), 1)
 		r.Equal(p.State(context.Background(), "j1").State, workload.StateRunning)
 		r.Equal(p.Cancel(context.Background(), "j1").Verdict, engine.VerdictAccepted)
 		time.Sleep(time.Second)
-		r.Equal(len(r.where("j1")), 0)
+		r.Equal(len(r.Where("j1")), 0)
 		r.Equal(p.State(context.Background(), "j1").State, workload.StateCancelled)
 	})
 }
@@ -71,17 +72,19 @@
 // Guards against a job that is tried for ever, and against one that is given up too early.
 func TestJobFailsAfterItsAttempts(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 6)
-		for _, w := range r.workers {
-			w.fails = true
+		r.AddWorkers("r1", 6)
+		for _, id := range r.IDs() {
+			w := r.Worker(id)
+			w.Fails = true
 		}
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 1, gang(2, 1), time.Second)
 		r.await(p, "j1", workload.StateFailed, 10*time.Second)
 		starts := 0
-		for _, w := range r.workers {
-			starts += w.starts
+		for _, id := range r.IDs() {
+			w := r.Worker(id)
+			starts += w.Starts
 		}
 		r.Equal(starts, 6)
 	})
@@ -90,10 +93,10 @@
 // Guards against a worker that fails all it starts and goes on getting work while others are free.
 func TestFailingWorkerIsSetAside(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 3)
+		r.AddWorkers("r1", 3)
 		p, stop := r.planner("a")
 		defer stop()
-		r.workers["r1-w0"].fails = true
+		r.Worker("r1-w0").Fails = true
 		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 			r.submit(p, id, 1, single(1), time.Second)
 			time.Sleep(700 * time.Millisecond)
@@ -101,19 +104,19 @@
 		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
 			r.await(p, id, workload.StateCompleted, 5*time.Second)
 		}
-		r.True(r.workers["r1-w0"].starts <= 3)
+		r.True(r.Worker("r1-w0").Starts <= 3)
 	})
 }
 
 // Guards against a task that stands still on one worker for ever.
 func TestRunThatStandsStillIsMoved(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 2*time.Second)
 		time.Sleep(100 * time.Millisecond)
-		r.set(r.where("j1")[0], func(w *fakeWorker) { w.stands = true })
+		r.Set(r.Where("j1")[0], func(w *site.Worker) { w.Stands = true })
 		r.await(p, "j1", workload.StateCompleted, 12*time.Second)
 	})
 }
@@ -121,8 +124,8 @@
 // Guards against starts in a failure domain that operators have taken out.
 func TestNothingStartsInAFailureDomainThatIsOut(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 1)
-		r.addWorkers("r2", 1)
+		r.AddWorkers("r1", 1)
+		r.AddWorkers("r2", 1)
 		r.conf.Evacuated = map[string]bool{"fd-r1": true}
 		p, stop := r.planner("a")
 		defer stop()
@@ -132,14 +135,14 @@
 		for _, id := range []string{"a", "b"} {
 			r.await(p, id, workload.StateCompleted, 5*time.Second)
 		}
-		r.Equal(r.workers["r1-w0"].starts, 0)
+		r.Equal(r.Worker("r1-w0").Starts, 0)
 	})
 }
 
 // Guards against urgent work that waits for borrowers in a burst, and against borrowers that are lost.
 func TestUrgentJobTakesRoomFromBorrowers(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.addWorkers("r1", 2)
+		r.AddWorkers("r1", 2)
 		p, stop := r.planner("a")
 		defer stop()
 		for _, id := range []string{"a", "b"} {
