Add a soak: real processes under random signals, cut connections and faults of the store and of workers

Three processes of clementinepier front against the stand-in, which speaks the platform's protocol on loopback.

--- a/Makefile
+++ b/Makefile
@@ -4,12 +4,13 @@
 GOLANGCI_LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
 BIN := bin
 
-.PHONY: help build test unit lint fmt try try-faults path-cost bench isolation capacity clean
+.PHONY: help build test unit lint fmt soak try try-faults path-cost bench isolation capacity clean
 
 help:
 	@echo "make build     build bin/clementinepier and bin/standin"
 	@echo "make test      formatter, linter and all tests"
 	@echo "make try       whole system as separate processes on loopback, with failures"
+	@echo "make soak      random faults on real processes of clementinepier front"
 	@echo "make path-cost time that the system adds to one short request"
 	@echo "make bench     seeded experiments on the decision code"
 	@echo "make capacity  slopes behind docs/CAPACITY.md, in about 2.5 minutes"
@@ -49,6 +50,12 @@
 isolation:
 	go run ./bench --isolation
 
+# soak plays random faults on real processes; SOAK_FIRST and SOAK_SEEDS choose the seeds. A seed takes half a minute.
+SOAK_FIRST := 1
+SOAK_SEEDS := 50
+soak:
+	go test ./platform -run Soak -v -count=1 -timeout 120m -soak-first $(SOAK_FIRST) -soak-seeds $(SOAK_SEEDS)
+
 capacity: build
 	go run ./bench -capacity
 	bash scripts/capacity.sh
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -18,7 +18,7 @@
 	workerLatency = time.Millisecond
 	// lateBy is how much later a late order is carried out.
 	lateBy = 3500 * time.Millisecond
-	// AdvertPrefix is where the store has the workers' entries.
+	// AdvertPrefix is where the store has the workers' entries unless Prefix says otherwise.
 	AdvertPrefix = "workers/"
 )
 
@@ -27,6 +27,8 @@
 	Store *Store
 	// MaxLease is the longest lease of a worker, GangTimeout how long a gang's member waits for the others.
 	MaxLease, GangTimeout time.Duration
+	// Prefix is where the store has the workers' entries.
+	Prefix string
 	// EncodeAdvert writes a worker's entry for the store.
 	EncodeAdvert func(a engine.Advert) []byte
 	// Evacuated reports whether a failure domain is out; nil means that none is.
@@ -55,7 +57,7 @@
 	return &Site{
 		Store: NewStore(), workers: map[string]*Worker{}, work: map[string]time.Duration{}, need: map[string]workload.Resources{},
 		gangs: map[string]int{}, gangStates: map[gangRun]*gangState{}, done: map[string]int{}, started: map[string]time.Time{},
-		EncodeAdvert: func(a engine.Advert) []byte { return []byte(a.ID) },
+		Prefix: AdvertPrefix, EncodeAdvert: func(a engine.Advert) []byte { return []byte(a.ID) },
 	}
 }
 
@@ -73,6 +75,18 @@
 	return slices.Sorted(maps.Keys(s.workers))
 }
 
+// Started reports whether a task of a job was ever started.
+func (s *Site) Started(job string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for task := range s.started {
+		if strings.HasPrefix(task, job+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // Faults returns the broken promises that were seen.
 func (s *Site) Faults() []string {
 	s.mu.Lock()
@@ -98,12 +112,12 @@
 
 // List writes the worker's entry.
 func (s *Site) List(w *Worker) {
-	s.Store.Write(AdvertPrefix+w.Advert.ID, s.EncodeAdvert(w.Advert))
+	s.Store.Write(s.Prefix+w.Advert.ID, s.EncodeAdvert(w.Advert))
 }
 
 // Unlist removes the worker's entry.
 func (s *Site) Unlist(w *Worker) {
-	s.Store.Remove(AdvertPrefix + w.Advert.ID)
+	s.Store.Remove(s.Prefix + w.Advert.ID)
 }
 
 // Expect tells the workers how long a job's tasks take and what they need.
