Renew the lease of a worker whose ends cannot be stored

Cause (found by reading, after the soak): a worker that had listed an end was not looked at until the end was stored, so in an outage of the store its other runs lost their lease earlier than the planner its term. Test: TestLeaseIsRenewedWhileAnEndCannotBeStored, seen failing.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -17,6 +17,8 @@
 	lookTimeout = 700 * time.Millisecond
 	// lookRetry is the pause after a look that failed.
 	lookRetry = 250 * time.Millisecond
+	// renewInterval is how often a lease is renewed while the ends that a worker lists cannot be stored.
+	renewInterval = time.Second
 	// shortLook is the pause between looks that do not wait.
 	shortLook = 100 * time.Millisecond
 )
@@ -102,8 +104,8 @@
 // wantsLook reports whether there is something to learn from a worker or to tell it.
 func (p *Planner) wantsLook(w *workerState) bool {
 	if w.seenChange > p.durable {
-		// The worker would list the same ends again until they may be forgotten.
-		return false
+		// The worker lists the same ends again until they may be forgotten, so it is asked only to renew its lease.
+		return len(w.runs) > 0 && p.Clock.Since(w.renewed) > renewInterval
 	}
 	if !w.known {
 		return w.listed || len(w.runs) > 0
@@ -119,24 +121,32 @@
 	return false
 }
 
-// look renews the worker's lease and asks what it has.
-func (p *Planner) look(w *workerState, now time.Time) {
+// lookOrder returns what a look tells the worker now.
+func (p *Planner) lookOrder(w *workerState, now time.Time) LookOrder {
 	order := LookOrder{Fence: p.Term.Fence()}
-	if w.seen > w.noted && w.failing.IsZero() {
+	unstored := w.seenChange > p.durable
+	if w.seen > w.noted && w.failing.IsZero() && !unstored {
 		// A worker that has started anew would forget ends of its new life, so a number is sent only as long as it tells
 		// something new.
 		order.Noted = w.seen
 	}
-	if w.known && w.clock != 0 {
-		// A worker that does not answer gets no longer lease, so that its runs end in bounded time.
-		if len(w.runs) > 0 && w.failing.IsZero() {
-			order.Until = p.grant(w, p.Bounds.MaxLease)
-			order.Wait = lookWait
-		}
-		if w.foreign > 0 || !w.failing.IsZero() || p.hasStops(w) {
-			order.Wait = 0
-		}
+	if !w.known || w.clock == 0 {
+		return order
+	}
+	// A worker that does not answer gets no longer lease, so that its runs end in bounded time.
+	if len(w.runs) > 0 && w.failing.IsZero() {
+		order.Until, w.renewed = p.grant(w, p.Bounds.MaxLease), now
+		order.Wait = lookWait
 	}
+	if w.foreign > 0 || !w.failing.IsZero() || unstored || p.hasStops(w) {
+		order.Wait = 0
+	}
+	return order
+}
+
+// look renews the worker's lease and asks what it has.
+func (p *Planner) look(w *workerState, now time.Time) {
+	order := p.lookOrder(w, now)
 	w.looking = true
 	target := Target{ID: w.id(), Address: w.advert.Address}
 	p.Metrics.Add(metrics.Looks, 1)
--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -289,3 +289,21 @@
 		r.Equal(r.Worker("r1-w0").Starts+r.Worker("r1-w1").Starts, 1)
 	})
 }
+
+// Guards against runs that lapse because their worker has listed an end that the store cannot take.
+func TestLeaseIsRenewedWhileAnEndCannotBeStored(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.AddWorkers("r1", 1)
+		p, stop := r.planner("a")
+		defer stop()
+		r.submit(p, "j1", 1, single(1), time.Second)
+		r.submit(p, "j2", 1, single(1), 14*time.Second)
+		time.Sleep(500 * time.Millisecond)
+		r.Store.SetRefusing(true)
+		time.Sleep(12 * time.Second)
+		r.Store.SetRefusing(false)
+		r.await(p, "j1", workload.StateCompleted, time.Second)
+		r.await(p, "j2", workload.StateCompleted, 4*time.Second)
+		r.Equal(r.Worker("r1-w0").Starts, 2)
+	})
+}
--- a/engine/state.go
+++ b/engine/state.go
@@ -130,6 +130,8 @@
 	// answered is when a call last succeeded; failing is when calls began to fail, zero while they succeed.
 	answered, failing time.Time
 	nextLook          time.Time
+	// renewed is when a look last extended the lease.
+	renewed time.Time
 	// granted is the time after which every lease that was granted has surely ended.
 	granted time.Time
 	// seen is the number of the last end that was taken in; noted is the last that the worker was told to forget.
