Send starts that came up while the planner's lease was not renewed; reclaim guarantees from urgent borrowers

TestJobsCompleteWhileRenewalsAreSlow plays slow renewals; it was not seen failing. Tests: TestGuaranteedWorkTakesRoomFromUrgentBorrowers, TestGuaranteeIsReclaimedFromUrgentBorrowers, both seen failing.

--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -307,3 +308,26 @@
 		r.Equal(r.Worker("r1-w0").Starts, 2)
 	})
 }
+
+// Guards against jobs that are left behind when the lease of the planner is renewed late.
+func TestJobsCompleteWhileRenewalsAreSlow(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.AddWorkers("r1", 4)
+		// The renewals are answered 40 ms after the planner has stopped to give orders.
+		r.Store.KeepDelay = 520 * time.Millisecond
+		p, stop := r.planner("a")
+		defer stop()
+		var ids []string
+		for i := range 400 {
+			id := fmt.Sprintf("j%d", i)
+			r.Expect(id, single(0), 50*time.Millisecond)
+			if p.Submit(context.Background(), newJob(id, 1, single(0))).Verdict == engine.VerdictAccepted {
+				ids = append(ids, id)
+			}
+			time.Sleep(3 * time.Millisecond)
+		}
+		for _, id := range ids {
+			r.await(p, id, workload.StateCompleted, 5*time.Second)
+		}
+	})
+}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -71,6 +71,19 @@
 	})
 }
 
+// resumeStarts orders the starts that were due while no orders could be given.
+func (p *Planner) resumeStarts(now time.Time) {
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			due := r.phase == runRecorded && r.placed != 0 && r.placed <= p.durable ||
+				r.phase == runOrdered && now.Sub(r.orderSent) > stopRetry
+			if due && !r.ordering && !r.stopWanted {
+				p.start(r)
+			}
+		}
+	}
+}
+
 func (p *Planner) startAnswered(r *run, from time.Time, answer Answer, err error) {
 	r.ordering = false
 	p.Metrics.Observe(metrics.OrderTime, p.Clock.Since(from))
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -266,6 +266,7 @@
 		p.deposed = err
 		return
 	}
+	p.resumeStarts(now)
 	p.expireLeases(now)
 	p.watchProgress(now)
 	p.moveFromLeaving(now)
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -22,7 +22,8 @@
 func (p *Planner) plan() {
 	now := p.Clock.Now()
 	conf := p.Configuration()
-	units := p.units(now, conf)
+	guaranteed := p.guaranteedJobs(conf)
+	units := p.units(now, guaranteed)
 	p.Metrics.SetGauge(metrics.UnitsWaiting, int64(len(units)))
 	if len(units) == 0 {
 		return
@@ -33,16 +34,15 @@
 		byService[u.Job.Service] = append(byService[u.Job.Service], u)
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
-		fleet := policy.NewFleet(p.fleetOf(service, now, conf))
+		fleet := policy.NewFleet(p.fleetOf(service, now, conf, guaranteed))
 		decision := fleet.Plan(now, byService[service])
 		p.apply(now, decision)
 	}
 }
 
 // units returns the work that could start now.
-func (p *Planner) units(now time.Time, conf *Configuration) []*policy.Unit {
+func (p *Planner) units(now time.Time, guaranteed map[*jobState]bool) []*policy.Unit {
 	var units []*policy.Unit
-	guaranteed := p.guaranteedJobs(conf)
 	timeOfDay := p.TimeOfDay()
 	for _, j := range p.active {
 		for k := range j.record.Progress.Tasks {
@@ -155,7 +155,7 @@
 }
 
 // fleetOf returns the workers of a service as the decisions see them.
-func (p *Planner) fleetOf(service string, now time.Time, conf *Configuration) []*policy.Worker {
+func (p *Planner) fleetOf(service string, now time.Time, conf *Configuration, guaranteed map[*jobState]bool) []*policy.Worker {
 	var workers []*policy.Worker
 	byID := map[string]*policy.Worker{}
 	groups := map[*group]bool{}
@@ -178,7 +178,7 @@
 		if !p.mayStop(g) {
 			continue
 		}
-		victim := &policy.Group{Priority: g.job.record.Job.Priority, Uses: map[string]workload.Resources{}, Handle: g}
+		victim := &policy.Group{Priority: g.job.record.Job.Priority, Guaranteed: guaranteed[g.job], Uses: map[string]workload.Resources{}, Handle: g}
 		for _, r := range g.runs {
 			victim.Waste += p.waste(r, now)
 			id := r.worker.id()
@@ -195,7 +195,7 @@
 
 // mayStop reports whether a group may be stopped for more urgent work.
 func (p *Planner) mayStop(g *group) bool {
-	if g.done || g.breaking || g.job.record.Job.Priority == 0 || g.step().Lasting {
+	if g.done || g.breaking || g.step().Lasting {
 		return false
 	}
 	for _, r := range g.runs {
@@ -266,7 +266,11 @@
 	}
 	p.Log.Event("group-placed", "job", j.id(), "occurrence", key.occurrence, "step", key.step, "run", number, "runs", len(g.runs),
 		"first", g.runs[0].name, "worker", g.runs[0].worker.id(), "waited", now.Sub(u.Since), "guaranteed", u.Guaranteed)
-	p.whenDurable(p.touch(j), func() {
+	change := p.touch(j)
+	for _, r := range g.runs {
+		r.placed = change
+	}
+	p.whenDurable(change, func() {
 		for _, r := range slices.Clone(g.runs) {
 			p.start(r)
 		}
--- a/engine/state.go
+++ b/engine/state.go
@@ -97,6 +97,8 @@
 	// doubtful is set when an order to start it got no answer, so that it may be carried out later.
 	doubtful bool
 	attempts int
+	// placed is the change that has to be stored before the start is ordered; 0 for inherited runs.
+	placed uint64
 	// orderSent is when the last order to start it was sent.
 	orderSent time.Time
 	// ordering and stopping are set while a call is under way.
--- a/engine/steps_test.go
+++ b/engine/steps_test.go
@@ -156,3 +156,21 @@
 		}
 	})
 }
+
+// Guards against guaranteed work that cannot begin in time because other organisations' urgent jobs fill every worker.
+func TestGuaranteeIsReclaimedFromUrgentBorrowers(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		r.AddWorkers("r1", 2)
+		p, stop := r.planner("a")
+		defer stop()
+		for _, id := range []string{"a", "b"} {
+			borrower := newJob(id, 0, single(8))
+			borrower.Organisation = "other"
+			r.Expect(id, borrower.Steps[0], 20*time.Second)
+			r.Equal(p.Submit(context.Background(), borrower).Verdict, engine.VerdictAccepted)
+		}
+		time.Sleep(time.Second)
+		r.submit(p, "urgent", 0, gang(2, 8), time.Second)
+		r.await(p, "urgent", workload.StateCompleted, 2500*time.Millisecond)
+	})
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -136,3 +136,21 @@
 	policy.Order(start, units)
 	is.Equal(units[0], guaranteed)
 }
+
+// Guards against a guarantee that is held by others' urgent work beyond their own guarantees, in a burst of urgent jobs.
+func TestGuaranteedWorkTakesRoomFromUrgentBorrowers(t *testing.T) {
+	is := is.New(t)
+	w1, w2, w3 := worker("w1", "r1", 0), worker("w2", "r1", 0), worker("w3", "r1", 0)
+	owner, borrower, batch := borrow(w1, 1), borrow(w2, 1), borrow(w3, 100)
+	owner.Priority, owner.Guaranteed, borrower.Priority = 0, true, 0
+	u := unit("urgent", 0, 2, 8)
+	u.Guaranteed = true
+	d := plan(start, []*policy.Worker{w1, w2, w3}, u)
+	is.Equal(len(d.Stops), 2)
+	is.True(batch.Stopped && borrower.Stopped && !owner.Stopped)
+
+	// Work that is urgent and not guaranteed itself displaces no urgent work.
+	borrower.Stopped, batch.Stopped = false, false
+	d = plan(start, []*policy.Worker{w1, w2}, unit("other", 0, 1, 8))
+	is.Equal(len(d.Stops), 0)
+}
--- a/policy/reclaim.go
+++ b/policy/reclaim.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		for _, g := range w.Victims {
-			if !g.Stopped && g.Priority > u.Job.Priority {
+			if !g.Stopped && g.yieldsTo(u) {
 				held[g] += leastHeld + float64(g.Uses[w.ID].Accelerators)
 			}
 		}
@@ -86,7 +86,7 @@
 		order = append(order, g)
 	}
 	slices.SortFunc(order, func(a, b *Group) int {
-		return cmp.Or(cmp.Compare(a.Waste/held[a], b.Waste/held[b]), cmp.Compare(a.Waste, b.Waste), cmp.Compare(a.first(), b.first()))
+		return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), cmp.Compare(a.Waste/held[a], b.Waste/held[b]), cmp.Compare(a.Waste, b.Waste), cmp.Compare(a.first(), b.first()))
 	})
 	gained := map[string]workload.Resources{}
 	with := func(w *Worker) workload.Resources { return w.Soon.Add(gained[w.ID]) }
@@ -112,6 +112,20 @@
 	return f.needed(u, workers, order[:count], gained, with)
 }
 
+// yieldsTo reports whether the group makes room for a unit: for urgent work if it is not urgent itself, and for work that a
+// guarantee covers also if it is urgent and beyond its own organisation's guarantee.
+func (g *Group) yieldsTo(u *Unit) bool {
+	return g.Priority > u.Job.Priority || u.Guaranteed && !g.Guaranteed
+}
+
+// urgency puts urgent groups behind the others among those to stop.
+func (g *Group) urgency() int {
+	if g.Priority == 0 {
+		return 1
+	}
+	return 0
+}
+
 // needed drops the groups without which the unit still fits, those with the most waste first.
 func (f *Fleet) needed(u *Unit, workers []*Worker, groups []*Group, gained map[string]workload.Resources, with view) ([]*Group, []*Worker) {
 	kept := slices.Clone(groups)
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -51,6 +51,8 @@
 // Group is a set of runs that end together: a gang's, or a single one.
 type Group struct {
 	Priority int
+	// Guaranteed means that the organisation's guarantee covers the group, so that it makes room for nobody.
+	Guaranteed bool
 	// Waste is the work that would be lost, in core-seconds.
 	Waste float64
 	// Uses is what the group holds on each worker.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -396,6 +396,9 @@
 			return w.view(), nil
 		}
 		s.mu.Unlock()
+		if ctx.Err() != nil {
+			return engine.View{}, ctx.Err()
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -26,6 +26,9 @@
 
 // Store is a store with revisions, leases and watches.
 type Store struct {
+	// KeepDelay is how much longer a renewal takes than other calls. Set it before the first one.
+	KeepDelay time.Duration
+
 	mu       sync.Mutex
 	items    map[string]engine.Item
 	leases   map[int64]time.Time
@@ -235,6 +238,7 @@
 }
 
 func (s *Store) keep(ctx context.Context, lease int64) error {
+	time.Sleep(s.KeepDelay)
 	if err := s.enter(ctx); err != nil {
 		return err
 	}
