Remove an unused look-up; correct two comments

Configuration.Queue had no caller. The comments of urgentPatience and hasStops named another constant and another reason. No behaviour changes.

--- a/engine/configuration.go
+++ b/engine/configuration.go
@@ -79,16 +79,6 @@
 	return queue, path[len(queue.Prefix):], true
 }
 
-// Queue returns a queue by its name.
-func (c *Configuration) Queue(name string) (*Queue, bool) {
-	for i := range c.Queues {
-		if c.Queues[i].Name == name {
-			return &c.Queues[i], true
-		}
-	}
-	return nil, false
-}
-
 // Guaranteed returns the accelerators that an organisation is guaranteed.
 func (c *Configuration) Guaranteed(organisation string) int64 {
 	for i := range c.Organisations {
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -158,7 +158,8 @@
 	})
 }
 
-// hasStops reports whether a run on the worker is being stopped; its end is listed within the grace of a stop.
+// hasStops reports whether a run is being stopped of which the worker has not said that it has it. No end is listed if it
+// never was there, so a look must not wait for one.
 func (p *Planner) hasStops(w *workerState) bool {
 	for _, r := range w.runs {
 		if r.stopWanted && r.phase != runRunning {
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// patience bounds how long urgent work waits for a rack on which it runs at full speed; it is a third of the
+	// urgentPatience bounds how long urgent work waits for a rack on which it runs at full speed; it is a third of the
 	// shortest bound on the start of guaranteed work (2.9 s).
 	urgentPatience = time.Second
 	// reservedShare is the share of the accelerators that blocked units may keep free for themselves.
