Stop nothing for urgent work that is late already

Cause: after an outage and at the highest load, urgent jobs that could no longer complete in time still stopped others.

Guaranteed work makes room as before.

Test: TestLateUrgentWorkMakesNoRoom, seen failing before.

--- a/policy/placement.go
+++ b/policy/placement.go
@@ -57,7 +57,8 @@
 	return f
 }
 
-// Plan decides what starts now. Units must be in the order of Order.
+// Plan decides what starts now. Units must be in the order of Order. Urgent work that is late makes no room: after an outage
+// the backlog of late work would stop most of what runs, for jobs that are worth little by then.
 func (f *Fleet) Plan(now time.Time, units []*Unit) Decision {
 	var d Decision
 	reserved := int64(0)
@@ -77,7 +78,7 @@
 		if u.Job.Priority > 0 {
 			blocked[key] = true
 		}
-		if u.Guaranteed || u.Job.Priority == 0 {
+		if u.Guaranteed || u.Job.Priority == 0 && u.class(now) == inTime {
 			f.reclaim(now, u, &d)
 			continue
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -60,6 +60,17 @@
 	is.Equal(d.Stops, []*policy.Group{cheap})
 }
 
+// Guards against work that is thrown away for urgent work that is late already, in the backlog after an outage.
+func TestLateUrgentWorkMakesNoRoom(t *testing.T) {
+	is := is.New(t)
+	w1 := worker("w1", "r1", 0)
+	borrow(w1, 10)
+	late, guaranteed := unit("late", 0, 1, 8), unit("guaranteed", 0, 1, 8)
+	guaranteed.Guaranteed = true
+	is.Equal(len(plan(at(4*time.Second), []*policy.Worker{w1}, late).Stops), 0)
+	is.Equal(len(plan(at(4*time.Second), []*policy.Worker{w1}, guaranteed).Stops), 1)
+}
+
 // Guards against work of lower priority that is stopped for work that is not urgent.
 func TestOtherWorkMakesNoRoom(t *testing.T) {
 	w1 := worker("w1", "r1", 0)
