Remove the claim of an own earlier term at once after an outage of the store

The lease of the earlier planner had paused with the store; its process had ended the term by its own clock and then waited for its own key to lapse. Reads that were begun during the outage also hung until their time limit of 0.8 s.

An entry VM that finds a claim of its own process removes it, and reads the key with a shorter limit while the store is silent.

Test: TestOwnClaimOfAnEarlierTermIsRemovedAtOnce, seen failing before.

--- a/engine/term.go
+++ b/engine/term.go
@@ -177,6 +177,12 @@
 	return h, item.Revision, nil
 }
 
+// Vacate ends the claim of an earlier term, if the planner's key still has the revision.
+func Vacate(ctx context.Context, store Store, revision int64) error {
+	_, err := store.Commit(ctx, Txn{Writes: []Write{{Key: plannerKey, Expected: revision, Delete: true}}})
+	return errors.Wrap(err, "remove the planner's key")
+}
+
 // WatchHolder waits until the planner's key changes after the revision, or the wait is over.
 func WatchHolder(ctx context.Context, store Store, after int64, wait time.Duration) (int64, bool, error) {
 	events, at, err := store.Watch(ctx, plannerKey, after, wait)
--- a/front/election.go
+++ b/front/election.go
@@ -17,6 +17,9 @@
 	holderWatch = 4 * time.Second
 	// holderTimeout bounds the watch on top of its wait, and a read of the key.
 	holderTimeout = 800 * time.Millisecond
+	// holderSilentTimeout replaces it while the store is silent, since a call that was begun before the store is back gets no
+	// answer. A slow store still answers within it.
+	holderSilentTimeout = 500 * time.Millisecond
 	// claimSpread is the time over which equal entry VMs claim a planner's key that has ended, so that one is first.
 	claimSpread = 60 * time.Millisecond
 	// claimCoreDelay over the cores of an entry VM is how long it waits before that. With the users' VMs of 0.2 to 0.8
@@ -49,13 +52,21 @@
 }
 
 func (v *VM) electOnce(ctx context.Context) {
-	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
+	timeout := holderTimeout
+	if v.storeSilence() > 0 {
+		timeout = holderSilentTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	holder, revision, err := engine.FindHolder(callCtx, v.Store)
 	cancel()
 	if err != nil {
 		v.pause(ctx, electionRetry)
 		return
 	}
+	if revision != 0 && holder.VM == v.Settings.Name && holder.Boot == v.boot {
+		v.vacate(ctx, revision)
+		return
+	}
 	if revision != 0 {
 		v.setHolder(&holder)
 		if v.outranks(holder) {
@@ -75,6 +86,18 @@
 	}
 }
 
+// vacate ends the claim of an earlier term of this process. The store's outage that ended the term may have held up its
+// lease, and nobody plans before the claim is gone.
+func (v *VM) vacate(ctx context.Context, revision int64) {
+	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
+	defer cancel()
+	err := engine.Vacate(callCtx, v.Store, revision)
+	v.log.Event("own-claim-removed", "revision", revision, "error", err)
+	if err != nil {
+		v.pause(ctx, electionRetry)
+	}
+}
+
 // claimDelay returns how long an entry VM leaves the planner's key to larger ones.
 func claimDelay(cores float64) time.Duration {
 	return min(claimMaxDelay, time.Duration(float64(claimCoreDelay)/cores))
--- a/front/election_test.go
+++ b/front/election_test.go
@@ -1,9 +1,16 @@
 package front
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+
+	"clementinepier/engine"
+	"clementinepier/standin/site"
 )
 
 // Guards against a planner on a VM that is too small for all workers while a larger one is there.
@@ -14,3 +21,33 @@
 	}
 	is.True(claimDelay(0.001) <= claimMaxDelay)
 }
+
+// Guards against entry VMs that wait, after an outage of the store, for the lease of a planner that has already given up.
+func TestOwnClaimOfAnEarlierTermIsRemovedAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		holder engine.Holder
+		gone   bool
+	}{
+		"own earlier term":               {engine.Holder{VM: "a", Boot: "1"}, true},
+		"earlier process of the same VM": {engine.Holder{VM: "a", Boot: "0"}, false},
+		"another VM":                     {engine.Holder{VM: "b", Boot: "1"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithTimeout(context.Background(), engine.TermLength/2)
+				defer cancel()
+				store, clock := site.NewStore().Engine(), clockwork.NewRealClock()
+				_, err := engine.Claim(ctx, store, clock, test.holder)
+				is.NoErr(err)
+				v := &VM{Settings: &Settings{Name: "a", Cores: 1}, Clock: clock, Store: store, boot: "1", suspect: make(chan struct{}, 1)}
+				from := time.Now()
+				v.electOnce(ctx)
+				_, revision, err := engine.FindHolder(context.Background(), store)
+				is.NoErr(err)
+				is.Equal(revision == 0, test.gone)
+				is.True(!test.gone || time.Since(from) < 100*time.Millisecond)
+			})
+		})
+	}
+}
--- a/front/vm.go
+++ b/front/vm.go
@@ -253,9 +253,15 @@
 }
 
 // storeAnswers reports whether the store has not been failing for long.
-func (v *VM) storeAnswers() bool {
+func (v *VM) storeAnswers() bool { return v.storeSilence() < storePatience }
+
+// storeSilence returns for how long calls to the store have been failing; 0 while they succeed.
+func (v *VM) storeSilence() time.Duration {
 	from := v.storeFailing.Load()
-	return from == 0 || v.Clock.Now().Sub(time.Unix(0, from)) < storePatience
+	if from == 0 {
+		return 0
+	}
+	return v.Clock.Now().Sub(time.Unix(0, from))
 }
 
 func newBoot() string {
