Keep fractions of a second in what entry VMs tell each other

Cause: the codec's default drops fractions of a second of times. A job that an entry VM passed on to the planner lost them, so occurrences started up to a second before their time.

One package, codec, now holds the encoding of the store's records and of the calls between entry VMs.

Test: TestTimesKeepTheirFractions, seen failing with the default.

--- a/engine/direct.go
+++ b/engine/direct.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/workload"
 )
 
@@ -80,6 +80,6 @@
 }
 
 func encodeMarker(m marker) ([]byte, error) {
-	data, err := cbor.Marshal(m)
+	data, err := codec.Marshal(m)
 	return data, errors.Wrap(err, "encode marker")
 }
--- a/engine/load.go
+++ b/engine/load.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/workload"
 )
 
@@ -152,7 +152,7 @@
 		return
 	}
 	var m marker
-	if err := cbor.Unmarshal(item.Value, &m); err != nil {
+	if err := codec.Unmarshal(item.Value, &m); err != nil {
 		p.Log.Event("marker-unreadable", "key", item.Key, "error", err)
 		return
 	}
--- a/engine/term.go
+++ b/engine/term.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/eventlog"
 )
 
@@ -53,7 +53,7 @@
 
 // Claim tries to become the planner. It returns nil and no error when another entry VM was first.
 func Claim(ctx context.Context, store Store, clock clockwork.Clock, holder Holder) (*Term, error) {
-	value, err := cbor.Marshal(holder)
+	value, err := codec.Marshal(holder)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode holder")
 	}
@@ -171,7 +171,7 @@
 		return Holder{}, 0, err
 	}
 	var h Holder
-	if err := cbor.Unmarshal(item.Value, &h); err != nil {
+	if err := codec.Unmarshal(item.Value, &h); err != nil {
 		return Holder{}, item.Revision, errors.Wrap(err, "decode holder")
 	}
 	return h, item.Revision, nil
--- a/front/peers.go
+++ b/front/peers.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/engine"
 	"clementinepier/job"
 	"clementinepier/peer"
@@ -180,7 +180,7 @@
 			return nil, &peer.ErrRefused{Code: codeNotPlanner, Detail: "this entry VM is not the planner"}
 		}
 		var in In
-		if err := cbor.Unmarshal(body, &in); err != nil {
+		if err := codec.Unmarshal(body, &in); err != nil {
 			return nil, &peer.ErrRefused{Code: job.CodeBadRequest, Detail: err.Error()}
 		}
 		ctx, cancel := context.WithTimeout(ctx, plannerTimeout)
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -6,9 +6,9 @@
 	"sync"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/job"
 )
 
@@ -36,11 +36,11 @@
 
 // frame is the unit on the wire. A reply has Reply set and the ID of its call.
 type frame struct {
-	ID    uint64          `cbor:"1,keyasint"`
-	Kind  Kind            `cbor:"2,keyasint,omitempty"`
-	Reply bool            `cbor:"3,keyasint,omitempty"`
-	Trace string          `cbor:"4,keyasint,omitempty"`
-	Body  cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+	ID    uint64           `cbor:"1,keyasint"`
+	Kind  Kind             `cbor:"2,keyasint,omitempty"`
+	Reply bool             `cbor:"3,keyasint,omitempty"`
+	Trace string           `cbor:"4,keyasint,omitempty"`
+	Body  codec.RawMessage `cbor:"5,keyasint,omitempty"`
 	// Code and Detail are set on a reply whose call was refused.
 	Code   job.Code `cbor:"6,keyasint,omitempty"`
 	Detail string   `cbor:"7,keyasint,omitempty"`
@@ -66,7 +66,7 @@
 }
 
 func (c *conn) write(ctx context.Context, v any) error {
-	data, err := cbor.Marshal(v)
+	data, err := codec.Marshal(v)
 	if err != nil {
 		return errors.Wrap(err, "encode frame")
 	}
@@ -83,5 +83,5 @@
 	if kind != websocket.MessageBinary {
 		return errors.New("text message where CBOR was expected")
 	}
-	return errors.Wrap(cbor.Unmarshal(data, v), "decode frame")
+	return errors.Wrap(codec.Unmarshal(data, v), "decode frame")
 }
--- a/peer/hub.go
+++ b/peer/hub.go
@@ -6,11 +6,11 @@
 	"sync"
 
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/job"
 	"clementinepier/metrics"
 )
@@ -106,7 +106,7 @@
 // Call sends body to the peer and decodes its reply into reply. It returns *ErrPeerUnavailable when there was
 // none and *ErrRefused when the peer did not carry out the call.
 func (h *Hub) Call(ctx context.Context, vm string, kind Kind, body, reply any) error {
-	data, err := cbor.Marshal(body)
+	data, err := codec.Marshal(body)
 	if err != nil {
 		return errors.Wrap(err, "encode call")
 	}
@@ -162,7 +162,7 @@
 		h.refuse(ctx, c, f, err)
 		return
 	}
-	body, err := cbor.Marshal(result)
+	body, err := codec.Marshal(result)
 	if err != nil {
 		h.refuse(ctx, c, f, err)
 		return
--- a/peer/hub_test.go
+++ b/peer/hub_test.go
@@ -9,10 +9,10 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
+	"clementinepier/codec"
 	"clementinepier/job"
 	"clementinepier/metrics"
 )
@@ -56,10 +56,25 @@
 
 func echo(_ context.Context, _ Identity, body []byte) (any, error) {
 	var text string
-	err := cbor.Unmarshal(body, &text)
+	err := codec.Unmarshal(body, &text)
 	return text, err
 }
 
+// Guards against times that lose their fractions of a second on the way to the planner, so that scheduled work starts early.
+func TestTimesKeepTheirFractions(t *testing.T) {
+	is := is.New(t)
+	a, _ := newHub(t, "a", "secret", nil)
+	_, address := newHub(t, "b", "secret", map[Kind]Handler{KindRun: func(_ context.Context, _ Identity, body []byte) (any, error) {
+		var at time.Time
+		err := codec.Unmarshal(body, &at)
+		return at, err
+	}})
+	a.SetPeers(map[string]string{"b": address})
+	sent, got := time.UnixMilli(1700000000765), time.Time{}
+	is.NoErr(awaitCall(context.Background(), a, "b", KindRun, sent, &got))
+	is.Equal(got.Round(time.Microsecond).UnixMicro(), sent.UnixMicro())
+}
+
 // Guards against replies that reach another call when many calls share one link.
 func TestCallsOnOneLinkKeepTheirReplies(t *testing.T) {
 	is := is.New(t)
@@ -130,7 +145,7 @@
 	l.deliver(frame{ID: id, Reply: true, Body: []byte{1}})
 	l.deliver(frame{ID: id, Reply: true, Body: []byte{2}})
 	l.deliver(frame{ID: id + 7, Reply: true, Body: []byte{3}})
-	is.Equal((<-waiting).frame.Body, cbor.RawMessage{1})
+	is.Equal((<-waiting).frame.Body, codec.RawMessage{1})
 	is.Equal(int(h.Metrics.Get(metrics.PeerRepliesDropped)), 2)
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -7,9 +7,9 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/coder/websocket"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/metrics"
 )
 
@@ -192,7 +192,7 @@
 	if r.frame.Code != "" {
 		return &ErrRefused{Code: r.frame.Code, Detail: r.frame.Detail}
 	}
-	if err := cbor.Unmarshal(r.frame.Body, into); err != nil {
+	if err := codec.Unmarshal(r.frame.Body, into); err != nil {
 		return &ErrPeerUnavailable{VM: l.vm, Kind: kind, Delivered: true, Cause: errors.Wrap(err, "decode reply")}
 	}
 	return nil
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -3,8 +3,9 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"clementinepier/codec"
 )
 
 // Phase is how far a task is.
@@ -118,25 +119,16 @@
 	Progress Progress `cbor:"2,keyasint"`
 }
 
-// encoding keeps times to the microsecond; the codec's default drops fractions of a second.
-var encoding = func() cbor.EncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeUnixMicro}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}()
-
 // Encode returns the record's bytes.
 func (r *Record) Encode() ([]byte, error) {
-	data, err := encoding.Marshal(r)
+	data, err := codec.Marshal(r)
 	return data, errors.Wrap(err, "encode job record")
 }
 
 // DecodeRecord reads a record and checks that the progress has the job's form.
 func DecodeRecord(data []byte) (*Record, error) {
 	var r Record
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := codec.Unmarshal(data, &r); err != nil {
 		return nil, errors.Wrap(err, "decode job record")
 	}
 	if err := r.Job.Check(); err != nil {
