--- a/engine/contact.go
+++ b/engine/contact.go
@@ -319,9 +319,6 @@
 	if g.key.index >= 0 || !g.breaking || g.parted.IsZero() || r.worker.failing.IsZero() || r.phase == runInherited {
 		return false
 	}
-	if g.endedUnheard() {
-		return true
-	}
 	last := g.parted
 	if r.phase == runOrdered {
 		// The start may still be carried out until its own lease has ended.
@@ -331,17 +328,3 @@
 	}
 	return now.Sub(last) > p.leaseBound(p.Bounds.GangTimeout)
 }
-
-// endedUnheard reports whether the runs that are left have surely ended: others of the gang ended because one had, and only
-// runs on one silent worker can be the one. That worker ends its other members at once.
-func (g *group) endedUnheard() bool {
-	if !g.causeMissing || g.causeKnown {
-		return false
-	}
-	for _, r := range g.runs {
-		if r.worker != g.runs[0].worker || r.phase != runRunning || r.doubtful {
-			return false
-		}
-	}
-	return true
-}
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -53,8 +53,8 @@
 	if checkpoint != "" {
 		r.checkpoint = checkpoint
 	}
-	if g.key.index < 0 && r.phase != runInherited {
-		p.noteMemberEnd(g, how)
+	if g.key.index < 0 && r.phase != runInherited && g.parted.IsZero() {
+		g.parted = p.Clock.Now()
 	}
 	p.Metrics.Add(metrics.Name("runs-ended-"+string(how)), 1)
 	p.Log.Event("run-ended", "task", r.name, "run", r.number, "worker", r.worker.id(), "how", how,
@@ -78,19 +78,6 @@
 	p.replan = true
 }
 
-// noteMemberEnd keeps what the end of one member of a gang tells of the others.
-func (p *Planner) noteMemberEnd(g *group, how How) {
-	if g.parted.IsZero() {
-		g.parted = p.Clock.Now()
-	}
-	switch {
-	case how != EndBroken && how != EndStopped:
-		g.causeKnown = true
-	case how == EndBroken && !g.breaking && !g.working.IsZero():
-		g.causeMissing = true
-	}
-}
-
 // removeRun takes a run out of its group and ends the others of a gang that cannot be done.
 func (p *Planner) removeRun(g *group, r *run) {
 	for i := range g.runs {
--- a/engine/state.go
+++ b/engine/state.go
@@ -63,9 +63,6 @@
 	parted time.Time
 	// working is when all runs were known to be present; zero before that.
 	working time.Time
-	// causeMissing is set when a member of a working gang ended because another one had, before any member was stopped.
-	// causeKnown is set once a member is known to have ended by itself.
-	causeMissing, causeKnown bool
 }
 
 func (g *group) step() *workload.Step { return &g.job.record.Job.Steps[g.key.step] }
