End a call at once when its caller has left while no planner is known

Cause: the loop that waits up to 150 ms for a link to the planner did not end with the call's context, and then took the whole processor for the rest of that time. No other loop that does not block was found in the packages that run on the platform.

Test: TestCallWhoseCallerHasLeftEndsAtOnce, seen failing before.

--- a/front/receiver.go
+++ b/front/receiver.go
@@ -256,7 +256,7 @@
 		case peer.WasDelivered(err):
 			r.Suspect()
 			return engine.Result{Verdict: engine.VerdictUnknown, Reason: err.Error()}
-		case peer.IsRefused(err) || errors.Is(err, errPlannerSilent) || !r.Clock.Now().Before(waitUntil):
+		case peer.IsRefused(err) || errors.Is(err, errPlannerSilent) || ctx.Err() != nil || !r.Clock.Now().Before(waitUntil):
 			r.Suspect()
 			return engine.Result{Verdict: engine.VerdictUnavailable, Reason: err.Error()}
 		}
