End a planner without polling for its calls

Cause: the pool's wait for its calls (ReleaseTimeout) loops without a pause until its own goroutines have ended.

The planner counts its calls, waits for them at most as long as before, and then lets the pool go.

--- a/engine/planner.go
+++ b/engine/planner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -69,6 +70,8 @@
 
 	inbox chan func()
 	pool  *ants.Pool
+	// calls counts the calls on the pool that are under way. It grows on the control goroutine only.
+	calls sync.WaitGroup
 	ctx   context.Context
 	// deposed is set when another planner may have taken over.
 	deposed error
@@ -136,9 +139,7 @@
 		for _, watch := range p.watches {
 			<-watch
 		}
-		if poolErr := pool.ReleaseTimeout(releaseTimeout); poolErr != nil {
-			p.Log.Event("calls-left-behind", "error", poolErr)
-		}
+		p.release()
 		done <- err
 	}()
 	return done, nil
@@ -223,9 +224,31 @@
 	errNotTaken = errors.New("the planner takes no calls")
 )
 
+// release ends the pool once the calls that are under way have ended, or after releaseTimeout. The pool's own wait polls
+// without a pause, which on one thread keeps the processor from what it waits for.
+func (p *Planner) release() {
+	ended := make(chan struct{})
+	go func() {
+		p.calls.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-p.Clock.After(releaseTimeout):
+		p.Log.Event("calls-left-behind", "after", releaseTimeout)
+	}
+	p.pool.Release()
+}
+
 // call runs f on the pool; f must post its result.
 func (p *Planner) call(f func()) {
-	if err := p.pool.Submit(f); err != nil {
+	p.calls.Add(1)
+	err := p.pool.Submit(func() {
+		defer p.calls.Done()
+		f()
+	})
+	if err != nil {
+		p.calls.Done()
 		// The pool refuses only after its release, when nobody waits for the result any more.
 		p.Log.Event("call-dropped", "error", err)
 	}
