--- a/engine/configuration.go
+++ b/engine/configuration.go
@@ -9,9 +9,7 @@
 type Configuration struct {
 	Version int64
 	// Queues are sorted by nothing in particular; names are unique.
-	Queues []Queue
-	// Services are the names of the services that workers run for.
-	Services      []string
+	Queues        []Queue
 	Organisations []Organisation
 	// Evacuated has the failure domains that were taken out of service.
 	Evacuated map[string]bool
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -27,8 +27,6 @@
 	GangTimeout time.Duration
 	// Retention is how long the state of an ended job can be asked for.
 	Retention time.Duration
-	// CheckpointInterval is the work between two checkpoints of a task.
-	CheckpointInterval time.Duration
 }
 
 const (
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -66,7 +66,7 @@
 	p := &engine.Planner{
 		Clock: clock, TimeOfDay: time.Now, Store: r.Store.Engine(), Workers: engine.Workers{Start: r.Start, Stop: r.Stop, Look: r.Look},
 		Bounds: engine.Bounds{
-			MaxLease: maxLease, StopGrace: stopGrace, GangTimeout: gangTimeout, Retention: 2 * time.Minute, CheckpointInterval: 2 * time.Second,
+			MaxLease: maxLease, StopGrace: stopGrace, GangTimeout: gangTimeout, Retention: 2 * time.Minute,
 		},
 		Term: term, Configuration: func() *engine.Configuration { return r.conf }, AdvertPrefix: site.AdvertPrefix, Metrics: &metrics.Set{},
 		DecodeAdvert: func(key string, _ []byte) (engine.Advert, error) {
--- a/front/settings.go
+++ b/front/settings.go
@@ -41,12 +41,11 @@
 // Bounds are the times that the deployment fixes.
 type Bounds struct {
 	// ShutdownGrace is the time between the request to stop and the end by force.
-	ShutdownGrace      job.Duration `toml:"shutdown-grace"`
-	MaxLease           job.Duration `toml:"max-lease"`
-	StopGrace          job.Duration `toml:"stop-grace"`
-	GangTimeout        job.Duration `toml:"gang-timeout"`
-	Retention          job.Duration `toml:"retention"`
-	CheckpointInterval job.Duration `toml:"checkpoint-interval"`
+	ShutdownGrace job.Duration `toml:"shutdown-grace"`
+	MaxLease      job.Duration `toml:"max-lease"`
+	StopGrace     job.Duration `toml:"stop-grace"`
+	GangTimeout   job.Duration `toml:"gang-timeout"`
+	Retention     job.Duration `toml:"retention"`
 }
 
 // LoadSettings reads and checks a settings file.
@@ -105,7 +104,6 @@
 		{"bounds.stop-grace", s.Bounds.StopGrace},
 		{"bounds.gang-timeout", s.Bounds.GangTimeout},
 		{"bounds.retention", s.Bounds.Retention},
-		{"bounds.checkpoint-interval", s.Bounds.CheckpointInterval},
 	} {
 		if d.value <= 0 {
 			add(d.path, "must be longer than 0s")
@@ -123,7 +121,6 @@
 func (b Bounds) engine() engine.Bounds {
 	return engine.Bounds{
 		MaxLease: time.Duration(b.MaxLease), StopGrace: time.Duration(b.StopGrace), GangTimeout: time.Duration(b.GangTimeout),
-		Retention:          time.Duration(b.Retention),
-		CheckpointInterval: time.Duration(b.CheckpointInterval),
+		Retention: time.Duration(b.Retention),
 	}
 }
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -22,7 +22,7 @@
 		"{{Listen.Ready|json}}": `"10.1.0.19:8523"`, "{{Ip}}": "10.1.0.19", "{{PortRange.0}}": "7000",
 		"{{platform.Address|json}}": `"10.200.1.7:8524"`, "{{Limits.CpuShare}}": "0.4", "{{Bounds.GraceS}}": "6",
 		"{{Bounds.MaxHoldMs}}": "10000", "{{Bounds.StopGraceMs}}": "400", "{{Bounds.GangTimeoutMs}}": "3000",
-		"{{Bounds.status_s}}": "120", "{{Bounds.CheckpointS}}": "2",
+		"{{Bounds.status_s}}": "120",
 	}
 	text := string(template)
 	for name, value := range values {
