Remove a claim only if it has this VM's address, too

Cause, from reading: while a VM is replaced, the old and the new one may have the same name. The new one would then end the term of the old one, which still plans, and each would go on removing the other's claims.

Test: the case 'replaced VM of the same name', seen failing before. The log tells a failed removal from one that succeeded.

--- a/front/election.go
+++ b/front/election.go
@@ -63,7 +63,7 @@
 		v.pause(ctx, electionRetry)
 		return
 	}
-	if revision != 0 && holder.VM == v.Settings.Name {
+	if revision != 0 && holder.VM == v.Settings.Name && holder.Address == v.Settings.PeersAddress {
 		v.vacate(ctx, revision)
 		return
 	}
@@ -87,15 +87,17 @@
 }
 
 // vacate ends the claim of an earlier term of this process, or of a process that ran on this VM before. An outage of the
-// store that ended the term may have held up its lease, and nobody plans before the claim is gone.
+// store that ended the term may have held up its lease, and nobody plans before the claim is gone. While a VM is replaced, two
+// VMs may have one name, but they have two addresses.
 func (v *VM) vacate(ctx context.Context, revision int64) {
 	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
 	defer cancel()
-	err := engine.Vacate(callCtx, v.Store, revision)
-	v.log.Event("own-claim-removed", "revision", revision, "error", err)
-	if err != nil {
+	if err := engine.Vacate(callCtx, v.Store, revision); err != nil {
+		v.log.Event("own-claim-not-removed", "revision", revision, "error", err)
 		v.pause(ctx, electionRetry)
+		return
 	}
+	v.log.Event("own-claim-removed", "revision", revision)
 }
 
 // claimDelay returns how long an entry VM leaves the planner's key to larger ones.
--- a/front/election_test.go
+++ b/front/election_test.go
@@ -29,9 +29,10 @@
 		holder engine.Holder
 		gone   bool
 	}{
-		"own earlier term":               {engine.Holder{VM: "a", Boot: "1"}, true},
-		"earlier process of the same VM": {engine.Holder{VM: "a", Boot: "0"}, true},
-		"another VM":                     {engine.Holder{VM: "b", Boot: "1"}, false},
+		"own earlier term":               {engine.Holder{VM: "a", Address: "10.0.0.1:7000", Boot: "1"}, true},
+		"earlier process of the same VM": {engine.Holder{VM: "a", Address: "10.0.0.1:7000", Boot: "0"}, true},
+		"replaced VM of the same name":   {engine.Holder{VM: "a", Address: "10.0.0.2:7000", Boot: "0"}, false},
+		"another VM":                     {engine.Holder{VM: "b", Address: "10.0.0.3:7000", Boot: "1"}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -41,7 +42,7 @@
 				store, clock := site.NewStore().Engine(), clockwork.NewRealClock()
 				_, err := engine.Claim(ctx, store, clock, test.holder)
 				is.NoErr(err)
-				v := &VM{Settings: &Settings{Name: "a", Cores: 1}, Clock: clock, Store: store, boot: "1", suspect: make(chan struct{}, 1)}
+				v := &VM{Settings: &Settings{Name: "a", Cores: 1, PeersAddress: "10.0.0.1:7000"}, Clock: clock, Store: store, boot: "1", suspect: make(chan struct{}, 1)}
 				from := time.Now()
 				v.electOnce(ctx)
 				_, revision, err := engine.FindHolder(context.Background(), store)
