--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -16,8 +16,7 @@
 // Guards against a path that does not work at all.
 func TestJobRunsToItsEnd(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		r.submit(p, "j1", 1, single(1), time.Second)
 		r.submit(p, "j2", 1, gang(4, 4), time.Second)
@@ -29,8 +28,7 @@
 // Guards against looks that extend the lease of a worker that does not answer, so that its runs are never given up.
 func TestRunsOfLostWorkerStartAgainOnceItsLeaseHasLapsed(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 3*time.Second)
 		time.Sleep(time.Second)
@@ -45,8 +43,7 @@
 // Guards against giving a run up while its worker, cut off from the planner, may still have it.
 func TestRunsOfSilentWorkerAreNotStartedTwice(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 9*time.Second)
 		time.Sleep(time.Second)
@@ -62,8 +59,7 @@
 // Guards against a successor that starts again what runs, or that forgets what was accepted.
 func TestSuccessorTakesOverRunsAndJobs(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		r.submit(p, "j1", 1, gang(2, 8), 5*time.Second)
 		r.submit(p, "j2", 1, single(8), time.Second)
 		time.Sleep(time.Second)
@@ -78,8 +74,7 @@
 // Guards against a job that is lost or doubled when the answer to its write is lost.
 func TestLostAnswerOfTheStoreDoublesNothing(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		r.Store.SetLosing(true)
 		time.AfterFunc(300*time.Millisecond, func() { r.Store.SetLosing(false) })
@@ -110,8 +105,7 @@
 // Guards against orders of a planner that may have a successor.
 func TestPlannerWithoutStoreStopsStarting(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 1)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(1)
 		defer stop()
 		r.Store.SetSilent(true)
 		time.Sleep(engine.TermLength + time.Second)
@@ -126,8 +120,7 @@
 // that runs after it was turned away.
 func TestJobIsTurnedAwayWhenTheStoreRefusesToWrite(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 1)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(1)
 		defer stop()
 		r.Store.SetRefusing(true)
 		ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
@@ -145,8 +138,7 @@
 // Guards against telling a caller that a job was not run whose write may have been carried out.
 func TestJobWhoseWriteGotNoAnswerIsNotTurnedAway(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 1)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(1)
 		defer stop()
 		r.Store.SetSilent(true)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
@@ -159,8 +151,7 @@
 // one cannot outlive by more than the time that members wait for each other.
 func TestGangThatLostAWorkerStartsAgainBeforeTheLeaseLapses(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 4)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(4)
 		defer stop()
 		r.submit(p, "j1", 0, gang(2, 8), 3*time.Second)
 		time.Sleep(time.Second)
@@ -177,8 +168,7 @@
 // Guards against a gang that waits for the longest lease because one of its starts went to a worker that was just lost.
 func TestGangWhoseStartIsLostStartsAgainBeforeTheLeaseLapses(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 5)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(5)
 		defer stop()
 		// Another run makes the lease of the worker as long as it can be.
 		r.submit(p, "j0", 1, single(0), time.Minute)
@@ -213,8 +203,7 @@
 // Guards against a start that comes from a life of the worker that is not known yet, and is then taken for dead.
 func TestStartInNewLifeIsNotRepeated(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		time.Sleep(time.Second)
 		for _, id := range r.IDs() {
@@ -229,8 +218,7 @@
 // Guards against a start on a worker that has begun to leave since it was chosen.
 func TestWorkerIsCheckedAgainBeforeTheOrder(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 1)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(1)
 		defer stop()
 		time.Sleep(time.Second)
 		r.Store.SetRefusing(true)
@@ -261,8 +249,7 @@
 // Guards against runs that are never given up because another worker answers at the address of theirs.
 func TestRunsEndWhenAnotherWorkerHasTheAddress(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 3*time.Second)
 		time.Sleep(time.Second)
@@ -276,8 +263,7 @@
 // Guards against an end that the worker has forgotten before the store has it, so that a successor runs the task again.
 func TestEndIsStoredBeforeTheWorkerForgetsIt(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		r.submit(p, "j1", 1, single(8), time.Second)
 		time.Sleep(900 * time.Millisecond)
 		r.Store.SetRefusing(true)
@@ -294,8 +280,7 @@
 // Guards against runs that lapse because their worker has listed an end that the store cannot take.
 func TestLeaseIsRenewedWhileAnEndCannotBeStored(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 1)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(1)
 		defer stop()
 		r.submit(p, "j1", 1, single(1), time.Second)
 		r.submit(p, "j2", 1, single(1), 14*time.Second)
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// plannerOf adds a rack r1 of n workers and starts a planner.
+func (r *rig) plannerOf(n int) (*engine.Planner, func()) {
+	r.AddWorkers("r1", n)
+	return r.planner("a")
+}
+
 // submit hands in a job of one step and requires that it is accepted.
 func (r *rig) submit(p *engine.Planner, id string, priority int, step workload.Step, work time.Duration) {
 	r.t.Helper()
--- a/engine/steps_test.go
+++ b/engine/steps_test.go
@@ -13,8 +13,7 @@
 // Guards against steps that start before the steps they wait for are done.
 func TestStepWaitsForEarlierOnes(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		second := single(1)
 		second.After = []int{0}
@@ -31,8 +30,7 @@
 // Guards against occurrences that start before their time, or that wait for each other.
 func TestOccurrencesStartOnTime(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		job := newJob("j1", 1, single(1))
 		job.Repeat, job.FirstRun, job.Interval = 3, time.Now().Add(2*time.Second), time.Second
@@ -52,8 +50,7 @@
 // Guards against a lasting task that is not started again when it ends, and against one that outlives its cancelling.
 func TestLastingTaskIsStartedAgainUntilItsJobIsCancelled(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		lasting := single(1)
 		lasting.Lasting = true
@@ -93,8 +90,7 @@
 // Guards against a worker that fails all it starts and goes on getting work while others are free.
 func TestFailingWorkerIsSetAside(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 3)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(3)
 		defer stop()
 		r.Worker("r1-w0").Fails = true
 		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
@@ -111,8 +107,7 @@
 // Guards against a task that stands still on one worker for ever.
 func TestRunThatStandsStillIsMoved(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		r.submit(p, "j1", 1, single(8), 2*time.Second)
 		time.Sleep(100 * time.Millisecond)
@@ -142,8 +137,7 @@
 // Guards against urgent work that waits for borrowers in a burst, and against borrowers that are lost.
 func TestUrgentJobTakesRoomFromBorrowers(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		for _, id := range []string{"a", "b"} {
 			r.submit(p, id, 2, single(8), 6*time.Second)
@@ -160,8 +154,7 @@
 // Guards against guaranteed work that cannot begin in time because other organisations' urgent jobs fill every worker.
 func TestGuaranteeIsReclaimedFromUrgentBorrowers(t *testing.T) {
 	inBubble(t, func(r *rig) {
-		r.AddWorkers("r1", 2)
-		p, stop := r.planner("a")
+		p, stop := r.plannerOf(2)
 		defer stop()
 		for _, id := range []string{"a", "b"} {
 			borrower := newJob(id, 0, single(8))
