--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -239,7 +239,7 @@
 func TestClaimWhoseAnswerIsLostHolds(t *testing.T) {
 	inBubble(t, func(r *rig) {
 		r.Store.SetLosing(true)
-		term, err := engine.Claim(context.Background(), r.Store.Engine(), clockwork.NewRealClock(), engine.Holder{VM: "a", Boot: "b"})
+		term, err := engine.Claim(context.Background(), r.Store.Engine(), clockwork.NewRealClock(), engine.Holder{VM: "a", Boot: "b"}, engine.TermLength)
 		r.NoErr(err)
 		r.True(term != nil)
 		r.Equal(term.Fence(), r.Store.Revision("clementinepier/planner"))
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -58,7 +58,7 @@
 	var term *engine.Term
 	for term == nil {
 		var err error
-		term, err = engine.Claim(ctx, r.Store.Engine(), clock, engine.Holder{VM: name, Boot: name})
+		term, err = engine.Claim(ctx, r.Store.Engine(), clock, engine.Holder{VM: name, Boot: name}, engine.TermLength)
 		if err != nil || term == nil {
 			time.Sleep(100 * time.Millisecond)
 		}
--- a/engine/term.go
+++ b/engine/term.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// TermLength is the lease under which an entry VM is the planner. A successor waits at most this long. It is the store's
-	// shortest lease.
+	// TermLength is the lease under which an entry VM is the planner, unless the store's leases are longer. A successor waits at
+	// most this long. It is the shortest lease of the users' store.
 	TermLength = time.Second
 	// keepInterval is the time from one renewal to the next.
 	keepInterval = 250 * time.Millisecond
@@ -39,7 +39,9 @@
 	store Store
 	clock clockwork.Clock
 	lease int64
-	key   Item
+	// length is that of the lease.
+	length time.Duration
+	key    Item
 
 	mu    sync.Mutex
 	until time.Time
@@ -52,18 +54,18 @@
 // Error implements error.
 func (e *ErrDeposed) Error() string { return "no longer the planner: " + e.Reason }
 
-// Claim tries to become the planner. It returns nil and no error when another entry VM was first.
-func Claim(ctx context.Context, store Store, clock clockwork.Clock, holder Holder) (*Term, error) {
+// Claim tries to become the planner under a lease of the given length. It returns nil and no error when another entry VM was first.
+func Claim(ctx context.Context, store Store, clock clockwork.Clock, holder Holder, length time.Duration) (*Term, error) {
 	value, err := codec.Marshal(holder)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode holder")
 	}
 	from := clock.Now()
-	lease, err := store.Grant(ctx, TermLength)
+	lease, err := store.Grant(ctx, length)
 	if err != nil {
 		return nil, errors.Wrap(err, "grant lease")
 	}
-	t := &Term{store: store, clock: clock, lease: lease, until: from.Add(TermLength)}
+	t := &Term{store: store, clock: clock, lease: lease, length: length, until: from.Add(length)}
 	revision, err := store.Commit(ctx, Txn{Writes: []Write{{Key: plannerKey, Value: value, Lease: lease}}})
 	var conflict *ErrConflict
 	switch {
@@ -112,7 +114,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.err == nil && !t.clock.Now().Before(t.until) {
-		t.err = &ErrDeposed{Reason: fmt.Sprintf("the lease was not renewed in %s", TermLength)}
+		t.err = &ErrDeposed{Reason: fmt.Sprintf("the lease was not renewed in %s", t.length)}
 	}
 	return t.err
 }
@@ -145,7 +147,7 @@
 	switch {
 	case err == nil:
 		// The lease runs from the arrival of the call, which is not before it was sent.
-		t.until = from.Add(TermLength)
+		t.until = from.Add(t.length)
 	case IsErrNotExist(err):
 		t.err = &ErrDeposed{Reason: "the lease has ended"}
 	case ctx.Err() == nil:
--- a/front/election.go
+++ b/front/election.go
@@ -86,6 +86,11 @@
 	}
 }
 
+// termLength returns the length of the planner's lease, which the store must be able to grant.
+func (v *VM) termLength() time.Duration {
+	return max(engine.TermLength, time.Duration(v.Settings.Bounds.MinStoreLease))
+}
+
 // vacate ends the claim of an earlier term of this process, or of a process that ran on this VM before. An outage of the
 // store that ended the term may have held up its lease, and nobody plans before the claim is gone. While a VM is replaced, two
 // VMs may have one name, but they have two addresses.
@@ -153,7 +158,7 @@
 func (v *VM) claim(ctx context.Context) {
 	holder := engine.Holder{VM: v.Settings.Name, Address: v.Settings.PeersAddress, Boot: v.boot, Cores: v.Settings.Cores}
 	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
-	term, err := engine.Claim(callCtx, v.Store, v.Clock, holder)
+	term, err := engine.Claim(callCtx, v.Store, v.Clock, holder, v.termLength())
 	cancel()
 	if err != nil {
 		v.log.Event("claim-failed", "error", err)
--- a/front/election_test.go
+++ b/front/election_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"clementinepier/engine"
+	"clementinepier/job"
 	"clementinepier/standin/site"
 )
 
@@ -40,7 +41,7 @@
 				ctx, cancel := context.WithTimeout(context.Background(), engine.TermLength/2)
 				defer cancel()
 				store, clock := site.NewStore().Engine(), clockwork.NewRealClock()
-				_, err := engine.Claim(ctx, store, clock, test.holder)
+				_, err := engine.Claim(ctx, store, clock, test.holder, engine.TermLength)
 				is.NoErr(err)
 				v := &VM{Settings: &Settings{Name: "a", Cores: 1, PeersAddress: "10.0.0.1:7000"}, Clock: clock, Store: store, boot: "1", suspect: make(chan struct{}, 1)}
 				from := time.Now()
@@ -53,3 +54,12 @@
 		})
 	}
 }
+
+// Guards against a lease that the store refuses as too short, so that nobody becomes the planner.
+func TestTermIsAsLongAsTheStoreRequires(t *testing.T) {
+	is := is.New(t)
+	v := &VM{Settings: &Settings{}}
+	is.Equal(v.termLength(), engine.TermLength)
+	v.Settings.Bounds.MinStoreLease = job.Duration(2 * time.Second)
+	is.Equal(v.termLength(), 2*time.Second)
+}
--- a/front/settings.go
+++ b/front/settings.go
@@ -46,6 +46,8 @@
 	StopGrace     job.Duration `toml:"stop-grace"`
 	GangTimeout   job.Duration `toml:"gang-timeout"`
 	Retention     job.Duration `toml:"retention"`
+	// MinStoreLease is the shortest lease that the store grants; 0 means any.
+	MinStoreLease job.Duration `toml:"min-store-lease"`
 }
 
 // LoadSettings reads and checks a settings file.
@@ -109,6 +111,9 @@
 			add(d.path, "must be longer than 0s")
 		}
 	}
+	if s.Bounds.MinStoreLease < 0 {
+		add("bounds.min-store-lease", "must not be negative")
+	}
 	if s.Log.Verbosity < 0 || s.Log.Verbosity > 10 {
 		add("log.verbosity", "must be from 0 to 10")
 	}
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -22,7 +22,7 @@
 		"{{Listen.Ready|json}}": `"10.1.0.19:8523"`, "{{Ip}}": "10.1.0.19", "{{PortRange.0}}": "7000",
 		"{{platform.Address|json}}": `"10.200.1.7:8524"`, "{{Limits.CpuShare}}": "0.4", "{{Bounds.GraceS}}": "6",
 		"{{Bounds.MaxHoldMs}}": "10000", "{{Bounds.StopGraceMs}}": "400", "{{Bounds.GangTimeoutMs}}": "3000",
-		"{{Bounds.status_s}}": "120",
+		"{{Bounds.status_s}}": "120", "{{platform.MinTtlMs}}": "1000",
 	}
 	text := string(template)
 	for name, value := range values {
@@ -53,6 +53,7 @@
 		"address by name":  {`"10.200.1.7:8524"`, `"store:8524"`, []string{"store-address"}},
 		"no lease":         {`max-lease = "10000ms"`, `max-lease = "0s"`, []string{"bounds.max-lease"}},
 		"two faults":       {"cores = 0.4", "cores = 0\n[log]\nverbosity = 11", []string{"cores", "log.verbosity"}},
+		"negative lease":   {`min-store-lease = "1000ms"`, `min-store-lease = "-1s"`, []string{"bounds.min-store-lease"}},
 		"negative budget":  {"cores = 0.4", "cores = 0.4\n[log]\nlines-per-second = -1", []string{"log.lines-per-second"}},
 		"no cores at all":  {"cores = 0.4", "", []string{"cores"}},
 		"no shutdown time": {`shutdown-grace = "6s"`, `shutdown-grace = "-1s"`, []string{"bounds.shutdown-grace"}},
