Keep a job that another entry VM has stored, also when the planner's writes are refused

An entry VM that the planner does not answer in time stores the job itself and leaves a marker. A planner that knew the job, but had not stored it, took the marker for settled. When its own writes were then refused, it withdrew the job, and nobody ran it until the next change of planner.

The marker now tells the planner that the store has the job, and is deleted only once the planner's own record is stored.

Test: TestJobStoredByAnotherVMIsNotWithdrawn, seen failing before.

--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -135,6 +135,29 @@
 	})
 }
 
+// Guards against a job that another entry VM has stored and that the planner forgets because its own writes are refused.
+func TestJobStoredByAnotherVMIsNotWithdrawn(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		p, stop := r.plannerOf(1)
+		defer stop()
+		r.Store.SetRefusing(true)
+		job := newJob("j1", 0, single(1))
+		r.Expect("j1", job.Steps[0], time.Second)
+		submitted := make(chan engine.Result, 1)
+		go func() { submitted <- p.Submit(context.Background(), job) }()
+		time.Sleep(50 * time.Millisecond)
+		record := workload.Record{Job: job, Progress: *workload.NewProgress(&job)}
+		value, err := record.Encode()
+		r.NoErr(err)
+		r.Store.Write("clementinepier/job/j1", value)
+		r.Store.Write("clementinepier/new/j1", []byte{0xa0})
+		time.Sleep(2 * time.Second)
+		r.Store.SetRefusing(false)
+		r.await(p, "j1", workload.StateCompleted, 4*time.Second)
+		r.Equal((<-submitted).Verdict, engine.VerdictAccepted)
+	})
+}
+
 // Guards against telling a caller that a job was not run whose write may have been carried out.
 func TestJobWhoseWriteGotNoAnswerIsNotTurnedAway(t *testing.T) {
 	inBubble(t, func(r *rig) {
--- a/engine/load.go
+++ b/engine/load.go
@@ -196,7 +196,9 @@
 		p.whenDurable(p.cancel(j), func() { p.deletes = append(p.deletes, key) })
 		return
 	}
-	p.deletes = append(p.deletes, key)
+	// The store has the job, so it is not turned away any more, also when this planner's own writes of it are refused.
+	j.offered = true
+	p.whenDurable(j.lastChange, func() { p.deletes = append(p.deletes, key) })
 }
 
 // takeAdvert takes in a worker's entry.
