--- a/engine/state.go
+++ b/engine/state.go
@@ -20,7 +20,7 @@
 	groups   map[groupKey]*group
 	// avoid has workers on which a run of this job stood still or failed.
 	avoid map[string]bool
-	// offered is set once a commit that creates the job's key may have been carried out.
+	// offered is set once the store may have the job: by an unanswered commit of this planner, or by another entry VM.
 	offered bool
 	// writing is set while a commit of the job is under way.
 	writing bool
