Engine: the control goroutine waits for nothing; a stalled planner loses its term

Cause: the control goroutine started calls with a blocking Submit on a pool of 512. On 1,100 workers looks, which wait up to 2 s each, filled the pool; its members handed results to an inbox of 1,024 that only the control goroutine empties.

Change: calls have places by class (store, orders, looks); a full class holds up no other, and results always find room. Callers are turned away when 4,096 events wait. Only workers about which something has become known are contacted after a pass; each tick attends to all. Orders are checked against the term again when they are sent. Renewal stops and the term is given up when the control goroutine completes no pass for 1.5 s; a planner that does not end then ends the process.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -69,11 +69,11 @@
 		t.Writes = append(t.Writes, Write{Key: key, Expected: AnyRevision, Delete: true})
 	}
 	p.committing, p.commitFrom = true, now
-	p.call(func() {
+	p.call(classStore, func() func() {
 		ctx, cancel := context.WithTimeout(p.ctx, commitTimeout)
 		defer cancel()
 		revision, err := p.Store.Commit(ctx, t)
-		p.post(func() { p.committed(entries, len(deletes), revision, err) })
+		return func() { p.committed(entries, len(deletes), revision, err) }
 	})
 }
 
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -32,6 +32,7 @@
 		p.replan = true
 	}
 	w.answered = now
+	p.attend(w)
 	p.takeLife(w, a.Born)
 	if a.Clock != 0 {
 		w.clock, w.clockAt = a.Clock, now
@@ -89,18 +90,54 @@
 	}
 }
 
-// contact starts the looks that are due.
+// attend has the worker contacted at the end of this pass, if there is something to tell it or to learn from it. Each tick
+// attends to all workers, so that none is forgotten.
+func (p *Planner) attend(w *workerState) {
+	if !w.attended {
+		w.attended = true
+		p.attended = append(p.attended, w)
+	}
+}
+
+func (p *Planner) attendAll() {
+	for _, w := range p.workers {
+		p.attend(w)
+	}
+}
+
+// contact sends the stops and starts the looks that are due at the workers that were attended to.
 func (p *Planner) contact() {
 	now := p.Clock.Now()
-	for _, w := range p.workers {
+	due := p.attended
+	p.attended, p.contacted = p.contacted[:0], due
+	for _, w := range due {
+		w.attended = false
 		p.retryStops(w)
-		if w.looking || w.advert.Address == "" || now.Before(w.nextLook) || !p.wantsLook(w) {
+		if w.looking || w.advert.Address == "" || !p.wantsLook(w) {
+			continue
+		}
+		if wait := w.nextLook.Sub(now); wait > 0 {
+			p.attendLater(w, wait)
 			continue
 		}
 		p.look(w, now)
 	}
 }
 
+// attendLater attends to a worker after a pause, unless a tick comes first.
+func (p *Planner) attendLater(w *workerState, wait time.Duration) {
+	if w.waking || wait > tickInterval {
+		return
+	}
+	w.waking = true
+	p.Clock.AfterFunc(wait, func() {
+		p.post(func() {
+			w.waking = false
+			p.attend(w)
+		})
+	})
+}
+
 // wantsLook reports whether there is something to learn from a worker or to tell it.
 func (p *Planner) wantsLook(w *workerState) bool {
 	if w.seenChange > p.durable {
@@ -150,11 +187,13 @@
 	w.looking = true
 	target := Target{ID: w.id(), Address: w.advert.Address}
 	p.Metrics.Add(metrics.Looks, 1)
-	p.call(func() {
-		ctx, cancel := context.WithTimeout(p.ctx, order.Wait+lookTimeout)
-		defer cancel()
-		view, err := p.Workers.Look(ctx, target, order)
-		p.post(func() { p.looked(w, now, order, view, err) })
+	p.call(classLook, func() func() {
+		var view View
+		err := p.send(order.Wait+lookTimeout, func(ctx context.Context) (err error) {
+			view, err = p.Workers.Look(ctx, target, order)
+			return err
+		})
+		return func() { p.looked(w, now, order, view, err) }
 	})
 }
 
@@ -173,6 +212,10 @@
 	w.looking = false
 	now, asked := p.Clock.Now(), w.born
 	w.nextLook = now
+	p.attend(w)
+	if errors.Is(err, errTermOver) {
+		return
+	}
 	if err != nil {
 		w.nextLook = now.Add(lookRetry)
 		var refused *ErrRefused
@@ -196,6 +239,10 @@
 	for _, e := range view.Ends {
 		p.takeEnd(w, e)
 	}
+	if len(view.Ends) > 0 {
+		// Once the ends are stored, the worker may forget them.
+		p.whenDurable(w.seenChange, func() { p.attend(w) })
+	}
 	p.reconcile(w, sent, view)
 	if order.Wait == 0 && order.Until != 0 && len(view.Ends) == 0 {
 		w.nextLook = now.Add(shortLook)
--- a/engine/load.go
+++ b/engine/load.go
@@ -162,11 +162,11 @@
 		p.applyMarker(j, m, item.Key)
 		return
 	}
-	p.call(func() {
+	p.call(classStore, func() func() {
 		ctx, cancel := context.WithTimeout(p.ctx, loadTimeout)
 		defer cancel()
 		record, err := p.Store.Get(ctx, jobPrefix+id)
-		p.post(func() { p.takeMarked(id, m, item, record, err) })
+		return func() { p.takeMarked(id, m, item, record, err) }
 	})
 }
 
@@ -227,6 +227,7 @@
 		w.known = false
 	}
 	w.advert, w.listed = advert, true
+	p.attend(w)
 	p.takeLife(w, advert.Born)
 	p.takeDraining(w, advert.Draining, advert.Left)
 	p.replan = true
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -63,11 +63,14 @@
 	from := p.Clock.Now()
 	r.orderSent = from
 	target := Target{ID: w.id(), Address: w.advert.Address}
-	p.call(func() {
-		ctx, cancel := context.WithTimeout(p.ctx, orderTimeout)
-		defer cancel()
-		answer, err := p.Workers.Start(ctx, target, order)
-		p.post(func() { p.startAnswered(r, from, answer, err) })
+	p.attend(w)
+	p.call(classOrder, func() func() {
+		var answer Answer
+		err := p.send(orderTimeout, func(ctx context.Context) (err error) {
+			answer, err = p.Workers.Start(ctx, target, order)
+			return err
+		})
+		return func() { p.startAnswered(r, from, answer, err) }
 	})
 }
 
@@ -86,6 +89,10 @@
 
 func (p *Planner) startAnswered(r *run, from time.Time, answer Answer, err error) {
 	r.ordering = false
+	if errors.Is(err, errTermOver) {
+		p.startNotSent(r)
+		return
+	}
 	p.Metrics.Observe(metrics.OrderTime, p.Clock.Since(from))
 	w := r.worker
 	var refused *ErrRefused
@@ -115,6 +122,17 @@
 	}
 }
 
+// startNotSent makes a start due again that was not sent; it is ordered if the term goes on after all.
+func (p *Planner) startNotSent(r *run) {
+	r.attempts--
+	if r.attempts == 0 {
+		r.phase = runRecorded
+	}
+	if r.stopWanted {
+		p.stop(r)
+	}
+}
+
 // takePresent notes that the worker has the run.
 func (p *Planner) takePresent(r *run) {
 	if r.phase == runRunning {
@@ -123,6 +141,7 @@
 	now := p.Clock.Now()
 	r.phase, r.present, r.moved, r.born = runRunning, now, now, r.worker.born
 	r.worker.nextLook = now
+	p.attend(r.worker)
 	g := r.group
 	for _, other := range g.runs {
 		if other.phase != runRunning {
@@ -186,19 +205,24 @@
 	w := r.worker
 	target := Target{ID: w.id(), Address: w.advert.Address}
 	order := StopOrder{Task: r.name, Run: r.number, Fence: p.Term.Fence()}
-	p.call(func() {
-		ctx, cancel := context.WithTimeout(p.ctx, orderTimeout)
-		defer cancel()
-		answer, err := p.Workers.Stop(ctx, target, order)
-		p.post(func() { p.stopAnswered(r, answer, err) })
+	p.call(classOrder, func() func() {
+		var answer Answer
+		err := p.send(orderTimeout, func(ctx context.Context) (err error) {
+			answer, err = p.Workers.Stop(ctx, target, order)
+			return err
+		})
+		return func() { p.stopAnswered(r, answer, err) }
 	})
 }
 
 func (p *Planner) stopAnswered(r *run, answer Answer, err error) {
 	r.stopping = false
 	w := r.worker
+	p.attend(w)
 	var refused *ErrRefused
 	switch {
+	case errors.Is(err, errTermOver):
+		r.stopSent = time.Time{}
 	case err == nil:
 		p.heard(w, answer)
 		if !r.ended && (r.phase == runOrdered || r.phase == runInherited) {
@@ -224,13 +248,18 @@
 	}
 	target := Target{ID: w.id(), Address: w.advert.Address}
 	order := StopOrder{Task: task, Run: number, Fence: p.Term.Fence()}
-	p.call(func() {
-		ctx, cancel := context.WithTimeout(p.ctx, orderTimeout)
-		defer cancel()
-		if _, err := p.Workers.Stop(ctx, target, order); err != nil {
+	p.call(classOrder, func() func() {
+		err := p.send(orderTimeout, func(ctx context.Context) error {
+			_, err := p.Workers.Stop(ctx, target, order)
+			return err
+		})
+		if err != nil {
 			p.Log.Event("foreign-stop-failed", "task", task, "worker", target.ID, "error", err)
 		}
-		p.post(func() { w.nextLook = p.Clock.Now() })
+		return func() {
+			w.nextLook = p.Clock.Now()
+			p.attend(w)
+		}
 	})
 }
 
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -4,11 +4,10 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 
 	"clementinepier/breaker"
@@ -32,10 +31,11 @@
 const (
 	// tickInterval bounds the delay of decisions that no event triggers, such as a lease that has lapsed.
 	tickInterval = 100 * time.Millisecond
-	// maxCalls bounds the calls to workers and to the store that are under way.
-	maxCalls = 512
-	// inboxSize bounds the events that wait; senders block when it is full.
-	inboxSize = 1024
+	// maxEvents bounds the events that wait when a caller's call arrives; the planner takes some thousands a second.
+	maxEvents = 4096
+	// maxStall is how long the control goroutine may take for a pass before the term is given up. A pass over 1,100 workers
+	// takes some milliseconds.
+	maxStall = 1500 * time.Millisecond
 	// releaseTimeout bounds the wait for calls that end with the planner.
 	releaseTimeout = time.Second
 	// planPauseFactor times the length of a planning pass is the pause after it, which leaves most of the processor for orders.
@@ -66,11 +66,11 @@
 	Log          *eventlog.Log
 	Metrics      *metrics.Set
 
-	inbox chan func()
-	pool  *ants.Pool
-	// calls counts the calls on the pool that are under way. It grows on the control goroutine only.
-	calls sync.WaitGroup
+	inbox *inbox
+	calls *calls
 	ctx   context.Context
+	// passed is when the control goroutine last completed a pass, in Unix nanoseconds of the clock; 0 before the first.
+	passed atomic.Int64
 	// deposed is set when another planner may have taken over.
 	deposed error
 	ready   chan struct{}
@@ -106,6 +106,10 @@
 	// planAfter is when the next planning pass may begin; planPosted is set while a timer waits for it.
 	planAfter  time.Time
 	planPosted bool
+	// attended has the workers to contact at the end of the pass.
+	attended []*workerState
+	// contacted is the memory of the pass before, which is used again.
+	contacted []*workerState
 }
 
 // durableCall runs once a change is stored.
@@ -117,13 +121,12 @@
 // Run loads the state and plans until ctx ends or another planner takes over. The channel receives one value, which is
 // nil if ctx has ended.
 func (p *Planner) Run(ctx context.Context) (<-chan error, error) {
-	pool, err := ants.NewPool(maxCalls)
+	calls, err := newCalls()
 	if err != nil {
-		return nil, errors.Wrap(err, "create pool for calls")
+		return nil, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	p.pool, p.ctx = pool, ctx
-	p.inbox = make(chan func(), inboxSize)
+	p.calls, p.ctx, p.inbox = calls, ctx, newInbox()
 	p.ready = make(chan struct{})
 	p.started = p.Clock.Now()
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
@@ -156,42 +159,38 @@
 	p.watches = append(p.watches, p.watch(ctx, markerPrefix, p.markersAt, p.takeMarker), p.watch(ctx, p.AdvertPrefix, p.advertsAt, p.takeAdvert))
 	ticker := p.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
+	p.passed.Store(p.Clock.Now().UnixNano())
+	var spare []func()
 	for {
 		p.step()
 		if p.deposed != nil {
 			return p.deposed
 		}
+		p.passed.Store(p.Clock.Now().UnixNano())
 		select {
 		case <-ctx.Done():
 			return nil
-		case f := <-p.inbox:
-			f()
-			p.drainInbox()
+		case <-p.inbox.arrived:
+			// One pass answers all events that have arrived meanwhile.
+			events := p.inbox.take(spare)
+			for _, f := range events {
+				f()
+			}
+			spare = events
 		case <-ticker.Chan():
 			p.tick()
 		}
 	}
 }
 
-// drainInbox takes the events that have arrived meanwhile, so that one pass of planning answers all of them.
-func (p *Planner) drainInbox() {
-	for range inboxSize {
-		select {
-		case f := <-p.inbox:
-			f()
-		default:
-			return
-		}
-	}
+// Stalled reports whether the control goroutine has completed no pass for so long that another entry VM should plan.
+func (p *Planner) Stalled() bool {
+	passed := p.passed.Load()
+	return passed != 0 && p.Clock.Since(time.Unix(0, passed)) > maxStall
 }
 
-// post hands a function to the control goroutine.
-func (p *Planner) post(f func()) {
-	select {
-	case p.inbox <- f:
-	case <-p.ctx.Done():
-	}
-}
+// post hands a function to the control goroutine. It never waits.
+func (p *Planner) post(f func()) { p.inbox.put(f, 0) }
 
 // do runs f on the control goroutine and waits for it.
 func (p *Planner) do(ctx context.Context, f func()) error {
@@ -199,11 +198,7 @@
 		return errNotTaken
 	}
 	done := make(chan struct{})
-	select {
-	case p.inbox <- func() { f(); close(done) }:
-	case <-ctx.Done():
-		return errNotTaken
-	case <-p.ctx.Done():
+	if !p.inbox.put(func() { f(); close(done) }, maxEvents) {
 		return errNotTaken
 	}
 	select {
@@ -222,36 +217,6 @@
 	errNotTaken = errors.New("the planner takes no calls")
 )
 
-// release ends the pool once the calls that are under way have ended, or after releaseTimeout. The pool's own wait polls
-// without a pause, which on one thread keeps the processor from what it waits for.
-func (p *Planner) release() {
-	ended := make(chan struct{})
-	go func() {
-		p.calls.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-p.Clock.After(releaseTimeout):
-		p.Log.Event("calls-left-behind", "after", releaseTimeout)
-	}
-	p.pool.Release()
-}
-
-// call runs f on the pool; f must post its result.
-func (p *Planner) call(f func()) {
-	p.calls.Add(1)
-	err := p.pool.Submit(func() {
-		defer p.calls.Done()
-		f()
-	})
-	if err != nil {
-		p.calls.Done()
-		// The pool refuses only after its release, when nobody waits for the result any more.
-		p.Log.Event("call-dropped", "error", err)
-	}
-}
-
 // step does what follows from the events that were taken in.
 func (p *Planner) step() {
 	if !p.holdsTerm() {
@@ -292,6 +257,7 @@
 	p.watchProgress(now)
 	p.moveFromLeaving(now)
 	p.forgetEnded()
+	p.attendAll()
 	p.replan = true
 }
 
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -30,6 +30,8 @@
 	conf *engine.Configuration
 	// entries replaces what the store says of a worker; nil when the store is up to date.
 	entries map[string]engine.Advert
+	// hold is called on the control goroutine of the planner with the name, if it is set.
+	hold func(name string)
 }
 
 // inBubble runs a test in virtual time.
@@ -68,7 +70,7 @@
 		Bounds: engine.Bounds{
 			MaxLease: maxLease, StopGrace: stopGrace, GangTimeout: gangTimeout, Retention: 2 * time.Minute,
 		},
-		Term: term, Configuration: func() *engine.Configuration { return r.conf }, AdvertPrefix: site.AdvertPrefix, Metrics: &metrics.Set{},
+		Term: term, Configuration: func() *engine.Configuration { return r.configurationFor(name) }, AdvertPrefix: site.AdvertPrefix, Metrics: &metrics.Set{},
 		DecodeAdvert: func(key string, _ []byte) (engine.Advert, error) {
 			id := strings.TrimPrefix(key, site.AdvertPrefix)
 			if entry, ok := r.entries[id]; ok {
@@ -77,7 +79,7 @@
 			return r.Worker(id).Advert, nil
 		},
 	}
-	renewed := term.Run(ctx, nil)
+	renewed := term.Run(ctx, nil, p.Stalled)
 	planned, err := p.Run(ctx)
 	r.NoErr(err)
 	<-p.Ready()
@@ -92,6 +94,13 @@
 	}
 }
 
+func (r *rig) configurationFor(name string) *engine.Configuration {
+	if r.hold != nil {
+		r.hold(name)
+	}
+	return r.conf
+}
+
 // plannerOf adds a rack r1 of n workers and starts a planner.
 func (r *rig) plannerOf(n int) (*engine.Planner, func()) {
 	r.AddWorkers("r1", n)
--- /dev/null
+++ b/engine/size_test.go
@@ -0,0 +1,240 @@
+package engine_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime/pprof"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"clementinepier/engine"
+	"clementinepier/metrics"
+	"clementinepier/standin/site"
+	"clementinepier/workload"
+)
+
+var (
+	sizeWorkers = flag.Int("size-workers", 0, "workers of TestPlannerLoad; 0 leaves the measurement out")
+	sizeProfile = flag.String("size-profile", "", "file for a processor profile of TestPlannerLoad")
+	sizeTime    = flag.Duration("size-time", 15*time.Second, "length of TestPlannerLoad")
+)
+
+// quickWorker starts what it is told, ends it as done after its time, and answers a look when something has ended.
+type quickWorker struct {
+	start time.Time
+
+	mu      sync.Mutex
+	running map[string]engine.Running
+	ends    []engine.End
+	next    int64
+	changed chan struct{}
+}
+
+func (w *quickWorker) answer() engine.Answer {
+	return engine.Answer{Clock: engine.WorkerTime(time.Since(w.start)) + 1, Born: 1}
+}
+
+func (w *quickWorker) end(task string, run int, how engine.How) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r, ok := w.running[task]; !ok || r.Run != run {
+		return
+	}
+	delete(w.running, task)
+	w.next++
+	w.ends = append(w.ends, engine.End{Number: w.next, Task: task, Run: run, How: how})
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (w *quickWorker) Start(o engine.StartOrder) engine.Answer {
+	work, err := time.ParseDuration(o.Payload)
+	if err != nil {
+		panic(err)
+	}
+	w.mu.Lock()
+	w.running[o.Task] = engine.Running{Task: o.Task, Run: o.Run}
+	w.mu.Unlock()
+	time.AfterFunc(work, func() { w.end(o.Task, o.Run, engine.EndDone) })
+	return w.answer()
+}
+
+func (w *quickWorker) Look(ctx context.Context, o engine.LookOrder) engine.View {
+	deadline := time.After(o.Wait)
+	for {
+		w.mu.Lock()
+		for len(w.ends) > 0 && w.ends[0].Number <= o.Noted {
+			w.ends = w.ends[1:]
+		}
+		ready := len(w.ends) > 0
+		w.mu.Unlock()
+		if ready || o.Wait == 0 {
+			break
+		}
+		select {
+		case <-w.changed:
+			continue
+		case <-deadline:
+		case <-ctx.Done():
+		}
+		break
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	view := engine.View{Answer: w.answer(), Ends: append([]engine.End(nil), w.ends...)}
+	for _, r := range w.running {
+		r.Percent = int(time.Now().UnixMilli()/400) % 100
+		view.Running = append(view.Running, r)
+	}
+	return view
+}
+
+// sizeLoad hands in jobs like those of the users' largest deployment.
+func sizeLoad(ctx context.Context, p *engine.Planner, scale float64, accepted *sync.Map) {
+	classes := []struct {
+		perSecond, width   float64
+		priority, gang     int
+		cpu, memory        int64
+		work               time.Duration
+		most, accelerators int
+	}{
+		{2.34, 26, 1, 1, 13000, 38000, 11 * time.Second, 160, 8},
+		{16.7, 7.6, 0, 1, 3700, 15000, 2500 * time.Millisecond, 46, 8},
+		{2.3, 78, 2, 0, 2800, 11000, 9500 * time.Millisecond, 470, 1},
+	}
+	var n int
+	for _, c := range classes {
+		n++
+		class := n
+		go func() {
+			random := rand.New(rand.NewPCG(1, uint64(class))) //nolint:gosec // a load, not a secret
+			for i := 0; ctx.Err() == nil; i++ {
+				time.Sleep(time.Duration(random.ExpFloat64() / (c.perSecond * scale) * float64(time.Second)))
+				need := workload.Resources{MilliCPU: c.cpu, MemoryMB: c.memory, Accelerators: 1}
+				if c.accelerators > 1 {
+					need.Accelerators = []int64{1, 2, 4, 8, 8}[random.IntN(5)]
+				}
+				step := workload.Step{
+					Tasks: max(1, min(c.most, int(c.width*(0.2+1.6*random.Float64())))), Need: need, Estimate: c.work,
+					Gang: c.gang == 1, SameRack: c.gang == 1 && random.Float64() < 0.7, Checkpoints: random.Float64() < 0.45,
+				}
+				if float64(step.Tasks)*float64(need.Accelerators) > 400 {
+					step.SameRack = false
+				}
+				id := fmt.Sprintf("%d-%d", class, i)
+				job := workload.Job{
+					ID: id, Queue: "q", Service: "s", Organisation: fmt.Sprintf("org%d", random.IntN(24)), Payload: c.work.String(),
+					Steps: []workload.Step{step}, Priority: c.priority, MaxAttempts: 3, Objective: 3 * c.work, Accepted: time.Now(),
+				}
+				go func() {
+					from := time.Now()
+					if p.Submit(ctx, job).Verdict == engine.VerdictAccepted {
+						accepted.Store(id, time.Since(from))
+					}
+				}()
+			}
+		}()
+	}
+}
+
+// TestPlannerLoad measures the processor time of a planner beside workers that answer at once, without the network.
+func TestPlannerLoad(t *testing.T) {
+	if *sizeWorkers == 0 {
+		t.Skip("a measurement; see -size-workers")
+	}
+	store := site.NewStore()
+	workers := map[string]*quickWorker{}
+	for i := range *sizeWorkers {
+		id := fmt.Sprintf("w%04d", i)
+		workers[id] = &quickWorker{start: time.Now(), running: map[string]engine.Running{}, changed: make(chan struct{}, 1)}
+		store.Write(site.AdvertPrefix+id, []byte(id))
+	}
+	conf := (&engine.Configuration{Version: 1, Queues: []engine.Queue{{Name: "q", Service: "s"}}}).Index()
+	for i := range 24 {
+		conf.Organisations = append(conf.Organisations, engine.Organisation{Name: fmt.Sprintf("org%d", i), Guaranteed: 180})
+	}
+	conf.Index()
+	clock := clockwork.NewRealClock()
+	ctx, cancel := context.WithCancel(context.Background())
+	term, err := engine.Claim(ctx, store.Engine(), clock, engine.Holder{VM: "a"}, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &engine.Planner{
+		Clock: clock, TimeOfDay: time.Now, Store: store.Engine(), Term: term,
+		Workers: engine.Workers{
+			Start: func(_ context.Context, target engine.Target, o engine.StartOrder) (engine.Answer, error) {
+				return workers[target.ID].Start(o), nil
+			},
+			Stop: func(_ context.Context, target engine.Target, o engine.StopOrder) (engine.Answer, error) {
+				workers[target.ID].end(o.Task, o.Run, engine.EndStopped)
+				return workers[target.ID].answer(), nil
+			},
+			Look: func(ctx context.Context, target engine.Target, o engine.LookOrder) (engine.View, error) {
+				return workers[target.ID].Look(ctx, o), nil
+			},
+		},
+		Bounds:        engine.Bounds{MaxLease: maxLease, StopGrace: stopGrace, GangTimeout: gangTimeout, Retention: 2 * time.Minute},
+		Configuration: func() *engine.Configuration { return conf }, AdvertPrefix: site.AdvertPrefix, Metrics: &metrics.Set{},
+		DecodeAdvert: func(key string, _ []byte) (engine.Advert, error) {
+			id := strings.TrimPrefix(key, site.AdvertPrefix)
+			return engine.Advert{
+				ID: id, Address: id, Service: "s", FailureDomain: "z", Rack: id[:len(id)-1],
+				Capacity: workload.Resources{MilliCPU: 32000, MemoryMB: 128 << 10, Accelerators: 8}, Born: 1,
+			}, nil
+		},
+	}
+	renewed := term.Run(ctx, nil, p.Stalled)
+	ended, err := p.Run(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-p.Ready()
+	if *sizeProfile != "" {
+		f, err := os.Create(*sizeProfile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := pprof.StartCPUProfile(f); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = f.Close() }()
+	}
+	var accepted sync.Map
+	from, used := time.Now(), processorTime(t)
+	sizeLoad(ctx, p, float64(*sizeWorkers)/1100, &accepted)
+	time.Sleep(*sizeTime)
+	pprof.StopCPUProfile()
+	cores := (processorTime(t) - used).Seconds() / time.Since(from).Seconds()
+	var jobs int
+	var longest time.Duration
+	accepted.Range(func(_, took any) bool {
+		jobs++
+		longest = max(longest, took.(time.Duration))
+		return true
+	})
+	t.Logf("%d workers: %.3f cores, %d jobs accepted, the slowest in %s", *sizeWorkers, cores, jobs, longest)
+	cancel()
+	<-renewed
+	<-ended
+}
+
+// processorTime returns what the process has used.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/engine/state.go
+++ b/engine/state.go
@@ -129,6 +129,8 @@
 	// foreign counts runs that the worker has and that nobody asked for; it gets nothing new until they are gone.
 	foreign int
 	looking bool
+	// attended is set while the worker is among those to contact at the end of the pass, waking while a timer will add it.
+	attended, waking bool
 	// answered is when a call last succeeded; failing is when calls began to fail, zero while they succeed.
 	answered, failing time.Time
 	nextLook          time.Time
--- a/engine/store.go
+++ b/engine/store.go
@@ -100,18 +100,18 @@
 }
 
 // IsErrNotExist reports whether err is or wraps an *ErrNotExist.
-func IsErrNotExist(err error) bool { return is[*ErrNotExist](err) }
+func IsErrNotExist(err error) bool { return isKind[*ErrNotExist](err) }
 
 // IsErrCompacted reports whether err is or wraps an *ErrCompacted.
-func IsErrCompacted(err error) bool { return is[*ErrCompacted](err) }
+func IsErrCompacted(err error) bool { return isKind[*ErrCompacted](err) }
 
 // IsErrNotDone reports whether err is or wraps an *ErrNotDone.
-func IsErrNotDone(err error) bool { return is[*ErrNotDone](err) }
+func IsErrNotDone(err error) bool { return isKind[*ErrNotDone](err) }
 
 // IsErrConflict reports whether err is or wraps an *ErrConflict.
-func IsErrConflict(err error) bool { return is[*ErrConflict](err) }
+func IsErrConflict(err error) bool { return isKind[*ErrConflict](err) }
 
-func is[T error](err error) bool {
+func isKind[T error](err error) bool {
 	var target T
 	return errors.As(err, &target)
 }
--- a/engine/term.go
+++ b/engine/term.go
@@ -46,6 +46,8 @@
 	mu    sync.Mutex
 	until time.Time
 	err   error
+	// givenUp is set once the lease was ended by this process.
+	givenUp bool
 }
 
 // ErrDeposed means that another entry VM may have become the planner.
@@ -119,11 +121,16 @@
 	return t.err
 }
 
-// Run renews the lease until ctx ends or the term has. The channel receives one value.
-func (t *Term) Run(ctx context.Context, log *eventlog.Log) <-chan error {
+// Run renews the lease until ctx ends or the term has. A planner that is stalled, as the function tells, loses the term at
+// once: a process that renews a lease without planning would keep all others from it. The channel receives one value.
+func (t *Term) Run(ctx context.Context, log *eventlog.Log, stalled func() bool) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil && t.Err() == nil {
+			if stalled() {
+				t.abandon(ctx, log)
+				break
+			}
 			next := t.clock.Now().Add(keepInterval)
 			t.keep(ctx, log)
 			// With a slow store the next renewal follows at once.
@@ -137,6 +144,16 @@
 	return done
 }
 
+// abandon gives the term of a stalled planner up.
+func (t *Term) abandon(ctx context.Context, log *eventlog.Log) {
+	log.Event("planner-stalled", "limit", maxStall, "fence", t.Fence())
+	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	if err := t.End(callCtx); err != nil {
+		log.Event("term-not-ended", "error", err)
+	}
+}
+
 func (t *Term) keep(ctx context.Context, log *eventlog.Log) {
 	from := t.clock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
@@ -155,14 +172,19 @@
 	}
 }
 
-// End gives the term up, so that a successor need not wait for the lease.
+// End gives the term up, so that a successor need not wait for the lease. Only the first call does anything.
 func (t *Term) End(ctx context.Context) error {
 	t.mu.Lock()
 	if t.err == nil {
 		t.err = &ErrDeposed{Reason: "the term was given up"}
 	}
 	t.until = t.clock.Now()
+	given := t.givenUp
+	t.givenUp = true
 	t.mu.Unlock()
+	if given {
+		return nil
+	}
 	return t.store.End(ctx, t.lease)
 }
 
--- a/front/election.go
+++ b/front/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	mathrand "math/rand/v2"
 	"time"
 
@@ -31,6 +32,8 @@
 	yieldFactor = 1.5
 	// yieldPause leaves a new planner the time to settle, and the link to it the time to open.
 	yieldPause = 300 * time.Millisecond
+	// plannerEndTimeout bounds the end of a planner after its term. Its calls end within 3 s.
+	plannerEndTimeout = 5 * time.Second
 	// electionRetry is the pause after a read that failed.
 	electionRetry = 200 * time.Millisecond
 )
@@ -39,19 +42,20 @@
 var errYielded = errors.New("a larger entry VM asked for the term")
 
 // elect follows who is the planner, and makes this process the planner when there is none. The channel receives one
-// value when ctx has ended and the term, if any, is over.
+// value when ctx has ended and the term, if any, is over, or when a planner is stuck.
 func (v *VM) elect(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		for ctx.Err() == nil {
-			v.electOnce(ctx)
+		var err error
+		for ctx.Err() == nil && !IsErrPlannerStuck(err) {
+			err = v.electOnce(ctx)
 		}
-		done <- nil
+		done <- err
 	}()
 	return done
 }
 
-func (v *VM) electOnce(ctx context.Context) {
+func (v *VM) electOnce(ctx context.Context) error {
 	timeout := holderTimeout
 	if v.storeSilence() > 0 {
 		timeout = holderSilentTimeout
@@ -61,11 +65,11 @@
 	cancel()
 	if err != nil {
 		v.pause(ctx, electionRetry)
-		return
+		return nil
 	}
 	if revision != 0 && holder.VM == v.Settings.Name && holder.Address == v.Settings.PeersAddress {
 		v.vacate(ctx, revision)
-		return
+		return nil
 	}
 	if revision != 0 {
 		v.setHolder(&holder)
@@ -73,17 +77,18 @@
 			v.askToYield(ctx, holder)
 		}
 		v.awaitChange(ctx, revision)
-		return
+		return nil
 	}
 	v.setHolder(nil)
 	if v.leaving.Load() || v.configuration.Load() == nil || !v.secretKnown.Load() {
 		v.pause(ctx, electionRetry)
-		return
+		return nil
 	}
 	v.pause(ctx, claimDelay(v.Settings.Cores)+time.Duration(mathrand.Int64N(int64(claimSpread)))) //nolint:gosec // spreads load, guards nothing
-	if ctx.Err() == nil {
-		v.claim(ctx)
+	if ctx.Err() != nil {
+		return nil
 	}
+	return v.claim(ctx)
 }
 
 // termLength returns the length of the planner's lease, which the store must be able to grant.
@@ -154,8 +159,8 @@
 	}
 }
 
-// claim tries to become the planner and plans until the term is over.
-func (v *VM) claim(ctx context.Context) {
+// claim tries to become the planner and plans until the term is over. It returns why the term ended.
+func (v *VM) claim(ctx context.Context) error {
 	holder := engine.Holder{VM: v.Settings.Name, Address: v.Settings.PeersAddress, Boot: v.boot, Cores: v.Settings.Cores}
 	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
 	term, err := engine.Claim(callCtx, v.Store, v.Clock, holder, v.termLength())
@@ -163,10 +168,10 @@
 	if err != nil {
 		v.log.Event("claim-failed", "error", err)
 		v.pause(ctx, electionRetry)
-		return
+		return nil
 	}
 	if term == nil {
-		return
+		return nil
 	}
 	v.log.Event("planner-elected", "fence", term.Fence())
 	v.metrics.Add(metrics.PlannerTerms, 1)
@@ -178,6 +183,7 @@
 		v.log.Event("term-not-ended", "error", err)
 	}
 	v.log.Event("planner-ended", "fence", term.Fence(), "reason", reason)
+	return reason
 }
 
 // plan runs the planner until its term is over, and returns why it ended.
@@ -193,7 +199,7 @@
 		// The request was meant for an earlier term.
 	default:
 	}
-	renewal := term.Run(ctx, v.log)
+	renewal := term.Run(ctx, v.log, p.Stalled)
 	planning, err := p.Run(ctx)
 	if err != nil {
 		return errors.Wrap(err, "run planner")
@@ -203,10 +209,11 @@
 		select {
 		case <-v.yield:
 			cancel()
-			for _, ended := range []<-chan error{renewal, planning} {
-				if err := <-ended; err != nil {
-					v.log.Event("term-over", "reason", err)
-				}
+			if err := <-renewal; err != nil {
+				v.log.Event("term-over", "reason", err)
+			}
+			if err := v.awaitPlanner(planning); err != nil {
+				return err
 			}
 			return errYielded
 		case <-ready:
@@ -214,8 +221,8 @@
 			ready = nil
 		case err := <-renewal:
 			cancel()
-			if planErr := <-planning; planErr != nil {
-				v.log.Event("planner-failed", "error", planErr)
+			if planErr := v.awaitPlanner(planning); planErr != nil {
+				return planErr
 			}
 			return err
 		case err := <-planning:
@@ -228,6 +235,33 @@
 	}
 }
 
+// awaitPlanner waits until the planner has ended. It fails with an *ErrPlannerStuck if the planner does not.
+func (v *VM) awaitPlanner(planning <-chan error) error {
+	select {
+	case err := <-planning:
+		if err != nil {
+			v.log.Event("planner-failed", "error", err)
+		}
+		return nil
+	case <-v.Clock.After(plannerEndTimeout):
+		return &ErrPlannerStuck{After: plannerEndTimeout}
+	}
+}
+
+// ErrPlannerStuck means that a planner did not end with its term. Only the end of the process frees what it holds.
+type ErrPlannerStuck struct{ After time.Duration }
+
+// Error implements error.
+func (e *ErrPlannerStuck) Error() string {
+	return fmt.Sprintf("the planner has not ended %s after its term", e.After)
+}
+
+// IsErrPlannerStuck reports whether err is or wraps an *ErrPlannerStuck.
+func IsErrPlannerStuck(err error) bool {
+	var stuck *ErrPlannerStuck
+	return errors.As(err, &stuck)
+}
+
 func (v *VM) setHolder(h *engine.Holder) {
 	before := v.holder.Swap(h)
 	if h == nil {
--- a/front/vm.go
+++ b/front/vm.go
@@ -127,6 +127,10 @@
 	case err := <-failure:
 		v.log.Event("part-failed", "error", err)
 		return err
+	case err := <-election:
+		// The election ends before ctx only if a planner is stuck.
+		v.log.Event("part-failed", "error", err)
+		return err
 	}
 	v.shutdown(server, endElections, election)
 	return nil
