Calls to workers without goroutines for each connection; fleets kept from pass to pass

Cause: net/http keeps two goroutines and their buffers for each connection; a planner of 1,100 workers had 11,000 goroutines and 5,776 connections, peaking at 260 MB, and nothing shared its 8,192 descriptors out over the workers. A planning pass built the view of all workers anew, 44% of a planner's time in BenchmarkPlannerLoad.

Change: jsonhttp writes and reads on the goroutine of the call, with a pool of its own that checks a connection that was idle before it uses it, and closes the idle ones after a call that timed out. The engine keeps the fleet of a service until what a worker offers changes, and looks for work to stop only if urgent work waits.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -348,6 +348,7 @@
 		if len(w.runs) == 0 {
 			if !w.listed && !w.looking && w.failing.IsZero() && now.After(w.granted) {
 				delete(p.workers, id)
+				p.staleFleets()
 			}
 			continue
 		}
--- a/engine/load.go
+++ b/engine/load.go
@@ -142,6 +142,7 @@
 	if !ok {
 		w = &workerState{advert: Advert{ID: id}, runs: map[string]*run{}, granted: p.started.Add(p.leaseBound(p.Bounds.MaxLease))}
 		p.workers[id] = w
+		p.staleFleets()
 	}
 	return w
 }
@@ -227,6 +228,7 @@
 		w.known = false
 	}
 	w.advert, w.listed = advert, true
+	p.staleFleets()
 	p.attend(w)
 	p.takeLife(w, advert.Born)
 	p.takeDraining(w, advert.Draining, advert.Left)
--- a/engine/size_test.go
+++ b/engine/load_bench_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"runtime/pprof"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,11 +19,8 @@
 	"clementinepier/workload"
 )
 
-var (
-	sizeWorkers = flag.Int("size-workers", 0, "workers of TestPlannerLoad; 0 leaves the measurement out")
-	sizeProfile = flag.String("size-profile", "", "file for a processor profile of TestPlannerLoad")
-	sizeTime    = flag.Duration("size-time", 15*time.Second, "length of TestPlannerLoad")
-)
+// loadTime is how long BenchmarkPlannerLoad plans for each number of workers.
+const loadTime = 10 * time.Second
 
 // quickWorker starts what it is told, ends it as done after its time, and answers a look when something has ended.
 type quickWorker struct {
@@ -147,14 +142,22 @@
 	}
 }
 
-// TestPlannerLoad measures the processor time of a planner beside workers that answer at once, without the network.
-func TestPlannerLoad(t *testing.T) {
-	if *sizeWorkers == 0 {
-		t.Skip("a measurement; see -size-workers")
+// BenchmarkPlannerLoad measures the processor time of a planner beside workers that answer at once, without the network, under
+// the load that the users' largest deployment has for each worker.
+func BenchmarkPlannerLoad(b *testing.B) {
+	for _, workers := range []int{350, 1100, 3000} {
+		b.Run(strconv.Itoa(workers), func(b *testing.B) {
+			for b.Loop() {
+				planLoad(b, workers)
+			}
+		})
 	}
+}
+
+func planLoad(b *testing.B, count int) {
 	store := site.NewStore()
 	workers := map[string]*quickWorker{}
-	for i := range *sizeWorkers {
+	for i := range count {
 		id := fmt.Sprintf("w%04d", i)
 		workers[id] = &quickWorker{start: time.Now(), running: map[string]engine.Running{}, changed: make(chan struct{}, 1)}
 		store.Write(site.AdvertPrefix+id, []byte(id))
@@ -168,7 +171,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	term, err := engine.Claim(ctx, store.Engine(), clock, engine.Holder{VM: "a"}, time.Minute)
 	if err != nil {
-		t.Fatal(err)
+		b.Fatal(err)
 	}
 	p := &engine.Planner{
 		Clock: clock, TimeOfDay: time.Now, Store: store.Engine(), Term: term,
@@ -197,25 +200,14 @@
 	renewed := term.Run(ctx, nil, p.Stalled)
 	ended, err := p.Run(ctx)
 	if err != nil {
-		t.Fatal(err)
+		b.Fatal(err)
 	}
 	<-p.Ready()
-	if *sizeProfile != "" {
-		f, err := os.Create(*sizeProfile)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := pprof.StartCPUProfile(f); err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = f.Close() }()
-	}
 	var accepted sync.Map
-	from, used := time.Now(), processorTime(t)
-	sizeLoad(ctx, p, float64(*sizeWorkers)/1100, &accepted)
-	time.Sleep(*sizeTime)
-	pprof.StopCPUProfile()
-	cores := (processorTime(t) - used).Seconds() / time.Since(from).Seconds()
+	from, used := time.Now(), processorTime(b)
+	sizeLoad(ctx, p, float64(count)/1100, &accepted)
+	time.Sleep(loadTime)
+	cores := (processorTime(b) - used).Seconds() / time.Since(from).Seconds()
 	var jobs int
 	var longest time.Duration
 	accepted.Range(func(_, took any) bool {
@@ -223,18 +215,23 @@
 		longest = max(longest, took.(time.Duration))
 		return true
 	})
-	t.Logf("%d workers: %.3f cores, %d jobs accepted, the slowest in %s", *sizeWorkers, cores, jobs, longest)
+	b.ReportMetric(cores, "cores")
+	b.ReportMetric(float64(jobs), "jobs")
+	b.ReportMetric(longest.Seconds(), "slowest-acceptance-s")
 	cancel()
-	<-renewed
-	<-ended
+	for _, end := range []<-chan error{renewed, ended} {
+		if err := <-end; err != nil {
+			b.Log(err)
+		}
+	}
 }
 
 // processorTime returns what the process has used.
-func processorTime(t *testing.T) time.Duration {
-	t.Helper()
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		t.Fatal(err)
+		b.Fatal(err)
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -87,6 +87,8 @@
 	active  map[string]*jobState
 	workers map[string]*workerState
 	breaker *breaker.Breaker
+	// fleets has the workers by service; it is emptied when what a worker offers changes.
+	fleets map[string]*fleet
 
 	change  uint64
 	durable uint64
@@ -131,7 +133,7 @@
 	p.started = p.Clock.Now()
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
-	p.breaker = breaker.New()
+	p.breaker, p.fleets = breaker.New(), map[string]*fleet{}
 	done := make(chan error, 1)
 	go func() {
 		err := p.loop(ctx)
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -34,9 +34,9 @@
 		byService[u.Job.Service] = append(byService[u.Job.Service], u)
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
-		fleet := policy.NewFleet(p.fleetOf(service, now, conf, guaranteed))
-		decision := fleet.Plan(now, byService[service])
-		p.apply(now, decision)
+		waiting := byService[service]
+		makesRoom := slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
+		p.apply(now, p.fleetOf(service, now, conf, guaranteed, makesRoom).Plan(now, waiting))
 	}
 }
 
@@ -154,45 +154,6 @@
 	return covered
 }
 
-// fleetOf returns the workers of a service as the decisions see them.
-func (p *Planner) fleetOf(service string, now time.Time, conf *Configuration, guaranteed map[*jobState]bool) []*policy.Worker {
-	var workers []*policy.Worker
-	byID := map[string]*policy.Worker{}
-	groups := map[*group]bool{}
-	for id, w := range p.workers {
-		if w.advert.Service != service {
-			continue
-		}
-		used, stopping := w.used()
-		view := &policy.Worker{
-			ID: id, Rack: w.advert.Rack, Labels: w.advert.Labels, Capacity: w.advert.Capacity,
-			Free: w.advert.Capacity.Sub(used), Usable: p.usable(w, now, conf),
-		}
-		view.Soon = view.Free.Add(stopping)
-		workers, byID[id] = append(workers, view), view
-		for _, r := range w.runs {
-			groups[r.group] = true
-		}
-	}
-	for g := range groups {
-		if !p.mayStop(g) {
-			continue
-		}
-		victim := &policy.Group{Priority: g.job.record.Job.Priority, Guaranteed: guaranteed[g.job], Uses: map[string]workload.Resources{}, Handle: g}
-		for _, r := range g.runs {
-			victim.Waste += p.waste(r, now)
-			id := r.worker.id()
-			victim.Uses[id] = victim.Uses[id].Add(r.need)
-		}
-		for id := range victim.Uses {
-			if view, ok := byID[id]; ok {
-				view.Victims = append(view.Victims, victim)
-			}
-		}
-	}
-	return workers
-}
-
 // mayStop reports whether a group may be stopped for more urgent work.
 func (p *Planner) mayStop(g *group) bool {
 	if g.done || g.breaking || g.step().Lasting {
--- a/front/election_test.go
+++ b/front/election_test.go
@@ -45,7 +45,7 @@
 				is.NoErr(err)
 				v := &VM{Settings: &Settings{Name: "a", Cores: 1, PeersAddress: "10.0.0.1:7000"}, Clock: clock, Store: store, boot: "1", suspect: make(chan struct{}, 1)}
 				from := time.Now()
-				v.electOnce(ctx)
+				is.NoErr(v.electOnce(ctx))
 				_, revision, err := engine.FindHolder(context.Background(), store)
 				is.NoErr(err)
 				is.Equal(revision == 0, test.gone)
--- a/front/settings.go
+++ b/front/settings.go
@@ -28,9 +28,11 @@
 	MetricsAddress string `toml:"metrics-address"`
 	StoreAddress   string `toml:"store-address"`
 	// Cores is the processor time that the process may use, in cores. Of several entry VMs, one with more becomes the planner.
-	Cores  float64 `toml:"cores"`
-	Bounds Bounds  `toml:"bounds"`
-	Log    struct {
+	Cores float64 `toml:"cores"`
+	// MaxFiles is how many files and connections the process may have open.
+	MaxFiles int    `toml:"max-files"`
+	Bounds   Bounds `toml:"bounds"`
+	Log      struct {
 		// Verbosity is klog's, 0 to 10.
 		Verbosity int `toml:"verbosity"`
 		// Budget is the number of lines of one kind in a second; 0 means the default.
@@ -85,6 +87,9 @@
 	if s.Cores <= 0 {
 		add("cores", "must be above 0")
 	}
+	if s.MaxFiles <= 0 {
+		add("max-files", "must be above 0")
+	}
 	for _, a := range []struct{ path, value string }{
 		{"callers-address", s.CallersAddress},
 		{"ready-address", s.ReadyAddress},
--- a/jsonhttp/caller.go
+++ b/jsonhttp/caller.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -13,7 +12,8 @@
 const (
 	// maxReplySize bounds the memory that one reply can take.
 	maxReplySize = 64 << 20
-	idleTimeout  = 90 * time.Second
+	// idleTimeout is how long a connection is kept without a call.
+	idleTimeout = 90 * time.Second
 )
 
 // Options are the parameters of a Caller.
@@ -30,17 +30,18 @@
 
 // Caller sends JSON calls to one server. It never retries.
 type Caller struct {
-	address string
-	clock   clockwork.Clock
-	client  *http.Client
+	clock clockwork.Clock
+	pool  *pool
 }
 
 // NewCaller returns a Caller with a connection pool of its own.
 func NewCaller(o Options) *Caller {
-	transport := newTransport(o.MaxConnections, o.DialTimeout)
-	return &Caller{address: o.Address, clock: o.Clock, client: &http.Client{Transport: transport}}
+	return &Caller{clock: o.Clock, pool: newPool(o)}
 }
 
+// LimitIdle bounds the connections that are kept without a call. It returns how many are kept now.
+func (c *Caller) LimitIdle(connections int) int { return c.pool.limit(connections) }
+
 // ErrStatus means that the server replied with a status other than 200.
 type ErrStatus struct {
 	Status int
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -1,15 +1,13 @@
 package jsonhttp
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -33,17 +31,6 @@
 	Out any
 }
 
-// newTransport returns a pool of connections to one server.
-func newTransport(maxConnections int, dialTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:     maxConnections,
-		MaxIdleConnsPerHost: maxConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
-}
-
 // Do sends a call. The result delivered is false only when no connection was obtained for the request, so that no byte
 // of it can have been sent. A status other than 200 is an *ErrStatus.
 func (c *Caller) Do(ctx context.Context, q Request) (delivered bool, err error) {
@@ -60,40 +47,68 @@
 		ctx, cancel = clockwork.WithTimeout(ctx, c.clock, q.Timeout)
 		defer cancel()
 	}
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
 	request, err := c.newRequest(ctx, q, body)
 	if err != nil {
 		return false, err
 	}
-	response, err := c.client.Do(request)
+	connection, err := c.pool.get(ctx)
 	if err != nil {
-		c.dropSilent(err)
-		return connected.Load(), errors.WithStack(err)
+		return false, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	reply, err := io.ReadAll(io.LimitReader(response.Body, maxReplySize+1))
+	status, reply, reusable, err := exchange(ctx, connection, request)
+	c.pool.put(connection, reusable)
 	switch {
 	case err != nil:
-		c.dropSilent(err)
-		return true, errors.Wrap(err, "read reply")
-	case len(reply) > maxReplySize:
-		return true, errors.Errorf("reply is longer than %d bytes", maxReplySize)
-	case response.StatusCode != http.StatusOK:
-		return true, &ErrStatus{Status: response.StatusCode, Body: reply}
+		if ended := ctx.Err(); ended != nil {
+			err = ended
+		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			// The idle connections may have gone silent with this one.
+			c.pool.closeIdle()
+		}
+		return true, errors.WithStack(err)
+	case status != http.StatusOK:
+		return true, &ErrStatus{Status: status, Body: reply}
 	case q.Out == nil:
 		return true, nil
 	}
 	return true, errors.Wrap(json.Unmarshal(reply, q.Out), "decode reply")
 }
 
-// dropSilent closes the idle connections after a call that timed out: they may have gone silent with it.
-func (c *Caller) dropSilent(err error) {
-	if errors.Is(err, context.DeadlineExceeded) {
-		c.client.CloseIdleConnections()
+// exchange writes a request and reads its reply. It ends when ctx does.
+func exchange(ctx context.Context, c *connection, request *http.Request) (status int, body []byte, reusable bool, err error) {
+	// The zero time is no deadline.
+	deadline, _ := ctx.Deadline()
+	if err := c.SetDeadline(deadline); err != nil {
+		return 0, nil, false, err
+	}
+	// A call that is given up ends by a deadline that has passed.
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	defer func() { reusable = stop() && reusable }()
+	w, _ := writers.Get().(*bufio.Writer)
+	w.Reset(c)
+	err = request.Write(w)
+	if err == nil {
+		err = w.Flush()
+	}
+	w.Reset(io.Discard)
+	writers.Put(w)
+	if err != nil {
+		return 0, nil, false, errors.Wrap(err, "write request")
+	}
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return 0, nil, false, errors.Wrap(err, "read reply")
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxReplySize+1))
+	switch {
+	case err != nil:
+		return 0, nil, false, errors.Wrap(err, "read reply")
+	case len(body) > maxReplySize:
+		return 0, nil, false, errors.Errorf("reply is longer than %d bytes", maxReplySize)
 	}
+	return response.StatusCode, body, !response.Close && c.reader.Buffered() == 0, nil
 }
 
 func (c *Caller) newRequest(ctx context.Context, q Request, body io.Reader) (*http.Request, error) {
@@ -101,7 +116,7 @@
 	if method == "" {
 		method = http.MethodPost
 	}
-	target := "http://" + c.address + q.Path
+	target := "http://" + c.pool.address + q.Path
 	if len(q.Query) > 0 {
 		target += "?" + q.Query.Encode()
 	}
