Ignore what the store says of a worker's earlier life

Cause, found by reading: an entry of a life that was leaving, read after the worker had answered in a newer life (an outage of the store in between), marked the new life as leaving. Only a newer life takes the mark off, so the worker got nothing for the rest of the term. Change: entries older than the life that has answered are logged and left out; the new life writes its own. Test: TestOldEntryOfALeavingWorkerDoesNotKeepItsNewLifeFromWork, seen failing (j3 queued).

--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -339,3 +339,28 @@
 		}
 	})
 }
+
+// Guards against a worker that is kept from work for good because its earlier life was leaving: the store's entry of that life
+// arrives late, after an outage of the store, when the worker has answered in its new life already.
+func TestOldEntryOfALeavingWorkerDoesNotKeepItsNewLifeFromWork(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		p, stop := r.plannerOf(1)
+		defer stop()
+		r.submit(p, "j1", 1, single(1), 2*time.Second)
+		r.await(p, "j1", workload.StateCompleted, 4*time.Second)
+		w := r.Worker("r1-w0")
+		leaving := w.Advert
+		leaving.Draining = true
+		r.Set("r1-w0", (*site.Worker).Restart)
+		// The worker answers in its new life.
+		r.submit(p, "j2", 1, single(1), time.Second)
+		r.await(p, "j2", workload.StateCompleted, 4*time.Second)
+		r.entries = map[string]engine.Advert{"r1-w0": leaving}
+		r.List(w)
+		time.Sleep(time.Second)
+		r.entries = nil
+		r.List(w)
+		r.submit(p, "j3", 1, single(1), time.Second)
+		r.await(p, "j3", workload.StateCompleted, 4*time.Second)
+	})
+}
--- a/engine/load.go
+++ b/engine/load.go
@@ -221,6 +221,11 @@
 		return
 	}
 	w := p.worker(id)
+	if advert.Born != 0 && advert.Born < w.born {
+		// The worker has answered in a newer life, which the store does not show yet; what it said before holds no more.
+		p.Log.Event("advert-outdated", "worker", id, "born", advert.Born, "known", w.born, "revision", item.Revision)
+		return
+	}
 	if !w.listed {
 		p.Log.Event("worker-listed", "worker", id, "failure-domain", advert.FailureDomain, "rack", advert.Rack, "revision", item.Revision)
 	}
