Let a worker that was set aside for its failures come back

Cause, found by reading: planning left out every worker that the breaker had set aside, so its probe after 30 s never came, and nothing was placed there for the rest of the term. Change: planning asks the breaker whether a probe is due, and a probe that ends neither way is given back; the order itself no longer asks, since the probe is under way by then. Test: TestWorkerThatWasSetAsideComesBack, seen failing (job d queued).

--- a/engine/orders.go
+++ b/engine/orders.go
@@ -48,7 +48,7 @@
 		return
 	}
 	w := r.worker
-	if r.attempts == 0 && !p.usable(w, p.Clock.Now(), p.Configuration()) {
+	if r.attempts == 0 && !p.takesStarts(w, p.Clock.Now(), p.Configuration()) {
 		// Something has become known of the worker since it was chosen.
 		p.endRun(r, EndStopped, "")
 		return
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -65,6 +65,9 @@
 	if how == EndFailed {
 		p.takeFailure(r)
 	}
+	if how != EndDone && how != EndFailed {
+		p.breaker.Abandoned(r.worker.id(), breakerKey(j))
+	}
 	if r.checkpoint != "" {
 		p.keepCheckpoint(g, r)
 	}
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -167,10 +167,15 @@
 	return true
 }
 
-// usable reports whether new runs may be started on a worker.
+// usable reports whether new runs may be placed on a worker.
 func (p *Planner) usable(w *workerState, now time.Time, conf *Configuration) bool {
+	return p.takesStarts(w, now, conf) && p.breaker.Allowed(now, w.id(), true)
+}
+
+// takesStarts reports whether runs that were placed on a worker may be started there.
+func (p *Planner) takesStarts(w *workerState, now time.Time, conf *Configuration) bool {
 	return now.Sub(p.advertsSeen) < advertsPatience && w.listed && w.known && w.clock != 0 && !w.draining && w.failing.IsZero() && w.foreign == 0 &&
-		!conf.Evacuated[w.advert.FailureDomain] && !now.Before(w.unhealthyUntil) && !p.breaker.Quarantined(w.id())
+		!conf.Evacuated[w.advert.FailureDomain] && !now.Before(w.unhealthyUntil)
 }
 
 // apply records the placements, orders them once they are stored, and stops what has to make room.
--- a/engine/steps_test.go
+++ b/engine/steps_test.go
@@ -104,6 +104,29 @@
 	})
 }
 
+// Guards against a worker that was set aside for its failures and gets nothing ever again, though it is sound.
+func TestWorkerThatWasSetAsideComesBack(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		p, stop := r.plannerOf(1)
+		defer stop()
+		r.Set("r1-w0", func(w *site.Worker) { w.Fails = true })
+		for _, id := range []string{"a", "b", "c"} {
+			r.submit(p, id, 1, single(1), time.Second)
+		}
+		time.Sleep(3 * time.Second)
+		starts := r.Worker("r1-w0").Starts
+		r.Set("r1-w0", func(w *site.Worker) { w.Fails = false })
+		time.Sleep(20 * time.Second)
+		r.Equal(r.Worker("r1-w0").Starts, starts)
+		for _, id := range []string{"d", "e"} {
+			r.submit(p, id, 1, single(1), time.Second)
+		}
+		for _, id := range []string{"d", "e"} {
+			r.await(p, id, workload.StateCompleted, 20*time.Second)
+		}
+	})
+}
+
 // Guards against a task that stands still on one worker for ever.
 func TestRunThatStandsStillIsMoved(t *testing.T) {
 	inBubble(t, func(r *rig) {
