--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -9,6 +9,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"clementinepier/workload"
 )
 
 // bareCalls returns a planner that only makes calls, and a function that takes in their results.
@@ -78,3 +80,18 @@
 		is.True(errors.As(p.deposed, &deposed))
 	})
 }
+
+// Guards against a job of one caller that has no record ending the planner, and with it the next one.
+func TestJobWithoutARecordIsRefusedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := bareCalls(t)
+		j := newJobState(workload.Record{Job: workload.Job{ID: "bad", Steps: []workload.Step{{Tasks: 1}}}}, time.Now())
+		result := make(chan Result, 1)
+		p.jobs, p.active = map[string]*jobState{"bad": j}, map[string]*jobState{"bad": j}
+		p.dirty, p.waiters = map[*jobState]bool{j: true}, map[*jobState][]chan<- Result{j: {result}}
+		p.dropUnencodable(j, errors.New("no form"))
+		is.Equal((<-result).Verdict, VerdictRefused)
+		is.Equal(len(p.jobs)+len(p.active)+len(p.dirty)+len(p.waiters), 0)
+	})
+}
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -52,8 +52,8 @@
 	for _, j := range jobs {
 		value, err := j.record.Encode()
 		if err != nil {
-			// A record that cannot be encoded breaks an invariant of the workload package.
-			panic(err)
+			p.dropUnencodable(j, err)
+			continue
 		}
 		size += len(value)
 		if len(entries) == commitBatch || len(entries) > 0 && size > commitBytes {
@@ -64,6 +64,9 @@
 		j.writing = true
 	}
 	room := MaxTxnEntries - 1 - 2*len(entries)
+	if len(entries) == 0 && len(p.deletes) == 0 {
+		return
+	}
 	deletes := p.deletes[:min(room, len(p.deletes))]
 	for _, key := range deletes {
 		t.Writes = append(t.Writes, Write{Key: key, Expected: AnyRevision, Delete: true})
@@ -77,6 +80,15 @@
 	})
 }
 
+// dropUnencodable keeps a job that has no record from holding up all others. A new one is turned away.
+func (p *Planner) dropUnencodable(j *jobState, err error) {
+	p.Log.Event("record-not-encoded", "job", j.id(), "queue", j.record.Job.Queue, "revision", j.revision, "error", err)
+	delete(p.dirty, j)
+	if j.revision == 0 && !j.offered {
+		p.withdraw(j, Result{Verdict: VerdictRefused, Reason: err.Error()})
+	}
+}
+
 // committed takes in the outcome of a commit.
 func (p *Planner) committed(entries []entry, deletes int, revision int64, err error) {
 	p.committing = false
@@ -122,7 +134,7 @@
 	}
 	for _, j := range p.jobs {
 		if j.revision == 0 && !j.offered {
-			p.withdraw(j)
+			p.withdraw(j, Result{Verdict: VerdictUnavailable, Reason: "the store does not answer"})
 		}
 	}
 }
--- a/engine/configuration.go
+++ b/engine/configuration.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"clementinepier/workload"
 )
 
 // Configuration is what the operators have declared, in one version. It does not change once it is made.
@@ -35,6 +37,11 @@
 	Anonymous bool
 }
 
+// Objective returns the time in which a job with the given chain of work should complete.
+func (q *Queue) Objective(chain time.Duration) time.Duration {
+	return time.Duration(min(max(0, q.Stretch*float64(chain)+float64(q.Target)), float64(workload.MaxWork)))
+}
+
 // Organisation is a customer.
 type Organisation struct {
 	Name string
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -102,8 +102,8 @@
 	})
 }
 
-// withdraw forgets a job that was certainly not stored, and tells those who wait for it.
-func (p *Planner) withdraw(j *jobState) {
+// withdraw forgets a job that was certainly not stored, and tells those who wait for it why.
+func (p *Planner) withdraw(j *jobState, why Result) {
 	j.withdrawn = true
 	delete(p.jobs, j.id())
 	delete(p.active, j.id())
@@ -116,17 +116,17 @@
 		}
 	}
 	for _, result := range p.waiters[j] {
-		result <- Result{Verdict: VerdictUnavailable, Reason: "the store does not answer"}
+		result <- why
 	}
 	delete(p.waiters, j)
-	p.Log.Event("job-withdrawn", "job", j.id(), "queue", j.record.Job.Queue, "store-failing", p.storeFailing)
+	p.Log.Event("job-withdrawn", "job", j.id(), "queue", j.record.Job.Queue, "reason", why.Reason, "store-failing", p.storeFailing)
 }
 
 // withdrawAll turns away, when the planner ends, the jobs of which no write was sent or all were certainly refused.
 func (p *Planner) withdrawAll() {
 	for j := range p.waiters {
 		if j.revision == 0 && !j.offered && !j.writing {
-			p.withdraw(j)
+			p.withdraw(j, Result{Verdict: VerdictUnavailable, Reason: errStopped.Error()})
 		}
 	}
 }
--- a/front/receiver.go
+++ b/front/receiver.go
@@ -145,14 +145,17 @@
 	if err == nil {
 		err = job.Check()
 	}
-	if err != nil || id == "" {
+	if err == nil {
+		err = workload.CheckID(id)
+	}
+	if err != nil {
 		r.Log.Event("job-invalid", "job", id, "queue", queue.Name, "error", err)
 		return Reply{Outcome: OutcomeInvalid}
 	}
 	job.ID, job.Queue, job.Service, job.Organisation = id, queue.Name, queue.Service, organisation
 	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
 	job.Accepted = r.TimeOfDay()
-	job.Objective = time.Duration(queue.Stretch*float64(job.Chain())) + queue.Target
+	job.Objective = queue.Objective(job.Chain())
 	from := r.Clock.Now()
 	ctx, cancel := r.within(ctx, c)
 	defer cancel()
--- a/workload/job.go
+++ b/workload/job.go
@@ -105,7 +105,7 @@
 	return int64(j.Steps[0].Tasks) * j.Steps[0].Need.Accelerators
 }
 
-// Chain returns the longest chain of estimates over the steps.
+// Chain returns the longest chain of estimates over the steps, or MaxWork if it is longer.
 func (j *Job) Chain() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
@@ -115,7 +115,7 @@
 				ends[i] = max(ends[i], ends[before])
 			}
 		}
-		ends[i] += s.Estimate
+		ends[i] = min(ends[i]+s.Estimate, MaxWork)
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -126,6 +126,10 @@
 	MaxTasks = 20000
 	// MaxOccurrences bounds how often the steps of a job run.
 	MaxOccurrences = 10000
+	// MaxWork bounds the estimate of a step, the chain of all, and the objective; MaxPeriod bounds the time from the first
+	// occurrence to the last. Both keep sums of times in range.
+	MaxWork   = 365 * 24 * time.Hour
+	MaxPeriod = 100 * MaxWork
 )
 
 // Check returns an error when the job has no form that can be scheduled.
@@ -136,6 +140,9 @@
 	if j.Repeat > MaxOccurrences {
 		return &ErrInvalidJob{Reason: fmt.Sprintf("it has more than %d occurrences", MaxOccurrences)}
 	}
+	if err := j.checkTimes(); err != nil {
+		return err
+	}
 	total := 0
 	for i, s := range j.Steps {
 		if s.Tasks <= 0 || s.Tasks > MaxTasks {
@@ -156,6 +163,46 @@
 	return nil
 }
 
+// maxID bounds the length of a job's id in bytes, so that the keys that contain it fit into the store (200 bytes).
+const maxID = 64
+
+// CheckID returns an error when a text is not fit for a job's id: the id becomes part of the names of tasks, which dots separate,
+// and of keys.
+func CheckID(id string) error {
+	if id == "" || len(id) > maxID {
+		return &ErrInvalidJob{Reason: fmt.Sprintf("its id has %d characters, not 1 to %d", len(id), maxID)}
+	}
+	for _, c := range id {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if digit := c >= '0' && c <= '9'; !letter && !digit && c != '-' && c != '_' {
+			return &ErrInvalidJob{Reason: fmt.Sprintf("its id has the character %q", c)}
+		}
+	}
+	return nil
+}
+
+// checkTimes refuses times with which sums would leave their range, or which have no form in a record.
+func (j *Job) checkTimes() error {
+	if j.Objective < 0 || j.Objective > MaxWork {
+		return &ErrInvalidJob{Reason: fmt.Sprintf("its objective is %s", j.Objective)}
+	}
+	for i, s := range j.Steps {
+		if s.Estimate < 0 || s.Estimate > MaxWork {
+			return &ErrInvalidJob{Reason: fmt.Sprintf("step %d has the estimate %s", i, s.Estimate)}
+		}
+	}
+	if j.Repeat <= 0 {
+		return nil
+	}
+	if j.Interval < 0 || j.Interval > MaxPeriod/time.Duration(j.Repeat) {
+		return &ErrInvalidJob{Reason: fmt.Sprintf("its %d occurrences are %s apart", j.Repeat, j.Interval)}
+	}
+	if year := j.FirstRun.Year(); year < 1970 || year > 9000 {
+		return &ErrInvalidJob{Reason: fmt.Sprintf("its first occurrence is in the year %d", year)}
+	}
+	return nil
+}
+
 // ErrInvalidJob means that a job has no form that can be scheduled.
 type ErrInvalidJob struct{ Reason string }
 
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -1,6 +1,8 @@
 package workload_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +46,12 @@
 		"negative need":     job(workload.Step{Tasks: 1, Need: workload.Resources{Accelerators: -1}}),
 		"occurrences":       {Steps: []workload.Step{one}, Repeat: workload.MaxOccurrences + 1},
 		"tasks over repeat": {Steps: []workload.Step{{Tasks: 1000}}, Repeat: 1000},
+		"endless estimate":  job(workload.Step{Tasks: 1, Estimate: math.MaxInt64}),
+		"negative estimate": job(workload.Step{Tasks: 1, Estimate: -1}),
+		"endless interval":  {Steps: []workload.Step{one}, Repeat: 2, FirstRun: time.UnixMilli(1), Interval: math.MaxInt64},
+		"negative interval": {Steps: []workload.Step{one}, Repeat: 2, FirstRun: time.UnixMilli(1), Interval: -1},
+		"far first run":     {Steps: []workload.Step{one}, Repeat: 1, FirstRun: time.UnixMilli(1 << 62)},
+		"first run before":  {Steps: []workload.Step{one}, Repeat: 1, FirstRun: time.UnixMilli(-1 << 50)},
 	} {
 		t.Run(name, func(t *testing.T) { is.New(t).True(j.Check() != nil) })
 	}
@@ -51,6 +59,33 @@
 	is.New(t).NoErr(j.Check())
 }
 
+// Guards against an id that cannot be read back from the names of tasks or from the store, so that an accepted job is lost at the
+// next change of planner.
+func TestIDsThatAreRefused(t *testing.T) {
+	is := is.New(t)
+	for _, id := range []string{"", "a.b", "a/b", "\xff", "a b", "é", "a\n", strings.Repeat("a", 65)} {
+		is.True(workload.CheckID(id) != nil)
+	}
+	for _, id := range []string{"5c0e7a21d94b36f8", "A-b_9", strings.Repeat("a", 64)} {
+		is.NoErr(workload.CheckID(id))
+	}
+}
+
+// Guards against a chain of estimates whose sum leaves its range, which would make an objective negative.
+func TestChainOfLongEstimatesIsBounded(t *testing.T) {
+	is := is.New(t)
+	j := job()
+	for i := range 400 {
+		step := workload.Step{Tasks: 1, Estimate: workload.MaxWork}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	is.NoErr(j.Check())
+	is.Equal(j.Chain(), workload.MaxWork)
+}
+
 // Guards against a record of another form that makes the planner read beyond its tasks.
 func TestRecordOfAnotherFormIsRefused(t *testing.T) {
 	is := is.New(t)
