Write a job directly only to a store that answers

Change: a look for the job comes first; if it gets no answer, nothing was written, and the caller gets a 503 that is true. Test: TestJobIsNotWrittenToAStoreThatDoesNotAnswer, seen failing.

--- a/engine/direct.go
+++ b/engine/direct.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,8 +16,22 @@
 	Store Store
 }
 
-// Submit stores a job.
+// probeTimeout bounds the look for a job before it is stored; a slow store answers within 400 ms.
+const probeTimeout = 600 * time.Millisecond
+
+// Submit stores a job. It answers an outage in which the planner cannot reach the store either: a write that gets no answer
+// leaves the caller without a way to try again, so nothing is written to a store that does not answer a read first.
 func (d *Direct) Submit(ctx context.Context, job workload.Job) Result {
+	probe, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	switch state := d.State(probe, job.ID); state.Verdict {
+	case VerdictAbsent:
+	case VerdictAccepted:
+		// The job is stored already, by the planner or by an earlier try.
+		return Result{Verdict: VerdictAccepted}
+	default:
+		return state
+	}
 	record := workload.Record{Job: job, Progress: *workload.NewProgress(&job)}
 	value, err := record.Encode()
 	if err != nil {
--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -364,3 +364,23 @@
 		r.await(p, "j3", workload.StateCompleted, 4*time.Second)
 	})
 }
+
+// Guards against a caller who cannot try again because its job was written to a store that does not answer, as all entry VMs did
+// in an outage of the store that also ended the planner's term.
+func TestJobIsNotWrittenToAStoreThatDoesNotAnswer(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		direct := &engine.Direct{Store: r.Store.Engine()}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		r.Store.SetSilent(true)
+		r.Equal(direct.Submit(ctx, newJob("j1", 1, single(1))).Verdict, engine.VerdictUnavailable)
+		r.Store.SetSilent(false)
+		for range 2 {
+			r.Equal(direct.Submit(ctx, newJob("j1", 1, single(1))).Verdict, engine.VerdictAccepted)
+		}
+		p, stop := r.plannerOf(1)
+		defer stop()
+		r.Expect("j1", single(1), time.Second)
+		r.await(p, "j1", workload.StateCompleted, 4*time.Second)
+	})
+}
