Ask the store less often where nothing changes

Cause: an entry VM that does not plan made 1.4 calls a second: a watch of the operators' documents each 1.5 s, a watch of the planner's key each 4 s, and a read of the key after each of these. At 147 machines that is more than the planner's commits. Change: the watch of the documents lasts three quarters of the time in which a change has to be in force (new setting apply-time), and a watch of the key that saw no change is followed by another one instead of a read. The bounds on a silent connection stay: the documents within apply-time, the key within 4.8 s. Tests: the new rows of TestFaultsOfSettingsAreAllTold; TestTemplateMakesValidSettings reads the new settings.

--- a/front/election.go
+++ b/front/election.go
@@ -73,10 +73,12 @@
 	}
 	if revision != 0 {
 		v.setHolder(&holder)
-		if v.outranks(holder) {
-			v.askToYield(ctx, holder)
+		for at, same := revision, true; same && ctx.Err() == nil; {
+			if v.outranks(holder) {
+				v.askToYield(ctx, holder)
+			}
+			at, same = v.awaitChange(ctx, at)
 		}
-		v.awaitChange(ctx, revision)
 		return nil
 	}
 	v.setHolder(nil)
@@ -131,23 +133,31 @@
 	v.log.Event("yield-asked", "vm", h.VM, "cores", h.Cores, "own", v.Settings.Cores, "error", err)
 }
 
-// awaitChange waits until the planner's key changes, or somebody suspects that the planner is gone.
-func (v *VM) awaitChange(ctx context.Context, revision int64) {
+// awaitChange waits for a change of the planner's key after a revision. It returns the revision to go on from, and whether the key
+// is certainly the same; that is not known when the watch failed, or when somebody suspects that the planner is gone.
+func (v *VM) awaitChange(ctx context.Context, revision int64) (int64, bool) {
 	watchCtx, cancel := context.WithTimeout(ctx, holderWatch+holderTimeout)
 	defer cancel()
-	changed := make(chan struct{})
+	type outcome struct {
+		at   int64
+		same bool
+	}
+	watched := make(chan outcome, 1)
 	go func() {
-		defer close(changed)
-		if _, _, err := engine.WatchHolder(watchCtx, v.Store, revision, holderWatch); err != nil && ctx.Err() == nil {
+		at, changed, err := engine.WatchHolder(watchCtx, v.Store, revision, holderWatch)
+		if err != nil && ctx.Err() == nil {
 			v.pause(watchCtx, electionRetry)
 		}
+		watched <- outcome{at: at, same: err == nil && !changed}
 	}()
 	select {
-	case <-changed:
+	case o := <-watched:
+		return o.at, o.same
 	case <-v.suspect:
 		v.pause(ctx, electionRetry)
 		cancel()
-		<-changed
+		<-watched
+		return revision, false
 	}
 }
 
--- a/front/follow.go
+++ b/front/follow.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// operatorWatch is how long one watch of the operators' documents waits. A connection that has gone silent is noticed
-	// after it, and a change has to be in force 2 s after its acknowledgement.
-	operatorWatch = 1500 * time.Millisecond
+	// operatorWatchShare of the time in which a change has to be in force is how long one watch of the operators' documents
+	// waits. A connection that has gone silent is noticed after it.
+	operatorWatchShare = 0.75
 	// operatorTimeout bounds the watch on top of its wait, and a listing.
 	operatorTimeout = 500 * time.Millisecond
 	// operatorRetry is the pause after a call that failed.
@@ -52,9 +52,10 @@
 }
 
 func (v *VM) watchDocuments(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, operatorWatch+operatorTimeout)
+	wait := time.Duration(operatorWatchShare * float64(v.Settings.Bounds.ApplyTime))
+	ctx, cancel := context.WithTimeout(ctx, wait+operatorTimeout)
 	defer cancel()
-	events, at, err := v.Store.Watch(ctx, v.OperatorPrefix, after, operatorWatch)
+	events, at, err := v.Store.Watch(ctx, v.OperatorPrefix, after, wait)
 	if err == nil && len(events) > 0 {
 		v.applyDocuments(events)
 	}
--- a/front/settings.go
+++ b/front/settings.go
@@ -48,6 +48,8 @@
 	StopGrace     job.Duration `toml:"stop-grace"`
 	GangTimeout   job.Duration `toml:"gang-timeout"`
 	Retention     job.Duration `toml:"retention"`
+	// ApplyTime is the time in which a change of the operators' documents has to be in force.
+	ApplyTime job.Duration `toml:"apply-time"`
 	// MinStoreLease is the shortest lease that the store grants; 0 means any.
 	MinStoreLease job.Duration `toml:"min-store-lease"`
 }
@@ -111,6 +113,7 @@
 		{"bounds.stop-grace", s.Bounds.StopGrace},
 		{"bounds.gang-timeout", s.Bounds.GangTimeout},
 		{"bounds.retention", s.Bounds.Retention},
+		{"bounds.apply-time", s.Bounds.ApplyTime},
 	} {
 		if d.value <= 0 {
 			add(d.path, "must be longer than 0s")
--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -22,7 +22,7 @@
 		"{{Listen.Ready|json}}": `"10.1.0.19:8523"`, "{{Ip}}": "10.1.0.19", "{{PortRange.0}}": "7000",
 		"{{platform.Address|json}}": `"10.200.1.7:8524"`, "{{Limits.CpuShare}}": "0.4", "{{Limits.MaxFds}}": "4100", "{{Bounds.GraceS}}": "6",
 		"{{Bounds.MaxHoldMs}}": "10000", "{{Bounds.StopGraceMs}}": "400", "{{Bounds.GangTimeoutMs}}": "3000",
-		"{{Bounds.status_s}}": "120", "{{platform.MinTtlMs}}": "1000",
+		"{{Bounds.status_s}}": "120", "{{Bounds.ConfigApplyMs}}": "2000", "{{platform.MinTtlMs}}": "1000",
 	}
 	text := string(template)
 	for name, value := range values {
@@ -56,6 +56,7 @@
 		"negative lease":   {`min-store-lease = "1000ms"`, `min-store-lease = "-1s"`, []string{"bounds.min-store-lease"}},
 		"negative budget":  {"cores = 0.4", "cores = 0.4\n[log]\nlines-per-second = -1", []string{"log.lines-per-second"}},
 		"no cores at all":  {"cores = 0.4", "", []string{"cores"}},
+		"no time to apply": {`apply-time = "2000ms"`, "", []string{"bounds.apply-time"}},
 		"no open files":    {"max-files = 4100", "", []string{"max-files"}},
 		"no shutdown time": {`shutdown-grace = "6s"`, `shutdown-grace = "-1s"`, []string{"bounds.shutdown-grace"}},
 	} {
