Keep new jobs back while a commit waits for much longer than usual

Cause: with several commits under way, a store that goes silent got eight of them, and each new job in them was neither accepted nor refused for certain; its caller could not try again. Change: while the oldest commit has waited for four times the usual (60 ms at least), jobs that the store has never seen are kept back.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -22,6 +22,10 @@
 	maxCommits = 8
 	// commitSpacing is how long a commit waits for the answer of the one before; five times that of a store at its usual speed.
 	commitSpacing = 20 * time.Millisecond
+	// suspectFactor times the usual time of a commit, and suspectAfter at least, is how long an answer may take before the store is
+	// suspected to have gone silent.
+	suspectFactor = 4
+	suspectAfter  = 60 * time.Millisecond
 	// agedChange is when a change goes before newer ones of any kind, so that none waits for ever.
 	agedChange = 400 * time.Millisecond
 	// commitRetry is the pause after a commit that failed.
@@ -46,7 +50,7 @@
 func (p *Planner) flush() {
 	for p.mayCommit() && p.commit() {
 	}
-	if p.commits == 0 || p.flushPosted || len(p.dirty) == 0 {
+	if len(p.commits) == 0 || p.flushPosted || len(p.dirty) == 0 {
 		return
 	}
 	// Nothing else may happen before the next commit is due.
@@ -60,16 +64,22 @@
 	switch {
 	case now.Before(p.commitAfter):
 		return false
-	case p.commits == 0:
+	case len(p.commits) == 0:
 		return true
 	case !p.storeFailing.IsZero():
 		// One commit at a time finds out whether the store answers again.
 		return false
 	default:
-		return p.commits < maxCommits && now.Sub(p.lastCommit) >= commitSpacing
+		return len(p.commits) < maxCommits && now.Sub(p.commits[len(p.commits)-1]) >= commitSpacing
 	}
 }
 
+// storeSuspect reports whether a commit waits for its answer for much longer than others lately. New jobs are kept back then: those
+// that were sent to a store that has gone silent are neither accepted nor refused for certain.
+func (p *Planner) storeSuspect(now time.Time) bool {
+	return len(p.commits) > 0 && now.Sub(p.commits[0]) > max(suspectAfter, suspectFactor*p.commitTime)
+}
+
 // commit sends one commit and reports whether there was something to store.
 func (p *Planner) commit() bool {
 	now := p.Clock.Now()
@@ -100,9 +110,8 @@
 	if len(t.Writes) == 0 {
 		return false
 	}
-	p.commits++
+	p.commits = append(p.commits, now)
 	p.deleting = p.deleting || len(deletes) > 0
-	p.lastCommit = now
 	p.call(classStore, func() func() {
 		ctx, cancel := context.WithTimeout(p.ctx, commitTimeout)
 		defer cancel()
@@ -118,8 +127,9 @@
 func (p *Planner) toStore(now time.Time) []*jobState {
 	jobs := make([]*jobState, 0, len(p.dirty))
 	rank := make(map[*jobState]int, len(p.dirty))
+	suspect := p.storeSuspect(now)
 	for j := range p.dirty {
-		if j.writing {
+		if j.writing || suspect && j.revision == 0 && !j.offered {
 			continue
 		}
 		jobs = append(jobs, j)
@@ -149,7 +159,7 @@
 
 // committed takes in the outcome of a commit.
 func (p *Planner) committed(sent time.Time, entries []entry, deletes int, revision int64, err error) {
-	p.commits--
+	p.commits = slices.Delete(p.commits, slices.Index(p.commits, sent), slices.Index(p.commits, sent)+1)
 	if deletes > 0 {
 		p.deleting = false
 	}
@@ -165,6 +175,7 @@
 			p.Log.Event("store-regained", "after", now.Sub(p.storeFailing))
 		}
 		p.storeFailing = time.Time{}
+		p.commitTime = (p.commitTime + now.Sub(sent)) / 2
 		p.deletes = p.deletes[deletes:]
 		for _, e := range entries {
 			p.stored(e, revision)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -96,10 +96,11 @@
 	// waiters are the callers of jobs that are not stored yet.
 	waiters map[*jobState][]chan<- Result
 	deletes []string
-	// commits counts the commits under way, of which one at most has deletes; lastCommit is when the last one was sent.
-	commits    int
-	deleting   bool
-	lastCommit time.Time
+	// commits has when each commit under way was sent, the oldest first; one of them at most has deletes.
+	commits  []time.Time
+	deleting bool
+	// commitTime is how long commits took lately.
+	commitTime time.Duration
 	// flushPosted is set while a timer waits for the time of the next commit.
 	flushPosted bool
 	// storeFailing is when commits began to fail; zero while they succeed.
--- a/engine/stall_test.go
+++ b/engine/stall_test.go
@@ -91,3 +91,32 @@
 		}
 	})
 }
+
+// Guards against jobs whose callers cannot try again: under load, those that were sent to a store that has gone silent may or may not
+// be stored, so that few may be sent before the silence is noticed.
+func TestFewJobsAreSentToAStoreThatHasGoneSilent(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		p, stop := r.plannerOf(2)
+		defer stop()
+		for i := range 20 {
+			r.submit(p, "before"+strconv.Itoa(i), 1, single(1), time.Second)
+		}
+		r.Store.SetSilent(true)
+		const jobs, interval = 60, 10 * time.Millisecond
+		verdicts := make(chan engine.Verdict, jobs)
+		for i := range jobs {
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+				defer cancel()
+				verdicts <- p.Submit(ctx, newJob("j"+strconv.Itoa(i), 1, single(1))).Verdict
+			}()
+			time.Sleep(interval)
+		}
+		count := map[engine.Verdict]int{}
+		for range jobs {
+			count[<-verdicts]++
+		}
+		r.True(count[engine.VerdictUnknown] <= 8)
+		r.Equal(count[engine.VerdictUnknown]+count[engine.VerdictUnavailable], jobs)
+	})
+}
