Refuse at once what the workers could never run

Cause: a job whose step fits no worker, needs a label that none has, or is a gang larger than all workers of its service waited until its caller gave up, and kept room from others meanwhile. Change: the planner refuses it when it comes in, with a Retry-After of a minute; workers whose entries are gone count for a minute, so that a cut does not make work impossible. policy.Possible decides. A VM that is not first to claim logs claim-lost. Test: TestImpossibleWorkIsRefusedAtOnce, seen failing without the check (jobs accepted).

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -55,7 +55,7 @@
 		return
 	}
 	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.advert.Address, "runs", len(w.runs))
-	w.listed, w.known, w.advert.Address = false, false, ""
+	w.listed, w.unlisted, w.known, w.advert.Address = false, p.Clock.Now(), false, ""
 	for _, r := range w.runs {
 		p.endRun(r, EndLapsed, r.checkpoint)
 	}
@@ -355,7 +355,7 @@
 func (p *Planner) expireLeases(now time.Time) {
 	for id, w := range p.workers {
 		if len(w.runs) == 0 {
-			if !w.listed && !w.looking && w.failing.IsZero() && now.After(w.granted) {
+			if !w.listed && !w.looking && now.After(w.granted) && now.Sub(w.unlisted) > impossibleRetry {
 				delete(p.workers, id)
 				p.staleFleets()
 			}
--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -24,11 +24,7 @@
 
 // fleetOf returns the fleet of a service as of now. What may be stopped is filled in only if room may have to be made.
 func (p *Planner) fleetOf(service string, now time.Time, conf *Configuration, guaranteed map[*jobState]bool, makesRoom bool) *policy.Fleet {
-	f, ok := p.fleets[service]
-	if !ok {
-		f = p.newFleet(service)
-		p.fleets[service] = f
-	}
+	f := p.knownFleet(service)
 	for i, w := range f.workers {
 		used, stopping := w.used()
 		view := f.views[i]
@@ -43,6 +39,25 @@
 	return f.decisions
 }
 
+func (p *Planner) knownFleet(service string) *fleet {
+	f, ok := p.fleets[service]
+	if !ok {
+		f = p.newFleet(service)
+		p.fleets[service] = f
+	}
+	return f
+}
+
+// impossibleStep returns the number of the first step that the workers of the job's service could never run, or -1. While no worker of
+// the service is known, every step counts as possible: they may come back.
+func (p *Planner) impossibleStep(job *workload.Job) int {
+	workers := p.knownFleet(job.Service).views
+	if len(workers) == 0 {
+		return -1
+	}
+	return slices.IndexFunc(job.Steps, func(s workload.Step) bool { return !policy.Possible(&s, workers) })
+}
+
 func (p *Planner) newFleet(service string) *fleet {
 	f := &fleet{byID: map[string]*policy.Worker{}}
 	for _, w := range p.workers {
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,6 +11,10 @@
 	"clementinepier/workload"
 )
 
+// impossibleRetry is when a job may be handed in again that the workers there are could not run if nothing else ran: the time in
+// which operators change what a service has. Nothing that the planner knows makes it possible earlier.
+const impossibleRetry = time.Minute
+
 // Verdict is what became of a call on a job.
 type Verdict string
 
@@ -77,6 +82,12 @@
 			result <- r
 			return
 		}
+		if step := p.impossibleStep(&job); step >= 0 {
+			p.Log.Event("job-impossible", "job", job.ID, "queue", job.Queue, "service", job.Service, "step", step,
+				"workers", len(p.knownFleet(job.Service).views))
+			result <- Result{Verdict: VerdictRefused, RetryAfter: impossibleRetry, Reason: fmt.Sprintf("no workers could ever run step %d", step)}
+			return
+		}
 		j = newJobState(workload.Record{Job: job, Progress: *workload.NewProgress(&job)}, p.Clock.Now())
 		p.waiters[j] = nil
 		p.jobs[job.ID], p.active[job.ID] = j, j
--- a/engine/state.go
+++ b/engine/state.go
@@ -122,8 +122,9 @@
 // workerState is a backend server in the planner's memory.
 type workerState struct {
 	advert Advert
-	// listed is false once the worker's entry is gone from the store.
-	listed bool
+	// listed is false once the worker's entry is gone from the store; unlisted is when that was.
+	listed   bool
+	unlisted time.Time
 	// known is set once the worker has answered this planner, and so refuses orders of earlier ones.
 	known bool
 	// born identifies the life that the runs belong to.
--- a/engine/steps_test.go
+++ b/engine/steps_test.go
@@ -190,3 +190,27 @@
 		r.await(p, "urgent", workload.StateCompleted, 2500*time.Millisecond)
 	})
 }
+
+// Guards against work that no worker could ever run and that waits until its caller gives up, and against the refusal of work that
+// only has to wait.
+func TestImpossibleWorkIsRefusedAtOnce(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		p, stop := r.plannerOf(2)
+		defer stop()
+		r.submit(p, "busy", 1, gang(2, 8), 2*time.Second)
+		label, spread := single(1), gang(3, 1)
+		label.Label, spread.Spread = "absent", 1
+		for id, step := range map[string]workload.Step{"large": single(9), "wide": gang(3, 8), "label": label, "spread": spread} {
+			result := p.Submit(context.Background(), newJob(id, 1, step))
+			r.Equal(result.Verdict, engine.VerdictRefused)
+			r.True(result.RetryAfter > 0)
+			r.Equal(p.State(context.Background(), id).Verdict, engine.VerdictAbsent)
+		}
+		for id, step := range map[string]workload.Step{"single": single(8), "gang": gang(2, 8), "many": {Tasks: 5, Need: single(8).Need}} {
+			r.submit(p, id, 1, step, time.Second)
+		}
+		for _, id := range []string{"busy", "single", "gang", "many"} {
+			r.await(p, id, workload.StateCompleted, 30*time.Second)
+		}
+	})
+}
--- a/front/election.go
+++ b/front/election.go
@@ -181,6 +181,7 @@
 		return nil
 	}
 	if term == nil {
+		v.log.Event("claim-lost")
 		return nil
 	}
 	v.log.Event("planner-elected", "fence", term.Fence())
