Follow a look whose answer seems lost by another one

A look was lost, and since one look at a time was under way, the end of a run whose stop the same worker had answered was seen 2.2 s later; the gang that waited for its room started again 5 s after its first start. The worker was also taken for lost, though it had answered another call meanwhile. Change: when the time of a stop and 150 ms have passed since its answer, another look is sent, which takes the place of the one under way; a call that got no answer tells nothing of a worker that has answered since it was sent. Test: TestLostLookDoesNotHoldUpReclaimedRoom, seen failing.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -19,6 +19,8 @@
 	lookRetry = 250 * time.Millisecond
 	// renewInterval is how often a lease is renewed while the ends that a worker lists cannot be stored.
 	renewInterval = time.Second
+	// stopSlack is added to the time that a stop takes, for the answers on their way.
+	stopSlack = 150 * time.Millisecond
 	// shortLook is the pause between looks that do not wait.
 	shortLook = 100 * time.Millisecond
 )
@@ -40,8 +42,11 @@
 	p.takeDraining(w, a.Draining, a.Left)
 }
 
-// unheard takes in that a call got no answer.
-func (p *Planner) unheard(w *workerState) {
+// unheard takes in that a call got no answer. A worker that has answered another call since is not silent.
+func (p *Planner) unheard(w *workerState, sent time.Time) {
+	if w.answered.After(sent) {
+		return
+	}
 	if w.failing.IsZero() {
 		w.failing = p.Clock.Now()
 		p.Log.Event("worker-lost", "worker", w.id(), "runs", len(w.runs), "listed", w.listed, "answered", w.answered)
@@ -74,7 +79,7 @@
 	}
 	p.Log.Event("worker-reborn", "worker", w.id(), "runs", len(w.runs), "born", born, "before", earlier)
 	w.seen, w.noted, w.unstored, w.foreign = 0, 0, 0, 0
-	w.known, w.draining, w.drainEnd = false, false, time.Time{}
+	w.known, w.draining, w.drainEnd, w.overdue = false, false, time.Time{}, time.Time{}
 	w.clock, w.clockAt = 0, time.Time{}
 	w.nextLook = p.Clock.Now()
 	for _, r := range w.runs {
@@ -113,6 +118,10 @@
 	for _, w := range due {
 		w.attended = false
 		p.retryStops(w)
+		if !w.overdue.IsZero() && now.After(w.overdue) {
+			// The answer of the look under way seems lost.
+			w.looking = false
+		}
 		if w.looking || w.advert.Address == "" || !p.wantsLook(w) {
 			continue
 		}
@@ -184,7 +193,9 @@
 // look renews the worker's lease and asks what it has.
 func (p *Planner) look(w *workerState, now time.Time) {
 	order := p.lookOrder(w, now)
-	w.looking = true
+	w.looking, w.overdue = true, time.Time{}
+	w.looks++
+	number := w.looks
 	target := Target{ID: w.id(), Address: w.advert.Address}
 	p.Metrics.Add(metrics.Looks, 1)
 	p.call(classLook, func() func() {
@@ -193,7 +204,12 @@
 			view, err = p.Workers.Look(ctx, target, order)
 			return err
 		})
-		return func() { p.looked(w, now, order, view, err) }
+		return func() {
+			if number == w.looks {
+				w.looking = false
+			}
+			p.looked(w, now, order, view, err)
+		}
 	})
 }
 
@@ -209,7 +225,6 @@
 }
 
 func (p *Planner) looked(w *workerState, sent time.Time, order LookOrder, view View, err error) {
-	w.looking = false
 	now, asked := p.Clock.Now(), w.born
 	w.nextLook = now
 	p.attend(w)
@@ -220,7 +235,7 @@
 		w.nextLook = now.Add(lookRetry)
 		var refused *ErrRefused
 		if !errors.As(err, &refused) {
-			p.unheard(w)
+			p.unheard(w, sent)
 			return
 		}
 		p.heard(w, refused.Answer)
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -109,7 +109,7 @@
 		p.Metrics.Add(metrics.OrdersUnanswered, 1)
 		p.Log.Event("start-unanswered", "task", r.name, "run", r.number, "worker", w.id(), "try", r.attempts, "error", err)
 		r.doubtful = true
-		p.unheard(w)
+		p.unheard(w, from)
 		if r.attempts >= startTries {
 			p.breakGroup(r.group, "a start got no answer")
 			p.stop(r)
@@ -230,13 +230,16 @@
 			r.phase, r.present = runRunning, p.Clock.Now()
 		}
 		w.nextLook = p.Clock.Now()
+		if w.overdue.IsZero() && !r.ended {
+			w.overdue = p.Clock.Now().Add(p.Bounds.StopGrace + stopSlack)
+		}
 	case errors.As(err, &refused):
 		p.heard(w, refused.Answer)
 		p.Log.Event("stop-refused", "task", r.name, "run", r.number, "worker", w.id(), "reason", refused.Reason)
 		p.takeRefusal(w, refused.Reason)
 	default:
 		p.Log.Event("stop-unanswered", "task", r.name, "run", r.number, "worker", w.id(), "error", err)
-		p.unheard(w)
+		p.unheard(w, r.stopSent)
 	}
 }
 
--- a/engine/state.go
+++ b/engine/state.go
@@ -136,6 +136,10 @@
 	// foreign counts runs that the worker has and that nobody asked for; it gets nothing new until they are gone.
 	foreign int
 	looking bool
+	// looks numbers the looks; an earlier one than the last may still be under way when its answer seems lost.
+	looks int
+	// overdue is when the look under way should have shown the end of a run whose stop was answered; zero while there is none.
+	overdue time.Time
 	// attended is set while the worker is among those to contact at the end of the pass, waking while a timer will add it.
 	attended, waking bool
 	// answered is when a call last succeeded; failing is when calls began to fail, zero while they succeed.
--- a/engine/steps_test.go
+++ b/engine/steps_test.go
@@ -214,3 +214,23 @@
 		}
 	})
 }
+
+// Guards against urgent work that waits for a look whose answer was lost, though the worker has answered the stop that makes room.
+func TestLostLookDoesNotHoldUpReclaimedRoom(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		p, stop := r.plannerOf(1)
+		defer stop()
+		r.Set("r1-w0", func(w *site.Worker) { w.LoseLooks = true })
+		time.Sleep(3 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.LoseLooks = false })
+		r.submit(p, "borrower", 2, single(8), 6*time.Second)
+		time.Sleep(time.Second)
+		r.Equal(len(r.Where("borrower")), 1)
+		// The look that is under way now is answered; the next one is lost.
+		r.Set("r1-w0", func(w *site.Worker) { w.LoseLooks = true })
+		time.Sleep(50 * time.Millisecond)
+		r.submit(p, "urgent", 0, single(8), time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.LoseLooks = false })
+		r.await(p, "urgent", workload.StateCompleted, 2*time.Second)
+	})
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -373,6 +373,11 @@
 		if err != nil {
 			return engine.View{}, err
 		}
+		if w.LoseLooks {
+			s.mu.Unlock()
+			<-ctx.Done()
+			return engine.View{}, ctx.Err()
+		}
 		if born != 0 && born != w.Advert.Born {
 			// The connection ended with the life that was asked.
 			s.mu.Unlock()
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -38,6 +38,8 @@
 	Replaced bool
 	// LoseStarts makes starts take effect without an answer.
 	LoseStarts bool
+	// LoseLooks makes looks end without an answer.
+	LoseLooks bool
 	// LateStarts makes starts take effect after lateBy, without an answer.
 	LateStarts bool
 	// Fails makes what it starts fail at once; Stands makes it stand still.
--- a/workload/job.go
+++ b/workload/job.go
@@ -126,9 +126,9 @@
 	MaxTasks = 20000
 	// MaxOccurrences bounds how often the steps of a job run.
 	MaxOccurrences = 10000
-	// MaxWork bounds the estimate of a step, the chain of all, and the objective; MaxPeriod bounds the time from the first
-	// occurrence to the last. Both keep sums of times in range.
-	MaxWork   = 365 * 24 * time.Hour
+	// MaxWork bounds the estimate of a step, the chain of all, and the objective, so that sums of times stay in range.
+	MaxWork = 365 * 24 * time.Hour
+	// MaxPeriod bounds the time from the first occurrence to the last, for the same reason.
 	MaxPeriod = 100 * MaxWork
 )
 
