--- a/front/election_test.go
+++ b/front/election_test.go
@@ -63,3 +63,43 @@
 	v.Settings.Bounds.MinStoreLease = job.Duration(2 * time.Second)
 	is.Equal(v.termLength(), 2*time.Second)
 }
+
+// Guards against a read of the planner's key after each watch that saw no change; with some hundred VMs that is a load on the store.
+func TestPlannerThatStaysIsNotReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		site, clock := site.NewStore(), clockwork.NewRealClock()
+		store := site.Engine()
+		_, err := engine.Claim(context.Background(), store, clock, engine.Holder{VM: "b", Address: "10.0.0.2:7000", Boot: "1"}, time.Hour)
+		is.NoErr(err)
+		reads, get := 0, store.Get
+		store.Get = func(ctx context.Context, key string) (engine.Item, error) {
+			reads++
+			return get(ctx, key)
+		}
+		v := &VM{Settings: &Settings{Name: "a", Cores: 1, PeersAddress: "10.0.0.1:7000"}, Clock: clock, Store: store, suspect: make(chan struct{}, 1)}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		ended := v.elect(ctx)
+		time.Sleep(10 * time.Second)
+		is.Equal(reads, 1)
+		is.Equal(v.holder.Load().VM, "b")
+		// A VM that suspects the planner reads the key again.
+		v.suspectPlanner()
+		time.Sleep(time.Second)
+		is.Equal(reads, 2)
+		is.NoErr(<-ended)
+	})
+}
+
+// Guards against a process that goes on without a planner, and never becomes one again, because an earlier one does not end.
+func TestPlannerThatDoesNotEndIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		v := &VM{Clock: clockwork.NewRealClock()}
+		is.True(IsErrPlannerStuck(v.awaitPlanner(make(chan error))))
+		ended := make(chan error, 1)
+		ended <- errYielded
+		is.NoErr(v.awaitPlanner(ended))
+	})
+}
