Give up a commit whose answer seems lost, and let it hold up no others

Each lost answer held its jobs up for the time of a call, 0.9 s; new jobs were turned away meanwhile, since the store counted as failing, although it answered the commits after the lost one. Change: a commit that waits for four times the usual time (150 ms at least) is given up when a later one was answered; its jobs go into the next commit, which finds out what was stored. The store counts as failing, or as suspect, only while no later commit was answered. Test: TestLostAnswersOfTheStoreHoldUpNoOthers, seen failing (jobs turned away).

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -26,6 +26,8 @@
 	// suspected to have gone silent.
 	suspectFactor = 4
 	suspectAfter  = 60 * time.Millisecond
+	// lostAfter is how long an answer may take at least before it counts as lost when later commits were answered.
+	lostAfter = 150 * time.Millisecond
 	// agedChange is when a change goes before newer ones of any kind, so that none waits for ever.
 	agedChange = 400 * time.Millisecond
 	// commitRetry is the pause after a commit that failed.
@@ -45,9 +47,17 @@
 	change uint64
 }
 
+// sentCommit is a commit under way.
+type sentCommit struct {
+	sent time.Time
+	// drop ends the call.
+	drop context.CancelFunc
+}
+
 // flush starts commits of what has to be stored. A job is in one commit at a time. While the store answers at once, one commit
 // follows the other, which keeps their number low; while it is slow, several are under way.
 func (p *Planner) flush() {
+	p.dropLostCommits()
 	for p.mayCommit() && p.commit() {
 	}
 	if len(p.commits) == 0 || p.flushPosted || len(p.dirty) == 0 {
@@ -70,14 +80,30 @@
 		// One commit at a time finds out whether the store answers again.
 		return false
 	default:
-		return len(p.commits) < maxCommits && now.Sub(p.commits[len(p.commits)-1]) >= commitSpacing
+		return len(p.commits) < maxCommits && now.Sub(p.commits[len(p.commits)-1].sent) >= commitSpacing
+	}
+}
+
+// dropLostCommits ends the calls whose answers seem lost, since commits after them were answered. What they stored is found out by the
+// next commit of the same jobs, so that nobody waits for the whole time of a call.
+func (p *Planner) dropLostCommits() {
+	now := p.Clock.Now()
+	for _, c := range p.commits {
+		if c.sent.Before(p.answered) && now.Sub(c.sent) > max(lostAfter, suspectFactor*p.commitTime) {
+			c.drop()
+		}
 	}
 }
 
-// storeSuspect reports whether a commit waits for its answer for much longer than others lately. New jobs are kept back then: those
-// that were sent to a store that has gone silent are neither accepted nor refused for certain.
+// storeSuspect reports whether a commit waits for its answer for much longer than others lately, and none after it was answered. New
+// jobs are kept back then: those that were sent to a store that has gone silent are neither accepted nor refused for certain.
 func (p *Planner) storeSuspect(now time.Time) bool {
-	return len(p.commits) > 0 && now.Sub(p.commits[0]) > max(suspectAfter, suspectFactor*p.commitTime)
+	for _, c := range p.commits {
+		if c.sent.After(p.answered) {
+			return now.Sub(c.sent) > max(suspectAfter, suspectFactor*p.commitTime)
+		}
+	}
+	return false
 }
 
 // commit sends one commit and reports whether there was something to store.
@@ -110,10 +136,10 @@
 	if len(t.Writes) == 0 {
 		return false
 	}
-	p.commits = append(p.commits, now)
+	ctx, cancel := context.WithTimeout(p.ctx, commitTimeout)
+	p.commits = append(p.commits, sentCommit{sent: now, drop: cancel})
 	p.deleting = p.deleting || len(deletes) > 0
 	p.call(classStore, func() func() {
-		ctx, cancel := context.WithTimeout(p.ctx, commitTimeout)
 		defer cancel()
 		revision, err := p.Store.Commit(ctx, t)
 		return func() { p.committed(now, entries, len(deletes), revision, err) }
@@ -159,7 +185,7 @@
 
 // committed takes in the outcome of a commit.
 func (p *Planner) committed(sent time.Time, entries []entry, deletes int, revision int64, err error) {
-	p.commits = slices.Delete(p.commits, slices.Index(p.commits, sent), slices.Index(p.commits, sent)+1)
+	p.commits = slices.DeleteFunc(p.commits, func(c sentCommit) bool { return c.sent.Equal(sent) })
 	if deletes > 0 {
 		p.deleting = false
 	}
@@ -175,13 +201,22 @@
 			p.Log.Event("store-regained", "after", now.Sub(p.storeFailing))
 		}
 		p.storeFailing = time.Time{}
+		p.noteAnswered(sent)
 		p.commitTime = (p.commitTime + now.Sub(sent)) / 2
 		p.deletes = p.deletes[deletes:]
 		for _, e := range entries {
 			p.stored(e, revision)
 		}
 	case errors.As(err, &conflict):
+		p.noteAnswered(sent)
 		p.resolveConflict(entries, conflict)
+	case p.answered.After(sent) && !IsErrNotDone(err):
+		// Commits after this one were answered, so only its answer is lost.
+		p.Log.Event("commit-unanswered", "jobs", len(entries), "after", now.Sub(sent), "error", err)
+		p.Metrics.Add(metrics.StoreErrors, 1)
+		for _, e := range entries {
+			e.job.offered = true
+		}
 	default:
 		if p.storeFailing.IsZero() {
 			p.storeFailing = sent
@@ -198,6 +233,13 @@
 	}
 }
 
+// noteAnswered notes that a commit was answered that was sent at a time.
+func (p *Planner) noteAnswered(sent time.Time) {
+	if sent.After(p.answered) {
+		p.answered = sent
+	}
+}
+
 // withdrawUnstored turns away the jobs that cannot be stored, as long as it is certain that none of them was.
 func (p *Planner) withdrawUnstored(now time.Time) {
 	if now.Sub(p.storeFailing) < failingAfter {
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -96,9 +96,11 @@
 	// waiters are the callers of jobs that are not stored yet.
 	waiters map[*jobState][]chan<- Result
 	deletes []string
-	// commits has when each commit under way was sent, the oldest first; one of them at most has deletes.
-	commits  []time.Time
+	// commits has the commits under way, the oldest first; one of them at most has deletes.
+	commits  []sentCommit
 	deleting bool
+	// answered is when the newest of the commits was sent that were answered.
+	answered time.Time
 	// commitTime is how long commits took lately.
 	commitTime time.Duration
 	// flushPosted is set while a timer waits for the time of the next commit.
--- a/engine/stall_test.go
+++ b/engine/stall_test.go
@@ -120,3 +120,41 @@
 		r.Equal(count[engine.VerdictUnknown]+count[engine.VerdictUnavailable], jobs)
 	})
 }
+
+// Guards against jobs that are turned away, or wait, because of the answers that a store loses while it answers others.
+func TestLostAnswersOfTheStoreHoldUpNoOthers(t *testing.T) {
+	inBubble(t, func(r *rig) {
+		p, stop := r.plannerOf(8)
+		defer stop()
+		r.Store.SetLoseEvery(3)
+		const jobs, interval = 60, 20 * time.Millisecond
+		type outcome struct {
+			verdict engine.Verdict
+			took    time.Duration
+		}
+		outcomes := make(chan outcome, jobs)
+		for i := range jobs {
+			id := "j" + strconv.Itoa(i)
+			r.Expect(id, single(1), time.Second)
+			go func() {
+				from := time.Now()
+				result := p.Submit(context.Background(), newJob(id, 1, single(1)))
+				outcomes <- outcome{verdict: result.Verdict, took: time.Since(from)}
+			}()
+			time.Sleep(interval)
+		}
+		atOnce := 0
+		for range jobs {
+			o := <-outcomes
+			r.Equal(o.verdict, engine.VerdictAccepted)
+			if o.took < 100*time.Millisecond {
+				atOnce++
+			}
+		}
+		// A third of the commits is lost, and each job of it waits for the time of a commit.
+		r.True(atOnce >= jobs/2)
+		for i := range jobs {
+			r.await(p, "j"+strconv.Itoa(i), workload.StateCompleted, 20*time.Second)
+		}
+	})
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -44,6 +44,8 @@
 	loseWrites bool
 	// refusing makes writes fail without effect.
 	refusing bool
+	// loseEvery makes each so many-th commit take effect and time out; 0 loses none. commits counts them.
+	loseEvery, commits int
 }
 
 // NewStore returns an empty store.
@@ -176,7 +178,14 @@
 	if s.loseWrites {
 		return 0, &engine.ErrUnanswered{Cause: errSilent}
 	}
-	return s.revision, nil
+	revision := s.revision
+	if s.commits++; s.loseEvery > 0 && s.commits%s.loseEvery == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return 0, &engine.ErrUnanswered{Cause: ctx.Err()}
+	}
+	return revision, nil
 }
 
 func (s *Store) get(ctx context.Context, key string) (engine.Item, error) {
@@ -269,6 +278,13 @@
 	s.loseWrites = losing
 }
 
+// SetLoseEvery makes the store lose the answer to each n-th commit; 0 loses none.
+func (s *Store) SetLoseEvery(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseEvery, s.commits = n, 0
+}
+
 // SetRefusing makes the store refuse writes, or accept them again.
 func (s *Store) SetRefusing(refusing bool) {
 	s.mu.Lock()
