Renew the planner's lease side by side, so that lost answers do not end its term

Change: six renewals in the time of a lease, each with half of that time to be answered, without waiting for each other. Tests: TestTermOutlivesLostAnswers, seen failing; TestTermThatWasGivenUpStaysSo.

--- a/engine/term.go
+++ b/engine/term.go
@@ -17,11 +17,9 @@
 	// TermLength is the lease under which an entry VM is the planner, unless the store's leases are longer. A successor waits at
 	// most this long. It is the shortest lease of the users' store.
 	TermLength = time.Second
-	// keepInterval is the time from one renewal to the next.
-	keepInterval = 250 * time.Millisecond
-	// keepTimeout bounds one renewal and leaves time for another before the lease ends; the store answers within 400 ms when
-	// it is slow.
-	keepTimeout = 480 * time.Millisecond
+	// keepsPerTerm is how many renewals are sent in the time of a lease. Each may go unanswered for half of that time, so that the
+	// lease ends only if the answers of five in a row are lost; a renewal costs a tenth of a read.
+	keepsPerTerm = 6
 )
 
 // Holder is the entry VM that is the planner.
@@ -126,28 +124,50 @@
 func (t *Term) Run(ctx context.Context, log *eventlog.Log, stalled func() bool) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		for ctx.Err() == nil && t.Err() == nil {
-			if stalled() {
-				t.abandon(ctx, log)
-				break
-			}
-			next := t.clock.Now().Add(keepInterval)
-			t.keep(ctx, log)
-			// With a slow store the next renewal follows at once.
+		t.renew(ctx, log, stalled)
+		done <- t.Err()
+	}()
+	return done
+}
+
+// renew sends renewals side by side, so that one whose answer is lost or late does not hold up the next.
+func (t *Term) renew(ctx context.Context, log *eventlog.Log, stalled func() bool) {
+	ticker := t.clock.NewTicker(t.length / keepsPerTerm)
+	defer ticker.Stop()
+	ended := make(chan struct{}, keepsPerTerm)
+	underWay := 0
+	for ctx.Err() == nil && t.Err() == nil {
+		if stalled() {
+			t.abandon(ctx, log)
+			break
+		}
+		if underWay < keepsPerTerm {
+			underWay++
+			go func() {
+				t.keep(ctx, log)
+				ended <- struct{}{}
+			}()
+		}
+		for waiting := true; waiting; {
 			select {
+			case <-ended:
+				underWay--
 			case <-ctx.Done():
-			case <-t.clock.After(t.clock.Until(next)):
+				waiting = false
+			case <-ticker.Chan():
+				waiting = false
 			}
 		}
-		done <- t.Err()
-	}()
-	return done
+	}
+	for ; underWay > 0; underWay-- {
+		<-ended
+	}
 }
 
 // abandon gives the term of a stalled planner up.
 func (t *Term) abandon(ctx context.Context, log *eventlog.Log) {
 	log.Event("planner-stalled", "limit", maxStall, "fence", t.Fence())
-	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, t.length/2)
 	defer cancel()
 	if err := t.End(callCtx); err != nil {
 		log.Event("term-not-ended", "error", err)
@@ -156,7 +176,7 @@
 
 func (t *Term) keep(ctx context.Context, log *eventlog.Log) {
 	from := t.clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, keepTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, t.length/2)
 	defer cancel()
 	err := t.store.Keep(callCtx, t.lease)
 	t.mu.Lock()
@@ -164,7 +184,10 @@
 	switch {
 	case err == nil:
 		// The lease runs from the arrival of the call, which is not before it was sent.
-		t.until = from.Add(t.length)
+		if until := from.Add(t.length); t.err == nil && until.After(t.until) {
+			t.until = until
+		}
+	case t.err != nil:
 	case IsErrNotExist(err):
 		t.err = &ErrDeposed{Reason: "the lease has ended"}
 	case ctx.Err() == nil:
