Tell a worker to forget ends only if it was heard of lately; leave out answers of its earlier life

By the logs the planner was paused for 0.9 s while worker r2-w2 started anew; the two runs were started in the new life at once, and a look that had been decided before the pause told the new life to forget ends up to a number of the earlier one. The ends of the new life had such numbers: nobody took them in, and the runs counted as lapsed. Answers of the earlier life that were read after those of the new one could do the same. Change: a look asks to forget nothing unless the worker has answered within 0.5 s; an order that was decided more than 0.5 s ago is not sent; an answer of an earlier life is left out, and a start that it confirmed has ended, unless it may have been carried out twice. Ruled out: the end was not taken in and lost later (no line stray-end, no other planner). Tests: TestNothingIsForgottenByAWorkerThatWasNotHeardOfLately and TestAnswerOfAnEarlierLifeIsLeftOut, both seen failing; TestOrderIsNotSentAfterAPause.

--- a/engine/calls.go
+++ b/engine/calls.go
@@ -27,8 +27,11 @@
 // are places for more workers than a planner has in the plans of the users (1,400).
 var callPlaces = [callClasses]int{classStore: 16, classOrder: 1024, classLook: 8192}
 
-// errTermOver is the outcome of an order that was not sent because the term had ended when its turn came.
-var errTermOver = errors.New("the term had ended before the order was sent")
+// maxHoldUp is how long ago an order may have been decided when it is sent; a process that is not paused takes a few milliseconds.
+const maxHoldUp = 500 * time.Millisecond
+
+// errNotSent is the outcome of an order that was not sent, because the term had ended or the order was old when its turn came.
+var errNotSent = errors.New("the order came too late to be sent")
 
 // calls runs calls beside the control goroutine, which never waits for one. All but the calls themselves run on the control
 // goroutine.
@@ -94,10 +97,11 @@
 	p.call(class, next)
 }
 
-// send makes a call to a worker, unless the term has ended since the call was decided: the process may have been held up.
-func (p *Planner) send(timeout time.Duration, f func(ctx context.Context) error) error {
-	if !p.holdsTerm() {
-		return errTermOver
+// send makes a call to a worker that was decided at a time, unless the process was held up since, or the term has ended: what the
+// order relies on may hold no more.
+func (p *Planner) send(decided time.Time, timeout time.Duration, f func(ctx context.Context) error) error {
+	if !p.holdsTerm() || p.Clock.Since(decided) > maxHoldUp {
+		return errNotSent
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -10,6 +10,8 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"clementinepier/breaker"
+	"clementinepier/metrics"
 	"clementinepier/workload"
 )
 
@@ -38,13 +40,53 @@
 		p, _ := bareCalls(t)
 		sent := 0
 		send := func(context.Context) error { sent++; return nil }
-		is.NoErr(p.send(time.Second, send))
+		is.NoErr(p.send(time.Now(), time.Second, send))
 		time.Sleep(time.Second)
-		is.Equal(p.send(time.Second, send), errTermOver)
+		is.Equal(p.send(time.Now(), time.Second, send), errNotSent)
 		is.Equal(sent, 1)
 	})
 }
 
+// Guards against an order that is sent on what was known before the process was paused, though its term goes on.
+func TestOrderIsNotSentAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := bareCalls(t)
+		p.Term.until = time.Now().Add(time.Hour)
+		decided := time.Now()
+		time.Sleep(maxHoldUp + time.Millisecond)
+		is.Equal(p.send(decided, time.Second, func(context.Context) error { return nil }), errNotSent)
+	})
+}
+
+// Guards against a worker that has started anew and is told to forget the ends of its earlier life, after this process was paused: the
+// ends of its new life have the same numbers, and tasks that were done ran twice (soak, seed 4111).
+func TestNothingIsForgottenByAWorkerThatWasNotHeardOfLately(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, settle := bareCalls(t)
+		p.Term.until = time.Now().Add(time.Hour)
+		p.Metrics = &metrics.Set{}
+		var orders []LookOrder
+		p.Workers.Look = func(_ context.Context, _ Target, o LookOrder) (View, error) {
+			orders = append(orders, o)
+			return View{}, errors.New("no answer")
+		}
+		w := &workerState{advert: Advert{ID: "w", Address: "w"}, runs: map[string]*run{}, listed: true, known: true, clock: 1, seen: 40}
+		w.answered = time.Now()
+		p.look(w, time.Now())
+		settle()
+		w.failing = time.Time{}
+		time.Sleep(maxHoldUp + time.Millisecond)
+		p.look(w, time.Now())
+		settle()
+		is.Equal(len(orders), 2)
+		is.Equal(orders[0].Noted, int64(40))
+		is.Equal(orders[1].Noted, int64(0))
+		is.Equal(orders[1].Wait, time.Duration(0))
+	})
+}
+
 // Guards against commits that wait behind looks, and against calls that are forgotten when their class is full.
 func TestFullClassHoldsUpNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -95,3 +137,33 @@
 		is.Equal(len(p.jobs)+len(p.active)+len(p.dirty)+len(p.waiters), 0)
 	})
 }
+
+// Guards against an answer of a worker's earlier life that is read after one of its new life, as when this process was paused: its ends
+// have numbers that the new life has not reached, which was then told to forget ends that nobody had taken in, and tasks ran twice
+// (soak, seed 4111).
+func TestAnswerOfAnEarlierLifeIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p, _ := bareCalls(t)
+		p.Metrics, p.breaker = &metrics.Set{}, breaker.New()
+		w := &workerState{advert: Advert{ID: "w", Address: "w"}, runs: map[string]*run{}, listed: true}
+		sent := p.Clock.Now()
+		earlier := View{Answer: Answer{Born: 1, Clock: WorkerTime(time.Hour)}, Ends: []End{{Number: 40, Task: "j.0.0.0", Run: 1, How: EndStopped}}}
+		p.looked(w, sent, LookOrder{}, View{Answer: Answer{Born: 2, Clock: WorkerTime(time.Second)}}, nil)
+		p.looked(w, sent, LookOrder{}, earlier, nil)
+		is.Equal(w.seen, int64(0))
+		is.Equal(w.clock, WorkerTime(time.Second))
+		// A start that the earlier life confirmed has ended with it; one that may have been carried out twice has not for certain.
+		for _, doubtful := range []bool{false, true} {
+			j := newJobState(workload.Record{Job: workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 1}}}}, time.Now())
+			j.record.Progress = *workload.NewProgress(&j.record.Job)
+			p.jobs, p.dirty = map[string]*jobState{"j": j}, map[*jobState]bool{}
+			g := &group{job: j}
+			r := p.newRun(g, workload.TaskID{Job: "j"}, 1, w)
+			r.phase, r.doubtful = runOrdered, doubtful
+			p.startAnswered(r, sent, earlier.Answer, nil)
+			is.Equal(r.ended, !doubtful)
+			is.True(r.phase != runRunning)
+		}
+	})
+}
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -25,9 +25,16 @@
 	shortLook = 100 * time.Millisecond
 )
 
-// heard takes in an answer of a worker.
-func (p *Planner) heard(w *workerState, a Answer) {
+// heard takes in an answer of a worker. It reports false, and takes in nothing, if the answer comes from an earlier life of the
+// worker: answers overtake each other, above all when this process was held up.
+func (p *Planner) heard(w *workerState, a Answer) bool {
 	now := p.Clock.Now()
+	if a.Born != 0 && a.Born < w.born {
+		p.Log.Event("answer-outdated", "worker", w.id(), "born", a.Born, "known", w.born)
+		w.nextLook = now
+		p.attend(w)
+		return false
+	}
 	if !w.failing.IsZero() {
 		p.Log.Event("worker-regained", "worker", w.id(), "after", now.Sub(w.failing))
 		w.failing = time.Time{}
@@ -40,6 +47,7 @@
 		w.clock, w.clockAt = a.Clock, now
 	}
 	p.takeDraining(w, a.Draining, a.Left)
+	return true
 }
 
 // unheard takes in that a call got no answer. A worker that has answered another call since is not silent.
@@ -196,11 +204,15 @@
 	w.looking, w.overdue = true, time.Time{}
 	w.looks++
 	number := w.looks
-	target := Target{ID: w.id(), Address: w.advert.Address}
+	target, answered := Target{ID: w.id(), Address: w.advert.Address}, w.answered
 	p.Metrics.Add(metrics.Looks, 1)
 	p.call(classLook, func() func() {
+		if order.Noted != 0 && p.Clock.Since(answered) > maxHoldUp {
+			// The worker may have started anew meanwhile, and would forget ends of its new life.
+			order.Noted, order.Wait = 0, 0
+		}
 		var view View
-		err := p.send(order.Wait+lookTimeout, func(ctx context.Context) (err error) {
+		err := p.send(now, order.Wait+lookTimeout, func(ctx context.Context) (err error) {
 			view, err = p.Workers.Look(ctx, target, order)
 			return err
 		})
@@ -228,7 +240,7 @@
 	now, asked := p.Clock.Now(), w.born
 	w.nextLook = now
 	p.attend(w)
-	if errors.Is(err, errTermOver) {
+	if errors.Is(err, errNotSent) {
 		return
 	}
 	if err != nil {
@@ -238,12 +250,16 @@
 			p.unheard(w, sent)
 			return
 		}
-		p.heard(w, refused.Answer)
+		if !p.heard(w, refused.Answer) {
+			return
+		}
 		p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
 		p.takeRefusal(w, refused.Reason)
 		return
 	}
-	p.heard(w, view.Answer)
+	if !p.heard(w, view.Answer) {
+		return
+	}
 	if !w.known {
 		w.known = true
 		p.replan = true
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -66,7 +66,7 @@
 	p.attend(w)
 	p.call(classOrder, func() func() {
 		var answer Answer
-		err := p.send(orderTimeout, func(ctx context.Context) (err error) {
+		err := p.send(from, orderTimeout, func(ctx context.Context) (err error) {
 			answer, err = p.Workers.Start(ctx, target, order)
 			return err
 		})
@@ -89,7 +89,7 @@
 
 func (p *Planner) startAnswered(r *run, from time.Time, answer Answer, err error) {
 	r.ordering = false
-	if errors.Is(err, errTermOver) {
+	if errors.Is(err, errNotSent) {
 		p.startNotSent(r)
 		return
 	}
@@ -98,13 +98,18 @@
 	var refused *ErrRefused
 	switch {
 	case err == nil:
-		p.heard(w, answer)
-		if !r.ended {
+		switch current := p.heard(w, answer); {
+		case r.ended:
+		case current:
 			p.takePresent(r)
+		case !r.doubtful:
+			// The run has ended with the life that confirmed it.
+			p.endRun(r, EndLapsed, "")
 		}
 	case errors.As(err, &refused):
-		p.heard(w, refused.Answer)
-		p.startRefused(r, refused.Reason)
+		if p.heard(w, refused.Answer) || !r.doubtful {
+			p.startRefused(r, refused.Reason)
+		}
 	default:
 		p.Metrics.Add(metrics.OrdersUnanswered, 1)
 		p.Log.Event("start-unanswered", "task", r.name, "run", r.number, "worker", w.id(), "try", r.attempts, "error", err)
@@ -207,7 +212,7 @@
 	order := StopOrder{Task: r.name, Run: r.number, Fence: p.Term.Fence()}
 	p.call(classOrder, func() func() {
 		var answer Answer
-		err := p.send(orderTimeout, func(ctx context.Context) (err error) {
+		err := p.send(now, orderTimeout, func(ctx context.Context) (err error) {
 			answer, err = p.Workers.Stop(ctx, target, order)
 			return err
 		})
@@ -221,10 +226,13 @@
 	p.attend(w)
 	var refused *ErrRefused
 	switch {
-	case errors.Is(err, errTermOver):
+	case errors.Is(err, errNotSent):
 		r.stopSent = time.Time{}
 	case err == nil:
-		p.heard(w, answer)
+		if !p.heard(w, answer) {
+			r.stopSent = time.Time{}
+			break
+		}
 		if !r.ended && (r.phase == runOrdered || r.phase == runInherited) {
 			// From now on the worker refuses the run if it arrives late. The next look tells whether it was there.
 			r.phase, r.present = runRunning, p.Clock.Now()
@@ -234,7 +242,10 @@
 			w.overdue = p.Clock.Now().Add(p.Bounds.StopGrace + stopSlack)
 		}
 	case errors.As(err, &refused):
-		p.heard(w, refused.Answer)
+		if !p.heard(w, refused.Answer) {
+			r.stopSent = time.Time{}
+			break
+		}
 		p.Log.Event("stop-refused", "task", r.name, "run", r.number, "worker", w.id(), "reason", refused.Reason)
 		p.takeRefusal(w, refused.Reason)
 	default:
@@ -251,8 +262,9 @@
 	}
 	target := Target{ID: w.id(), Address: w.advert.Address}
 	order := StopOrder{Task: task, Run: number, Fence: p.Term.Fence()}
+	now := p.Clock.Now()
 	p.call(classOrder, func() func() {
-		err := p.send(orderTimeout, func(ctx context.Context) error {
+		err := p.send(now, orderTimeout, func(ctx context.Context) error {
 			_, err := p.Workers.Stop(ctx, target, order)
 			return err
 		})
