Give commits places of their own, apart from reads of single jobs

Cause, found by reading: sixteen reads of jobs that other entry VMs had marked could take all places of the store's calls for 5 s while the store was silent to them, and commits waited behind. Change: reads have a class of their own. Test: TestFullClassHoldsUpNoOther now also fills the places of reads.

--- a/engine/calls.go
+++ b/engine/calls.go
@@ -14,8 +14,10 @@
 type callClass int
 
 const (
-	// classStore is for commits, and for reads of single jobs.
-	classStore callClass = iota
+	// classCommit is for commits.
+	classCommit callClass = iota
+	// classRead is for reads of single jobs.
+	classRead
 	// classOrder is for starts and stops.
 	classOrder
 	// classLook is for looks, of which each worker has one under way at most.
@@ -25,7 +27,7 @@
 
 // callPlaces bounds the calls of each class that are under way. A look holds its place for as long as a worker waits, so there
 // are places for more workers than a planner has in the plans of the users (1,400).
-var callPlaces = [callClasses]int{classStore: 16, classOrder: 1024, classLook: 8192}
+var callPlaces = [callClasses]int{classCommit: maxCommits, classRead: 16, classOrder: 1024, classLook: 8192}
 
 // maxHoldUp is how long ago an order may have been decided when it is sent; a process that is not paused takes a few milliseconds.
 const maxHoldUp = 500 * time.Millisecond
--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -87,7 +87,7 @@
 	})
 }
 
-// Guards against commits that wait behind looks, and against calls that are forgotten when their class is full.
+// Guards against commits that wait behind looks or behind reads of a silent store, and against calls that are forgotten when their class is full.
 func TestFullClassHoldsUpNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -99,7 +99,13 @@
 				return func() { looks++ }
 			})
 		}
-		p.call(classStore, func() func() { return func() { commits++ } })
+		for range callPlaces[classRead] + 1 {
+			p.call(classRead, func() func() {
+				time.Sleep(time.Second)
+				return func() {}
+			})
+		}
+		p.call(classCommit, func() func() { return func() { commits++ } })
 		settle()
 		is.Equal(commits, 1)
 		time.Sleep(time.Second)
@@ -116,7 +122,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p, settle := bareCalls(t)
-		p.call(classStore, func() func() { panic("unexpected") })
+		p.call(classCommit, func() func() { panic("unexpected") })
 		settle()
 		var deposed *ErrDeposed
 		is.True(errors.As(p.deposed, &deposed))
--- a/engine/commit.go
+++ b/engine/commit.go
@@ -139,7 +139,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, commitTimeout)
 	p.commits = append(p.commits, sentCommit{sent: now, drop: cancel})
 	p.deleting = p.deleting || len(deletes) > 0
-	p.call(classStore, func() func() {
+	p.call(classCommit, func() func() {
 		defer cancel()
 		revision, err := p.Store.Commit(ctx, t)
 		return func() { p.committed(now, entries, len(deletes), revision, err) }
--- a/engine/load.go
+++ b/engine/load.go
@@ -163,7 +163,7 @@
 		p.applyMarker(j, m, item.Key)
 		return
 	}
-	p.call(classStore, func() func() {
+	p.call(classRead, func() func() {
 		ctx, cancel := context.WithTimeout(p.ctx, loadTimeout)
 		defer cancel()
 		record, err := p.Store.Get(ctx, jobPrefix+id)
