Let any task that a worker completes end its first quarantine

Change: a worker that completes any task does not fail all it starts, and is used again at once. Test: TestAnySuccessEndsTheQuarantine; TestGangsOutliveWorkersThatFailAllTheyStart still passes.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -23,6 +23,8 @@
 	// Quarantine is the first quarantine; each failed probe doubles it up to Maximum.
 	Quarantine time.Duration
 	Maximum    time.Duration
+	// AnySuccess means that any task that a worker completes ends its quarantine, not only the probe's.
+	AnySuccess bool
 
 	workers map[string]*state
 }
@@ -97,7 +99,7 @@
 	if s == nil {
 		return
 	}
-	if s.length == 0 || s.probing && s.probe == key {
+	if s.length == 0 || b.AnySuccess || s.probing && s.probe == key {
 		delete(b.workers, worker)
 	}
 }
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -26,6 +26,17 @@
 
 func key(i int) job.Key { return job.Key{Organisation: "org", ID: fmt.Sprint(i)} }
 
+// Guards against a sound worker that is kept from work after a job has failed on it by its own fault, though others complete there.
+func TestAnySuccessEndsTheQuarantine(t *testing.T) {
+	is := is.New(t)
+	b, now := New(), time.Unix(1000, 0)
+	b.Failures, b.AnySuccess = 1, true
+	b.Failed(now, "w", key(1))
+	is.True(!b.Allowed(now, "w", true))
+	b.Succeeded("w", key(2))
+	is.True(b.Allowed(now, "w", true))
+}
+
 // Guards against wrong lengths of the quarantine, more than one probe, and probes that are not idempotent.
 func TestQuarantine(t *testing.T) {
 	is := is.New(t)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -140,7 +140,8 @@
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker, p.fleets = breaker.New(), map[string]*fleet{}
-	p.breaker.Failures, p.breaker.Quarantine = failuresOfWorker, firstQuarantine
+	// A job may fail by its own fault; a worker that completes anything does not fail all it starts.
+	p.breaker.Failures, p.breaker.Quarantine, p.breaker.AnySuccess = failuresOfWorker, firstQuarantine, true
 	done := make(chan error, 1)
 	go func() {
 		err := p.loop(ctx)
