End calls by their context alone, also with a clock of their own

Change: calls and dials end by the context's end only; whether it has ended is asked without waiting.

--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -59,8 +59,11 @@
 	c.pool.put(connection, reusable)
 	switch {
 	case err != nil:
-		if ended := ctx.Err(); ended != nil {
-			err = ended
+		select {
+		case <-ctx.Done():
+			err = ctx.Err()
+		default:
+			// A context of a fake clock has no error to ask for before it ends.
 		}
 		if errors.Is(err, context.DeadlineExceeded) {
 			// The idle connections may have gone silent with this one.
@@ -77,12 +80,7 @@
 
 // exchange writes a request and reads its reply. It ends when ctx does.
 func exchange(ctx context.Context, c *connection, request *http.Request) (status int, body []byte, reusable bool, err error) {
-	// The zero time is no deadline.
-	deadline, _ := ctx.Deadline()
-	if err := c.SetDeadline(deadline); err != nil {
-		return 0, nil, false, err
-	}
-	// A call that is given up ends by a deadline that has passed.
+	// A call that is given up ends by a deadline that has passed. The deadline of ctx itself may be one of a clock of its own.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer func() { reusable = stop() && reusable }()
 	w, _ := writers.Get().(*bufio.Writer)
--- a/jsonhttp/pool.go
+++ b/jsonhttp/pool.go
@@ -66,7 +66,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := (&net.Dialer{Timeout: p.dialTimeout}).DialContext(ctx, "tcp", p.address)
+	raw, err := (&net.Dialer{Timeout: p.dialTimeout}).DialContext(undated{ctx}, "tcp", p.address)
 	if err != nil {
 		p.leave()
 		return nil, errors.WithStack(err)
@@ -74,6 +74,13 @@
 	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readerSize)}, nil
 }
 
+// undated hides the deadline of a context from a dialer, which would compare it with the time of day; it may be one of another clock.
+// The context still ends the dial.
+type undated struct{ context.Context }
+
+// Deadline implements context.Context.
+func (undated) Deadline() (time.Time, bool) { return time.Time{}, false }
+
 func (p *pool) takeIdle() *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -155,10 +162,6 @@
 	if err != nil {
 		return false
 	}
-	// The deadline of the last call may have passed, which would fail the check.
-	if err := c.SetDeadline(time.Time{}); err != nil {
-		return false
-	}
 	silent := false
 	err = control.Read(func(fd uintptr) bool {
 		var b [1]byte
