Say once when a job was not sent, a worker is gone and an answer is late; leave guarantees to policy

Found by reading the whole change: the condition under which a job can still be turned away stood in four places, the end of a worker's listing in three, the time after which an answer counts as late in two, and the load of two tests twice. The engine left out groups that a guarantee covers, which policy decides already (yieldsTo); it now hands them over as such. An election's channel delivered why an ordinary term had ended, which was logged as a failed election; it delivers a stuck planner only. Otherwise the behaviour is the same, and the tests keep their assertions.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -89,18 +89,23 @@
 func (p *Planner) dropLostCommits() {
 	now := p.Clock.Now()
 	for _, c := range p.commits {
-		if c.sent.Before(p.answered) && now.Sub(c.sent) > max(lostAfter, suspectFactor*p.commitTime) {
+		if c.sent.Before(p.answered) && now.Sub(c.sent) > p.longerThanUsual(lostAfter) {
 			c.drop()
 		}
 	}
 }
 
+// longerThanUsual returns the time after which an answer is awaited for much longer than others were lately.
+func (p *Planner) longerThanUsual(least time.Duration) time.Duration {
+	return max(least, suspectFactor*p.commitTime)
+}
+
 // storeSuspect reports whether a commit waits for its answer for much longer than others lately, and none after it was answered. New
 // jobs are kept back then: those that were sent to a store that has gone silent are neither accepted nor refused for certain.
 func (p *Planner) storeSuspect(now time.Time) bool {
 	for _, c := range p.commits {
 		if c.sent.After(p.answered) {
-			return now.Sub(c.sent) > max(suspectAfter, suspectFactor*p.commitTime)
+			return now.Sub(c.sent) > p.longerThanUsual(suspectAfter)
 		}
 	}
 	return false
@@ -155,7 +160,7 @@
 	rank := make(map[*jobState]int, len(p.dirty))
 	suspect := p.storeSuspect(now)
 	for j := range p.dirty {
-		if j.writing || suspect && j.revision == 0 && !j.offered {
+		if j.writing || suspect && j.unsent() {
 			continue
 		}
 		jobs = append(jobs, j)
@@ -178,7 +183,7 @@
 func (p *Planner) dropUnencodable(j *jobState, err error) {
 	p.Log.Event("record-not-encoded", "job", j.id(), "queue", j.record.Job.Queue, "revision", j.revision, "error", err)
 	delete(p.dirty, j)
-	if j.revision == 0 && !j.offered {
+	if j.unsent() {
 		p.withdraw(j, Result{Verdict: VerdictRefused, Reason: err.Error()})
 	}
 }
@@ -214,9 +219,7 @@
 		// Commits after this one were answered, so only its answer is lost.
 		p.Log.Event("commit-unanswered", "jobs", len(entries), "after", now.Sub(sent), "error", err)
 		p.Metrics.Add(metrics.StoreErrors, 1)
-		for _, e := range entries {
-			e.job.offered = true
-		}
+		offer(entries)
 	default:
 		if p.storeFailing.IsZero() {
 			p.storeFailing = sent
@@ -225,14 +228,19 @@
 		p.Metrics.Add(metrics.StoreErrors, 1)
 		p.commitAfter, p.storeFailed = now.Add(commitRetry), now
 		if !IsErrNotDone(err) {
-			for _, e := range entries {
-				e.job.offered = true
-			}
+			offer(entries)
 		}
 		p.withdrawUnstored(now)
 	}
 }
 
+// offer notes that the store may have the jobs of a commit that got no answer.
+func offer(entries []entry) {
+	for _, e := range entries {
+		e.job.offered = true
+	}
+}
+
 // noteAnswered notes that a commit was answered that was sent at a time.
 func (p *Planner) noteAnswered(sent time.Time) {
 	if sent.After(p.answered) {
@@ -246,7 +254,7 @@
 		return
 	}
 	for _, j := range p.jobs {
-		if j.revision == 0 && !j.offered && !j.writing {
+		if j.unsent() {
 			p.withdraw(j, Result{Verdict: VerdictUnavailable, Reason: "the store does not answer"})
 		}
 	}
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -68,7 +68,8 @@
 		return
 	}
 	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.advert.Address, "runs", len(w.runs))
-	w.listed, w.unlisted, w.known, w.advert.Address = false, p.Clock.Now(), false, ""
+	w.unlist(p.Clock.Now())
+	w.known, w.advert.Address = false, ""
 	for _, r := range w.runs {
 		p.endRun(r, EndLapsed, r.checkpoint)
 	}
--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -78,15 +78,13 @@
 // addVictims tells each worker of the fleet which groups on it may be stopped for more urgent work.
 func (p *Planner) addVictims(f *fleet, now time.Time, guaranteed map[*jobState]bool) {
 	for _, j := range p.active {
-		if len(j.groups) == 0 || j.record.Job.Priority == 0 && guaranteed[j] {
-			// Nobody takes room from work that a guarantee covers.
-			continue
-		}
 		for _, g := range j.groups {
 			if !p.mayStop(g) {
 				continue
 			}
-			victim := &policy.Group{Priority: j.record.Job.Priority, Uses: make(map[string]workload.Resources, len(g.runs)), Handle: g}
+			victim := &policy.Group{
+				Priority: j.record.Job.Priority, Guaranteed: guaranteed[j], Uses: make(map[string]workload.Resources, len(g.runs)), Handle: g,
+			}
 			for _, r := range g.runs {
 				victim.Waste += p.waste(r, now)
 				id := r.worker.id()
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -140,7 +140,7 @@
 // withdrawAll turns away, when the planner ends, the jobs of which no write was sent or all were certainly refused.
 func (p *Planner) withdrawAll() {
 	for j := range p.waiters {
-		if j.revision == 0 && !j.offered && !j.writing {
+		if j.unsent() {
 			p.withdraw(j, Result{Verdict: VerdictUnavailable, Reason: errStopped.Error()})
 		}
 	}
--- a/engine/load.go
+++ b/engine/load.go
@@ -207,7 +207,7 @@
 	id := strings.TrimPrefix(item.Key, p.AdvertPrefix)
 	if item.Deleted {
 		if w, ok := p.workers[id]; ok && w.listed {
-			w.listed, w.unlisted = false, p.Clock.Now()
+			w.unlist(p.Clock.Now())
 			p.Log.Event("worker-unlisted", "worker", id, "runs", len(w.runs), "revision", item.Revision)
 		}
 		return
@@ -216,7 +216,7 @@
 	if err != nil {
 		p.Log.Event("advert-unreadable", "key", item.Key, "error", err)
 		if w, ok := p.workers[id]; ok {
-			w.listed, w.unlisted = false, p.Clock.Now()
+			w.unlist(p.Clock.Now())
 		}
 		return
 	}
--- a/engine/stall_test.go
+++ b/engine/stall_test.go
@@ -57,6 +57,34 @@
 	})
 }
 
+// acceptAll hands in jobs j0, j1 and so on at an interval, with the priorities in turn, without waiting for one before the next. It
+// requires that all are accepted, and returns how long each took.
+func (r *rig) acceptAll(p *engine.Planner, jobs int, interval time.Duration, priorities ...int) []time.Duration {
+	r.t.Helper()
+	type outcome struct {
+		verdict engine.Verdict
+		took    time.Duration
+	}
+	outcomes := make(chan outcome, jobs)
+	for i := range jobs {
+		id, priority := "j"+strconv.Itoa(i), priorities[i%len(priorities)]
+		r.Expect(id, single(1), time.Second)
+		go func() {
+			from := time.Now()
+			result := p.Submit(context.Background(), newJob(id, priority, single(1)))
+			outcomes <- outcome{verdict: result.Verdict, took: time.Since(from)}
+		}()
+		time.Sleep(interval)
+	}
+	took := make([]time.Duration, 0, jobs)
+	for range jobs {
+		o := <-outcomes
+		r.Equal(o.verdict, engine.VerdictAccepted)
+		took = append(took, o.took)
+	}
+	return took
+}
+
 // Guards against jobs that wait for a slow store one batch after the other: at the load of the users' largest deployment more
 // changes come up than one commit at a time takes, and callers gave up before their jobs were accepted.
 func TestSlowStoreTakesTheLoad(t *testing.T) {
@@ -65,26 +93,9 @@
 		r.AddWorkers("r1", 40)
 		p, stop := r.planner("a")
 		defer stop()
-		type outcome struct {
-			verdict engine.Verdict
-			took    time.Duration
-		}
-		const jobs, interval = 300, 10 * time.Millisecond
-		outcomes := make(chan outcome, jobs)
-		for i := range jobs {
-			id := "j" + strconv.Itoa(i)
-			r.Expect(id, single(1), time.Second)
-			go func() {
-				from := time.Now()
-				result := p.Submit(context.Background(), newJob(id, i%3, single(1)))
-				outcomes <- outcome{verdict: result.Verdict, took: time.Since(from)}
-			}()
-			time.Sleep(interval)
-		}
-		for range jobs {
-			o := <-outcomes
-			r.Equal(o.verdict, engine.VerdictAccepted)
-			r.True(o.took < time.Second)
+		const jobs = 300
+		for _, took := range r.acceptAll(p, jobs, 10*time.Millisecond, 0, 1, 2) {
+			r.True(took < time.Second)
 		}
 		for i := range jobs {
 			r.await(p, "j"+strconv.Itoa(i), workload.StateCompleted, 20*time.Second)
@@ -127,27 +138,10 @@
 		p, stop := r.plannerOf(8)
 		defer stop()
 		r.Store.SetLoseEvery(3)
-		const jobs, interval = 60, 20 * time.Millisecond
-		type outcome struct {
-			verdict engine.Verdict
-			took    time.Duration
-		}
-		outcomes := make(chan outcome, jobs)
-		for i := range jobs {
-			id := "j" + strconv.Itoa(i)
-			r.Expect(id, single(1), time.Second)
-			go func() {
-				from := time.Now()
-				result := p.Submit(context.Background(), newJob(id, 1, single(1)))
-				outcomes <- outcome{verdict: result.Verdict, took: time.Since(from)}
-			}()
-			time.Sleep(interval)
-		}
+		const jobs = 60
 		atOnce := 0
-		for range jobs {
-			o := <-outcomes
-			r.Equal(o.verdict, engine.VerdictAccepted)
-			if o.took < 100*time.Millisecond {
+		for _, took := range r.acceptAll(p, jobs, 20*time.Millisecond, 1) {
+			if took < 100*time.Millisecond {
 				atOnce++
 			}
 		}
--- a/engine/state.go
+++ b/engine/state.go
@@ -38,6 +38,9 @@
 	cancelledAt time.Time
 }
 
+// unsent reports whether the store certainly has not seen the job, so that it can still be turned away.
+func (j *jobState) unsent() bool { return j.revision == 0 && !j.offered && !j.writing }
+
 func (j *jobState) id() string { return j.record.Job.ID }
 
 func (j *jobState) state() workload.State { return j.record.Progress.State() }
@@ -162,6 +165,9 @@
 	unhealthyUntil time.Time
 }
 
+// unlist notes that the worker's entry is gone from the store, or names it no more.
+func (w *workerState) unlist(now time.Time) { w.listed, w.unlisted = false, now }
+
 func (w *workerState) id() string { return w.advert.ID }
 
 // used returns what runs hold on the worker, and what of it is being stopped.
--- a/front/election.go
+++ b/front/election.go
@@ -47,7 +47,7 @@
 	done := make(chan error, 1)
 	go func() {
 		var err error
-		for ctx.Err() == nil && !IsErrPlannerStuck(err) {
+		for ctx.Err() == nil && err == nil {
 			err = v.electOnce(ctx)
 		}
 		done <- err
@@ -169,7 +169,7 @@
 	}
 }
 
-// claim tries to become the planner and plans until the term is over. It returns why the term ended.
+// claim tries to become the planner and plans until the term is over. It fails only if the planner is stuck.
 func (v *VM) claim(ctx context.Context) error {
 	holder := engine.Holder{VM: v.Settings.Name, Address: v.Settings.PeersAddress, Boot: v.boot, Cores: v.Settings.Cores}
 	callCtx, cancel := context.WithTimeout(ctx, holderTimeout)
@@ -194,7 +194,10 @@
 		v.log.Event("term-not-ended", "error", err)
 	}
 	v.log.Event("planner-ended", "fence", term.Fence(), "reason", reason)
-	return reason
+	if IsErrPlannerStuck(reason) {
+		return reason
+	}
+	return nil
 }
 
 // plan runs the planner until its term is over, and returns why it ended.
