engine: ask a worker that was cut off again although it has no runs left

Cause: a worker that leaves a poll unanswered gets no runs until it answers, and it was polled only while it had runs. After a failure domain was cut off for longer than the lease, its workers' runs had ended, so nothing was asked of them any more: 11 of 48 workers stayed out of use until the planner changed. Change: a registered worker that did not answer is polled until it does. Test: TestWorkerIsUsedAgainAfterItsRunsLapsed, seen failing before.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -164,7 +164,8 @@
 		// The worker lists the same ends again until they are acknowledged, so it is polled only to renew its lease.
 		return len(w.runs) > 0 && p.Clock.Since(w.leaseRenewedAt) > renewInterval
 	}
-	if !w.fenced {
+	if !w.fenced || !w.failingSince.IsZero() {
+		// A worker gets no runs until it has answered, also when none is left on it.
 		return w.registered || len(w.runs) > 0
 	}
 	if w.lastEnd > w.acknowledgedEnd || w.orphanRuns > 0 {
--- /dev/null
+++ b/engine/regain_test.go
@@ -0,0 +1,25 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"clementinepier/standin/site"
+	"clementinepier/workload"
+)
+
+// Guards against a worker that stays out of use after it was cut off for longer than its lease: once its runs had ended, nothing
+// was left to ask it for, and it was never asked again.
+func TestWorkerIsUsedAgainAfterItsRunsLapsed(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.mustSubmit(p, "before", 1, singleTaskStep(8), 30*time.Second)
+		time.Sleep(time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.Silent = true })
+		time.Sleep(maxLease + 5*time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.Silent = false })
+		r.mustSubmit(p, "after", 0, singleTaskStep(8), time.Second)
+		r.waitForState(p, "after", workload.StateCompleted, 4*time.Second)
+	})
+}
