engine: suspend a term while the store is away instead of ending it

Cause: a planner whose lease could not be renewed gave up its state. The ends of work that finished in the outage were learned only then, so callers were told late. Change: without a renewed lease the term is suspended: no orders, no commits, leases not extended; workers are asked what they run and what has ended, which changes nothing there. If a later renewal succeeds, the planner's key was never free, and planning goes on; calls sent to the silent store are given up, and the watches ask at once. If the lease has ended, or a worker has seen a higher fence, the term ends as before. Stand-ins: the store can pause leases in an outage; the simulated site dates the end of a run by when it ended, not by the next call of a worker. Tests seen failing on the code before: TestPlannerContinuesAfterStoreOutage, TestTaskDoneInLongStoreOutageIsNotRepeated, TestCompletedJobIsToldDuringStoreOutage.

--- a/engine/calls.go
+++ b/engine/calls.go
@@ -107,6 +107,11 @@
 	if !p.holdsTerm() || p.Clock.Since(decided) > maxOrderAge {
 		return errNotSent
 	}
+	return p.sendQuery(decided, timeout, f)
+}
+
+// sendQuery makes a call that changes nothing at a worker.
+func (p *Planner) sendQuery(_ time.Time, timeout time.Duration, f func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
 	return f(ctx)
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -160,6 +160,9 @@
 
 // needsPoll reports whether there is something to learn from a worker or to report to it.
 func (p *Planner) needsPoll(w *workerState) bool {
+	if p.suspended {
+		return len(w.runs) > 0
+	}
 	if w.unstoredEnds > 0 {
 		// The worker lists the same ends again until they are acknowledged, so it is polled only to renew its lease.
 		return len(w.runs) > 0 && p.Clock.Since(w.leaseRenewedAt) > renewInterval
@@ -183,6 +186,13 @@
 func (p *Planner) pollRequest(w *workerState, now time.Time) PollRequest {
 	request := PollRequest{Fence: p.Term.Fence()}
 	unstored := w.unstoredEnds > 0
+	if p.suspended {
+		// Only what the worker reports is of use: leases are not extended without the term.
+		if !unstored && w.failingSince.IsZero() {
+			request.Wait = pollWait
+		}
+		return request
+	}
 	if w.lastEnd > w.acknowledgedEnd && w.failingSince.IsZero() && !unstored {
 		// A repeated acknowledgement would make a worker that has restarted discard ends of its new incarnation, so an end
 		// is acknowledged only until the worker has confirmed it.
@@ -216,7 +226,11 @@
 			request.Acknowledged, request.Wait = 0, 0
 		}
 		var response PollResponse
-		err := p.send(now, request.Wait+pollTimeout, func(ctx context.Context) (err error) {
+		send := p.send
+		if request.Until == 0 && request.Acknowledged == 0 {
+			send = p.sendQuery
+		}
+		err := send(now, request.Wait+pollTimeout, func(ctx context.Context) (err error) {
 			response, err = p.Workers.Poll(ctx, target, request)
 			return err
 		})
@@ -275,7 +289,11 @@
 		p.handleReportedEnd(w, e)
 	}
 	p.reconcile(w, sent, response)
-	if request.Wait == 0 && request.Until != 0 && len(response.Ends) == 0 {
+	switch {
+	case p.suspended && request.Wait == 0:
+		// The worker lists the same ends again until the store answers.
+		w.nextPoll = now.Add(pollRetryDelay)
+	case request.Wait == 0 && request.Until != 0 && len(response.Ends) == 0:
 		w.nextPoll = now.Add(immediatePollInterval)
 	}
 }
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -190,11 +190,15 @@
 func (p *Planner) State(ctx context.Context, id string) Result {
 	result := make(chan Result, 1)
 	err := p.do(ctx, func() {
+		j, known := p.jobs[id]
+		if known && p.suspended && p.surelyCompleted(j) {
+			result <- Result{Verdict: VerdictAccepted, State: workload.StateCompleted}
+			return
+		}
 		if !p.holdsTerm() {
 			result <- Result{Verdict: VerdictUnavailable, Reason: "the planner's lease is not renewed"}
 			return
 		}
-		j, known := p.jobs[id]
 		if !known {
 			result <- Result{Verdict: VerdictAbsent}
 			return
--- a/engine/load.go
+++ b/engine/load.go
@@ -265,8 +265,15 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		wait := watchWait
 		for ctx.Err() == nil {
-			revision = p.watchOnce(ctx, prefix, revision, handle)
+			var err error
+			if revision, err = p.watchOnce(ctx, prefix, revision, wait, handle); err != nil {
+				// Whether anything has changed meanwhile is needed at once: no run is started before.
+				wait = 0
+				continue
+			}
+			wait = watchWait
 		}
 	}()
 	return done
@@ -274,10 +281,11 @@
 
 // watchOnce waits for changes after a revision and returns the revision to continue from. If the store no longer has the
 // history, it lists the prefix again.
-func (p *Planner) watchOnce(ctx context.Context, prefix string, revision int64, handle func(Item)) int64 {
+func (p *Planner) watchOnce(ctx context.Context, prefix string, revision int64, wait time.Duration, handle func(Item)) (int64, error) {
 	start := p.Clock.Now()
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+watchTimeout)
-	events, next, err := p.Store.Watch(callCtx, prefix, revision, watchWait)
+	outage := p.outageEnd.Load()
+	callCtx, cancel := context.WithTimeout(outage.ctx, wait+watchTimeout)
+	events, next, err := p.Store.Watch(callCtx, prefix, revision, wait)
 	cancel()
 	if IsErrCompacted(err) {
 		events, next, err = p.relist(ctx, prefix)
@@ -289,13 +297,16 @@
 			p.Log.Event("watch-failed", "prefix", prefix, "after", revision, "error", err)
 		}
 		next, pause = revision, watchRetryDelay
+		if outage.ctx.Err() != nil {
+			pause = 0
+		}
 	default:
 		p.post(func() {
 			for _, e := range events {
 				handle(e)
 			}
 			if prefix == p.RegistrationPrefix {
-				p.registrationsKnownAt = p.knownAsOf(start, len(events) == 0)
+				p.registrationsKnownAt = knownAsOf(start, wait, len(events) == 0)
 			}
 		})
 	}
@@ -303,14 +314,14 @@
 	case <-ctx.Done():
 	case <-p.Clock.After(pause):
 	}
-	return next
+	return next, err
 }
 
 // knownAsOf returns the time up to which a watch that began at start has reported all changes. A watch without changes gets
 // its response when its wait is over.
-func (p *Planner) knownAsOf(start time.Time, timedOut bool) time.Time {
+func knownAsOf(start time.Time, wait time.Duration, timedOut bool) time.Time {
 	if timedOut {
-		return start.Add(watchWait)
+		return start.Add(wait)
 	}
 	return start
 }
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -62,6 +62,9 @@
 	Store     Store
 	Workers   Workers
 	Bounds    Bounds
+	// OthersLackStore reports whether every other entry VM has lately told that the store does not answer it, so that none can
+	// have become the planner while the term is suspended; nil means never.
+	OthersLackStore func() bool
 	// Term is the lease under which this process is the planner.
 	Term *Term
 	// Configuration returns the newest configuration; it is never nil.
@@ -119,6 +122,11 @@
 	// lastCommitFailure is when a commit last failed, and nextCommitAt is the earliest time of the next one.
 	lastCommitFailure time.Time
 	nextCommitAt      time.Time
+	// suspended is set while the term is suspended; see Term.Err.
+	suspended bool
+	// outageEnd is cancelled when the term continues after it was suspended, to end the watches that were sent to a store
+	// that did not answer.
+	outageEnd atomic.Pointer[outageEnd]
 	// planNeeded is set when something has changed that affects planning.
 	planNeeded bool
 	// nextPlanAt is when planning may run next; planScheduled is set while a timer for it runs.
@@ -146,6 +154,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p.calls, p.ctx, p.inbox = calls, ctx, newInbox()
 	p.ready = make(chan struct{})
+	p.outageEnd.Store(newOutageEnd(ctx))
 	p.started = p.Clock.Now()
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
@@ -241,8 +250,13 @@
 // runPass plans, commits and contacts workers, after the events of the pass were handled.
 func (p *Planner) runPass() {
 	if !p.holdsTerm() {
+		p.suspend()
+		p.contactWorkers()
 		return
 	}
+	if p.suspended {
+		p.resume()
+	}
 	p.planWhenDue()
 	p.flush()
 	p.contactWorkers()
@@ -273,6 +287,10 @@
 		p.lostTerm = err
 		return
 	}
+	if !p.holdsTerm() {
+		p.scheduleAllContacts()
+		return
+	}
 	p.sendDueStarts(now)
 	p.expireLeases(now)
 	p.stopStalledGroups(now)
@@ -282,6 +300,12 @@
 	p.planNeeded = true
 }
 
+// Serves reports whether the planner can accept jobs and is not about to lose contact with the store: half of its lease is
+// left. It does not wait for the control goroutine.
+func (p *Planner) Serves() bool {
+	return p.Clock.Now().Before(p.Term.Until().Add(-p.Term.length / 2))
+}
+
 // holdsTerm reports whether orders may be sent, because no other planner can have taken over yet.
 func (p *Planner) holdsTerm() bool {
 	return p.Clock.Now().Before(p.Term.Until().Add(-termMargin))
--- a/engine/random_test.go
+++ b/engine/random_test.go
@@ -22,7 +22,7 @@
 func TestRandomFailures(t *testing.T) {
 	for seed := uint64(1); seed <= randomSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			runInVirtualTime(t, func(r *rig) { runRandomScenario(r, rand.New(rand.NewPCG(seed, 0))) })
+			runInVirtualTime(t, func(r *rig) { runRandomScenario(r, rand.New(rand.NewPCG(seed, 0)), func(*scenario) {}) })
 		})
 	}
 }
@@ -38,13 +38,34 @@
 	cancelled    []string
 }
 
-func runRandomScenario(r *rig, random *rand.Rand) {
+// Guards against work that is repeated or lost when the store is away while workers fail, for shorter and longer than the
+// leases of workers, with and without a change of planner.
+func TestRandomFailuresWithStoreOutages(t *testing.T) {
+	for seed := uint64(1); seed <= randomSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				r.othersLackStore = func() bool { return true }
+				runRandomScenario(r, random, func(s *scenario) {
+					if random.IntN(6) == 0 {
+						s.loseStore()
+						s.replacePlannerIfLost()
+					}
+				})
+			})
+		})
+	}
+}
+
+// runRandomScenario plays random actions; between is called after each.
+func runRandomScenario(r *rig, random *rand.Rand, between func(s *scenario)) {
 	r.AddWorkers("r1", 3)
 	r.AddWorkers("r2", 3)
 	s := &scenario{rig: r, random: random}
 	s.replacePlanner()
 	for range 40 {
 		s.act()
+		between(s)
 		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
 	}
 	s.endFailures()
@@ -69,6 +90,14 @@
 	s.planner, s.stop = s.startPlanner(fmt.Sprintf("p%d", s.plannerCount))
 }
 
+// replacePlannerIfLost starts another planner if the present one has lost its term in an outage of the store.
+func (s *scenario) replacePlannerIfLost() {
+	time.Sleep(500 * time.Millisecond)
+	if !s.planner.Serves() {
+		s.replacePlanner()
+	}
+}
+
 // act performs one random action.
 func (s *scenario) act() {
 	ids := []string{"r1-w0", "r1-w1", "r1-w2", "r2-w0", "r2-w1", "r2-w2"}
@@ -126,6 +155,14 @@
 	}
 }
 
+// loseStore makes the store silent for a while.
+func (s *scenario) loseStore() {
+	s.Store.PauseLeases = s.random.IntN(2) == 0
+	s.Store.SetSilent(true)
+	time.Sleep(time.Duration(500+s.random.IntN(14000)) * time.Millisecond)
+	s.Store.SetSilent(false)
+}
+
 // endFailures ends all simulated failures.
 func (s *scenario) endFailures() {
 	s.Store.SetLoseWrites(false)
--- /dev/null
+++ b/engine/suspend.go
@@ -0,0 +1,64 @@
+package engine
+
+import (
+	"context"
+
+	"clementinepier/workload"
+)
+
+// outageEnd is a context that ends when the store answers again after the term was suspended.
+type outageEnd struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+func newOutageEnd(ctx context.Context) *outageEnd {
+	ctx, cancel := context.WithCancel(ctx)
+	return &outageEnd{ctx: ctx, cancel: cancel}
+}
+
+// suspend stops the planner's orders while it cannot renew its term. Nothing is forgotten: if no other planner is elected
+// meanwhile, which a successful renewal shows, planning continues where it stopped. Load pattern: all work of a site waits for
+// the first pass after an outage of the store.
+func (p *Planner) suspend() {
+	if p.suspended || p.Term.Err() != nil {
+		return
+	}
+	p.suspended = true
+	p.Log.Event("planner-suspended", "fence", p.Term.Fence(), "jobs", len(p.active), "store-failing", p.storeFailingSince)
+}
+
+// resume continues after the term was suspended. Calls that were sent to a store that did not answer are given up.
+func (p *Planner) resume() {
+	p.suspended = false
+	p.Log.Event("planner-resumed", "fence", p.Term.Fence(), "jobs", len(p.active), "commits", len(p.commitsInFlight))
+	p.outageEnd.Swap(newOutageEnd(p.ctx)).cancel()
+	for _, c := range p.commitsInFlight {
+		c.cancel()
+	}
+	p.planNeeded = true
+	p.scheduleAllContacts()
+}
+
+// surelyCompleted reports whether a job may be shown as completed while the store is away. All its tasks have ended as done. An
+// end that is not stored is also kept by its worker, which a successor would ask; so the worker must be there to stay, and no
+// successor may exist yet that cannot reach it. Load pattern: work that was running when the store went away ends, and its
+// callers ask for it.
+func (p *Planner) surelyCompleted(j *jobState) bool {
+	if j.state() != workload.StateCompleted {
+		return false
+	}
+	if j.storedChange >= j.lastChange {
+		return true
+	}
+	for _, steps := range j.record.Progress.Tasks {
+		for _, tasks := range steps {
+			for _, t := range tasks {
+				if w, ok := p.workers[t.Worker]; !ok || !w.registered || w.draining || !w.failingSince.IsZero() {
+					return false
+				}
+			}
+		}
+	}
+	return p.OthersLackStore != nil && p.OthersLackStore()
+}
--- /dev/null
+++ b/engine/suspend_test.go
@@ -0,0 +1,103 @@
+package engine_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"clementinepier/engine"
+	"clementinepier/standin/site"
+	"clementinepier/workload"
+)
+
+// Guards against a planner that gives everything up in an outage of the store in which nobody could succeed it. Work that ends
+// meanwhile frees its capacity, and waiting work has to start as soon as the store answers.
+func TestPlannerContinuesAfterStoreOutage(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.Store.PauseLeases = true
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.mustSubmit(p, "first", 1, singleTaskStep(8), 3*time.Second)
+		r.mustSubmit(p, "second", 1, singleTaskStep(8), time.Second)
+		time.Sleep(time.Second)
+		r.Store.SetSilent(true)
+		time.Sleep(4400 * time.Millisecond)
+		r.Equal(p.State(context.Background(), "second").Verdict, engine.VerdictUnavailable)
+		r.Store.SetSilent(false)
+		time.Sleep(250 * time.Millisecond)
+		r.Equal(len(r.WorkersRunning("second")), 1)
+		r.waitForState(p, "first", workload.StateCompleted, 100*time.Millisecond)
+		r.waitForState(p, "second", workload.StateCompleted, 2*time.Second)
+	})
+}
+
+// Guards against a task that is repeated because its worker's lease had ended before the store answered again: it was done
+// before that, and the worker says so when it is asked.
+func TestTaskDoneInLongStoreOutageIsNotRepeated(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.Store.PauseLeases = true
+		p, stop := r.startWithWorkers(2)
+		defer stop()
+		r.mustSubmit(p, "j1", 1, gangStep(2, 8), 3*time.Second)
+		time.Sleep(time.Second)
+		r.Store.SetSilent(true)
+		time.Sleep(maxLease + 8*time.Second)
+		r.Store.SetSilent(false)
+		r.waitForState(p, "j1", workload.StateCompleted, time.Second)
+		r.Equal(r.Worker("r1-w0").Starts+r.Worker("r1-w1").Starts, 2)
+	})
+}
+
+// Guards against a planner that goes on after its key was free: another one may have planned meanwhile.
+func TestSuspendedTermEndsWithItsLease(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.Store.SetSilent(true)
+		time.Sleep(3 * time.Second)
+		r.Store.SetSilent(false)
+		time.Sleep(time.Second)
+		r.True(!p.Serves())
+		r.Equal(p.Submit(context.Background(), newJob("j1", 0, singleTaskStep(1))).Verdict, engine.VerdictUnavailable)
+		successor, stopSuccessor := r.startPlanner("b")
+		defer stopSuccessor()
+		r.mustSubmit(successor, "j1", 0, singleTaskStep(1), time.Second)
+		r.waitForState(successor, "j1", workload.StateCompleted, 2*time.Second)
+	})
+}
+
+// Guards against callers who learn only after an outage of the store that their jobs were completed in it, and against telling
+// them so while the job could still be run again: by a planner that another entry VM may have become, or because the worker
+// leaves that alone knows of the end.
+func TestCompletedJobIsToldDuringStoreOutage(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		othersLackStore bool
+		change          func(w *site.Worker)
+		told            bool
+	}{
+		{"the store is silent to all", true, func(*site.Worker) {}, true},
+		{"another entry VM may reach the store", false, func(*site.Worker) {}, false},
+		{"the worker leaves", true, func(w *site.Worker) { w.Registration.Draining = true }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.Store.PauseLeases = true
+				r.othersLackStore = func() bool { return c.othersLackStore }
+				p, stop := r.startWithWorkers(1)
+				defer stop()
+				r.mustSubmit(p, "j1", 0, singleTaskStep(8), 2*time.Second)
+				time.Sleep(time.Second)
+				r.Store.SetSilent(true)
+				r.Set("r1-w0", c.change)
+				time.Sleep(1500 * time.Millisecond)
+				ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+				defer cancel()
+				r.Equal(p.State(ctx, "j1").State == workload.StateCompleted, c.told)
+				r.Store.SetSilent(false)
+				r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+				r.Equal(r.Worker("r1-w0").Starts, 1)
+			})
+		})
+	}
+}
--- a/engine/term.go
+++ b/engine/term.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -111,13 +110,11 @@
 	return t.until
 }
 
-// Err returns why the term has ended, or nil.
+// Err returns why the term has ended, or nil. A term whose lease could not be renewed in time is suspended, not ended: no
+// orders may be sent after Until. It continues if a later renewal succeeds, because then the planner's key was never free.
 func (t *Term) Err() error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.err == nil && !t.clock.Now().Before(t.until) {
-		t.err = &ErrLostTerm{Reason: fmt.Sprintf("the lease was not renewed in %s", t.length)}
-	}
 	return t.err
 }
 
@@ -188,6 +185,9 @@
 	case err == nil:
 		// The lease is extended from the arrival of the call, which cannot precede its sending.
 		if until := sent.Add(t.length); t.err == nil && until.After(t.until) {
+			if now := t.clock.Now(); now.After(t.until) && until.After(now) {
+				log.Event("term-resumed", "fence", t.key.Revision, "after", now.Sub(t.until))
+			}
 			t.until = until
 		}
 	case t.err != nil:
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -169,7 +169,7 @@
 			case from.IsZero() && now.Sub(run.started) > s.GangTimeout:
 				s.end(w, task, run, engine.EndIsolated)
 			case !from.IsZero() && !w.Stalled && !now.Before(end):
-				s.end(w, task, run, engine.EndDone)
+				s.endAt(w, task, run, engine.EndDone, end)
 			}
 		}
 	}
@@ -221,18 +221,24 @@
 
 // end ends a run. Unless the reason is done, the other members of its gang then end as broken.
 func (s *Site) end(w *Worker, task string, run *run, reason engine.EndReason) {
+	s.endAt(w, task, run, reason, time.Now())
+}
+
+// endAt is like end for a run that has ended earlier. Elapsed time is applied only when a worker is called, and whether the
+// lease lapsed after an end depends on the time of the end.
+func (s *Site) endAt(w *Worker, task string, run *run, reason engine.EndReason, at time.Time) {
 	if state, ok := s.gangStates[gangRun{job: strings.SplitN(task, ".", 2)[0], number: run.number}]; ok && reason != engine.EndDone {
 		state.broken = true
 	}
-	w.end(task, run, reason)
+	w.end(task, run, reason, at)
 }
 
-func (w *Worker) end(task string, run *run, reason engine.EndReason) {
+func (w *Worker) end(task string, run *run, reason engine.EndReason, at time.Time) {
 	delete(w.runs, task)
 	w.endCount++
 	w.lastEnded[task] = max(w.lastEnded[task], run.number)
 	w.ends = append(w.ends, engine.RunEnd{Number: w.endCount, Task: task, Run: run.number, Reason: reason})
-	w.endTimes = append(w.endTimes, time.Now())
+	w.endTimes = append(w.endTimes, at)
 }
 
 // acknowledgeEnds removes the ended runs up to the acknowledged number. An end with reason done counts unless the worker's lease
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -30,6 +30,9 @@
 	RenewalDelay time.Duration
 	// CommitDelay is the extra duration of a commit compared with other calls. Set it before the first one.
 	CommitDelay time.Duration
+	// PauseLeases keeps leases from running out while the store is silent; otherwise they run out as usual. Set it before the
+	// store is silent.
+	PauseLeases bool
 
 	mu         sync.Mutex
 	items      map[string]engine.Item
@@ -38,8 +41,9 @@
 	leaseByKey map[string]int64
 	history    []engine.Item
 	revision   int64
-	// silent makes every call time out without effect.
-	silent bool
+	// silent makes every call time out without effect. silentSince is when that began.
+	silent      bool
+	silentSince time.Time
 	// loseWrites makes commits take effect and return ErrUnanswered.
 	loseWrites bool
 	// refusing makes commits fail without effect.
@@ -297,5 +301,15 @@
 func (s *Store) SetSilent(silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	switch {
+	case silent && !s.silent:
+		s.silentSince = time.Now()
+	case !silent && s.silent && s.PauseLeases:
+		for id, end := range s.leases {
+			if end.After(s.silentSince) {
+				s.leases[id] = end.Add(time.Since(s.silentSince))
+			}
+		}
+	}
 	s.silent = silent
 }
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -52,6 +52,6 @@
 // EndAll ends every run of the worker.
 func (w *Worker) EndAll(reason engine.EndReason) {
 	for task, r := range w.runs {
-		w.end(task, r, reason)
+		w.end(task, r, reason, time.Now())
 	}
 }
