front: readiness follows the reach of planner and store

Cause: an entry VM in a cut-off failure domain noticed the silent store after 1.2 to 1.6 s, was ready for 1.2 s more and then for two probes of the load balancer: the callers of a domain cut off for 6 s were sent to it for nearly 5 s, although the balancer would connect them to other domains. Each refused try stayed on its connection. Change: every 0.4 s each entry VM asks the planner, and the store if the planner does not serve. One that reaches neither is not ready, and its replies end their connections, so that a caller's next try reaches another VM. One that the store refuses and the planner serves is ready now. The probe tells the planner whether the store is silent to the VM, which is what a suspended planner needs to show jobs as completed. The read of a job's state from the store takes 0.5 s at most, so that callers ask again.

--- a/front/peers.go
+++ b/front/peers.go
@@ -164,6 +164,15 @@
 		peer.KindWaiting: plannerHandler(v, func(ctx context.Context, p *engine.Planner, queue string) engine.Result {
 			return p.Waiting(ctx, queue)
 		}),
+		peer.KindProbe: func(_ context.Context, from peer.Identity, body []byte) (any, error) {
+			var storeSilent bool
+			if err := codec.Unmarshal(body, &storeSilent); err != nil {
+				return nil, &peer.ErrRefused{Code: job.CodeBadRequest, Detail: err.Error()}
+			}
+			v.storeReports.record(from.VM, v.Clock.Now(), storeSilent)
+			p := v.planner.Load()
+			return p != nil && p.Serves(), nil
+		},
 		peer.KindYield: plannerHandler(v, func(_ context.Context, _ *engine.Planner, cores float64) engine.Result {
 			if cores > v.Settings.Cores {
 				select {
--- a/front/peers_test.go
+++ b/front/peers_test.go
@@ -24,7 +24,7 @@
 	t.Cleanup(cancel)
 	remote := &peer.Hub{
 		Self: peer.Identity{VM: "planner"}, Secrets: [][]byte{secret}, Clock: clockwork.NewRealClock(), Metrics: &metrics.Set{},
-		Handlers: map[peer.Kind]peer.Handler{peer.KindState: handler},
+		Handlers: map[peer.Kind]peer.Handler{peer.KindState: handler, peer.KindProbe: handler},
 	}
 	_, err := remote.Run(ctx)
 	is.NoErr(err)
--- a/front/receiver.go
+++ b/front/receiver.go
@@ -23,6 +23,9 @@
 	replyMargin = 250 * time.Millisecond
 	// plannerCallTimeout bounds a call to the planner; after it the call is served from the store.
 	plannerCallTimeout = 900 * time.Millisecond
+	// stateReadTimeout bounds the read of a job's state from the store. A slow store answers within it; a caller whose read is
+	// lost does better to ask again, since the planner may know that its job is completed.
+	stateReadTimeout = 500 * time.Millisecond
 	// linkOpenTimeout is how long a call waits for the link to the planner to open.
 	linkOpenTimeout = 150 * time.Millisecond
 	// linkPollInterval is how often a call that waits for the link is retried.
@@ -189,7 +192,11 @@
 				return engine.Result{Verdict: engine.VerdictUnavailable, Reason: "the planner does not answer"}
 			}))
 	}
-	direct := func(ctx context.Context) engine.Result { return r.Direct.State(ctx, id) }
+	direct := func(ctx context.Context) engine.Result {
+		ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, stateReadTimeout)
+		defer cancel()
+		return r.Direct.State(ctx, id)
+	}
 	result := r.callPlannerOrStore(ctx, id, peer.KindState, id,
 		func(ctx context.Context, p *engine.Planner) engine.Result { return p.State(ctx, id) }, direct)
 	if result.Verdict == engine.VerdictAbsent {
--- a/front/vm.go
+++ b/front/vm.go
@@ -59,8 +59,8 @@
 	OperatorPrefix     string
 	RegistrationPrefix string
 	DecodeRegistration func(key string, value []byte) (engine.Registration, error)
-	// NewServer returns the server for callers; leaving reports whether this entry VM is shutting down.
-	NewServer func(r *Receiver, leaving func() bool) Server
+	// NewServer returns the server for callers; ready reports whether callers should stay with this entry VM.
+	NewServer func(r *Receiver, ready func() bool) Server
 	// LinesDropped returns how many log lines were dropped because the log's reader was too slow.
 	LinesDropped func() int64
 	// Reload receives a signal when the settings file may have changed.
@@ -81,10 +81,13 @@
 	// stepDown requests that this process ends its term as the planner.
 	stepDown     chan struct{}
 	shuttingDown atomic.Bool
+	// reachable is whether the planner or the store answered the last check; see watchReach.
+	reachable atomic.Bool
 	// plannerUnresponsive is set from a call that the planner left unanswered until a probe has ended.
 	plannerUnresponsive atomic.Bool
 	// unresponsive passes the planner that left a call unanswered to probeUnresponsive.
 	unresponsive chan engine.Holder
+	storeReports storeReports
 	// storeFailingSince is when calls to the store began to fail, in Unix nanoseconds; 0 while they succeed.
 	storeFailingSince atomic.Int64
 }
@@ -108,10 +111,11 @@
 	if err != nil {
 		return err
 	}
-	server := v.NewServer(v.receiver(), v.shuttingDown.Load)
+	server := v.NewServer(v.receiver(), v.ready)
 	ended := []<-chan error{
 		server.Serve(listeners.callers), v.serveReady(listeners.ready), v.serveMetrics(listeners.metrics),
 		v.servePeers(work, listeners.peers), v.followDocuments(work), v.watchSettings(work), v.probeUnresponsive(work),
+		v.watchReach(work),
 	}
 	elections, endElections := context.WithCancel(work)
 	defer endElections()
@@ -237,10 +241,10 @@
 
 // ready reports whether the load balancer should send callers to this entry VM.
 func (v *VM) ready() bool {
-	return !v.shuttingDown.Load() && v.configuration.Load() != nil && v.storeAvailable()
+	return !v.shuttingDown.Load() && v.configuration.Load() != nil && v.reachable.Load()
 }
 
-// maxStoreFailureTime is how long calls to the store may fail before this entry VM is not ready.
+// maxStoreFailureTime is how long calls to the store may fail before callers' requests are no longer served from it.
 const maxStoreFailureTime = 1200 * time.Millisecond
 
 // RecordStoreResult records whether a call to the store failed. Cancelled calls do not count.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -33,6 +33,8 @@
 	KindWaiting Kind = "waiting-jobs"
 	// KindYield asks a planner on a small entry VM to step down in favour of a larger one.
 	KindYield Kind = "yield"
+	// KindProbe asks whether the called entry VM is the planner and can accept jobs.
+	KindProbe Kind = "probe-planner"
 )
 
 // frame is one message on a link: a call, or a reply, which has Reply set and the ID of its call.
