engine: renew all leases before a suspension and at once after it

Cause: a poll extends the lease of its worker when it is sent and lasts up to 2 s. In an outage of the store the last extension could be a whole poll old when the term was suspended, and after the outage the poll in flight, which extends nothing, was awaited first: runs ended with their leases around the end of an outage that was shorter than the leases. Change: while the term lasts but is not being renewed, the leases of all workers with runs are extended once more; a planner that resumes polls every worker at once. Test: TestRunsOutlastStoreOutageShorterThanTheirLeases, seen failing without the one and without the other.

--- a/engine/planner.go
+++ b/engine/planner.go
@@ -291,6 +291,9 @@
 		p.scheduleAllContacts()
 		return
 	}
+	if !p.Serves() {
+		p.renewLeasesEarly(now)
+	}
 	p.sendDueStarts(now)
 	p.expireLeases(now)
 	p.stopStalledGroups(now)
--- a/engine/suspend.go
+++ b/engine/suspend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"clementinepier/workload"
 )
@@ -28,6 +29,18 @@
 	p.Log.Event("planner-suspended", "fence", p.Term.Fence(), "jobs", len(p.active), "store-failing", p.storeFailingSince)
 }
 
+// renewLeasesEarly extends the leases of all workers with runs while the term still lasts but is not being renewed. A lease is
+// otherwise renewed when the poll before has ended, and the runs of a worker would outlast an outage by up to a poll less. Load
+// pattern: an outage of the store about as long as the leases.
+func (p *Planner) renewLeasesEarly(now time.Time) {
+	for _, w := range p.workers {
+		if len(w.runs) > 0 && w.failingSince.IsZero() && now.Sub(w.leaseRenewedAt) > p.Term.length/2 {
+			w.polling, w.nextPoll = false, now
+			p.scheduleContact(w)
+		}
+	}
+}
+
 // resume continues after the term was suspended. Calls that were sent to a store that did not answer are given up.
 func (p *Planner) resume() {
 	p.suspended = false
@@ -37,7 +50,11 @@
 		c.cancel()
 	}
 	p.planNeeded = true
-	p.scheduleAllContacts()
+	for _, w := range p.workers {
+		// A poll that was sent without the term extends no lease, and takes up to 2 s.
+		w.polling, w.nextPoll = false, p.Clock.Now()
+		p.scheduleContact(w)
+	}
 }
 
 // surelyCompleted reports whether a job may be shown as completed while the store is away. All its tasks have ended as done. An
--- a/engine/suspend_test.go
+++ b/engine/suspend_test.go
@@ -101,3 +101,21 @@
 		})
 	}
 }
+
+// Guards against runs that end with their leases in an outage of the store that is shorter than the leases: a poll that began long
+// before the outage must not be the last renewal.
+func TestRunsOutlastStoreOutageShorterThanTheirLeases(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.Store.PauseLeases = true
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+		// The last poll before the outage was sent a second before it, and the next one would be after the suspension.
+		time.Sleep(3030 * time.Millisecond)
+		r.Store.SetSilent(true)
+		time.Sleep(maxLease - 500*time.Millisecond)
+		r.Store.SetSilent(false)
+		r.waitForState(p, "j1", workload.StateCompleted, 15*time.Second)
+		r.Equal(r.Worker("r1-w0").Starts, 1)
+	})
+}
