front: an entry VM of an earlier version may reach the store

Cause: found on reading the change: a VM that runs the version before sends no probes, so a suspended planner did not know of it and could take the store for silent to all, while that VM was the planner by then. Change: every call from another VM is noted; one that calls and does not report keeps jobs from being told early. Test: TestStoreCountsAsSilentToAllOnlyByFreshReports, the last case, seen failing before (the store counted as silent to all).

--- a/engine/calls.go
+++ b/engine/calls.go
@@ -110,7 +110,7 @@
 	return p.sendQuery(decided, timeout, f)
 }
 
-// sendQuery makes a call that changes nothing at a worker.
+// sendQuery makes a call that changes nothing at a worker, and so needs no term. It has the signature of send.
 func (p *Planner) sendQuery(_ time.Time, timeout time.Duration, f func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
--- a/front/peers.go
+++ b/front/peers.go
@@ -187,7 +187,8 @@
 
 // plannerHandler decodes a call and passes it to the planner of this process; without one it rejects the call.
 func plannerHandler[In any](v *VM, f func(context.Context, *engine.Planner, In) engine.Result) peer.Handler {
-	return func(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+	return func(ctx context.Context, from peer.Identity, body []byte) (any, error) {
+		v.storeReports.recordCall(from.VM, v.Clock.Now())
 		p := v.planner.Load()
 		if p == nil {
 			return nil, &peer.ErrRefused{Code: codeNotPlanner, Detail: "this entry VM is not the planner"}
--- a/front/reach.go
+++ b/front/reach.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// recordCall records a call of an entry VM that may not report on the store, because it runs an earlier version: the store may
+// answer it.
+func (s *storeReports) recordCall(vm string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, reports := s.byVM[vm]; !reports && s.byVM != nil {
+		s.byVM[vm] = storeReport{at: now}
+	}
+}
+
 // allSilent reports whether the store is silent to every entry VM that was heard of, by reports that are fresh. It is false
 // soon after the begin of the term, when some may not have been heard of yet.
 func (s *storeReports) allSilent(now time.Time) bool {
--- a/front/reach_test.go
+++ b/front/reach_test.go
@@ -62,7 +62,7 @@
 func TestStoreCountsAsSilentToAllOnlyByFreshReports(t *testing.T) {
 	is := is.New(t)
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	at := func(after time.Duration) time.Time { return start.Add(after) }
+	at := start.Add
 	var s storeReports
 	s.record("a", at(0), true)
 	is.True(!s.allSilent(at(time.Hour))) // this entry VM is not the planner
@@ -81,7 +81,10 @@
 	is.True(s.allSilent(at(80 * time.Second))) // b was removed
 	s.begin(at(90 * time.Second))
 	s.record("a", at(96*time.Second), true)
+	s.recordCall("a", at(96*time.Second))
 	is.True(s.allSilent(at(96 * time.Second)))
+	s.recordCall("c", at(96*time.Second))
+	is.True(!s.allSilent(at(96 * time.Second))) // c reports nothing: it runs an earlier version
 }
 
 // Guards against a malformed probe that counts as a report.
