--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +30,7 @@
 	"probe":         playProbe,
 	"leave":         playLeave,
 	"long-task":     playLongTask,
+	"late-start":    playLateStart,
 	"lasting":       playLasting,
 	"lasting-full":  playLastingFull,
 }
@@ -64,11 +67,14 @@
 
 // result plays a case, prints its outcome and returns the exit status.
 func (s *site) result(play func(*site, bool) error, trouble bool) int {
-	done := make(chan error, 1)
+	done, stop := make(chan error, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	go func() { done <- play(s, trouble) }()
 	var err error
 	select {
 	case err = <-done:
+	case got := <-stop:
+		err = fmt.Errorf("the case got a signal: %s", got)
 	case <-time.After(caseTimeout):
 		err = fmt.Errorf("the case took more than %s", caseTimeout)
 	}
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 )
 
@@ -40,6 +41,10 @@
 	vms     []*vm
 	servers []*http.Server
 	client  *http.Client
+	// failedOnce has the tasks with FailsOnceMs that have failed.
+	failedOnce sync.Map
+	// detour, if set, is put before each worker that is added.
+	detour *detour
 }
 
 // newSite starts the store; workers and VMs are added by the case.
@@ -88,7 +93,14 @@
 	if err != nil {
 		return err
 	}
-	w := &worker{id: fmt.Sprintf("i-%04d", number), address: address, service: service, zone: "zone-a", rack: fmt.Sprintf("r%d", number/4), site: s}
+	w := &worker{
+		id: fmt.Sprintf("i-%04d", number), address: address, public: address, service: service, zone: "zone-a", rack: fmt.Sprintf("r%d", number/4), site: s,
+	}
+	if s.detour != nil {
+		if err := s.detour.lay(w); err != nil {
+			return err
+		}
+	}
 	s.workers = append(s.workers, w)
 	return w.startLife(kind)
 }
@@ -178,3 +190,9 @@
 	}
 	return nil
 }
+
+// failsNow reports whether a task that fails once has not failed yet, and records that it has now.
+func (s *site) failsNow(name string) bool {
+	_, failed := s.failedOnce.LoadOrStore(name, true)
+	return !failed
+}
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -44,6 +44,8 @@
 	Label  string `json:",omitempty"`
 	// Fails makes the run end as failed.
 	Fails bool `json:",omitempty"`
+	// FailsOnceMs, unless 0, is the time after which the task's first run to get so far fails.
+	FailsOnceMs int64 `json:",omitempty"`
 	// Lasting makes the run last until it is stopped, but for the first runs of the tasks in FailsFirst, which end as failed after
 	// WorkMs.
 	Lasting    bool  `json:",omitempty"`
@@ -81,7 +83,9 @@
 // worker is a sound worker that does not check its room (AdmissionCheck is false). Its tasks are single ones, not gangs.
 type worker struct {
 	id, address, service, zone, rack string
-	site                             *site
+	// public is the address that the worker's entry tells: its own, or that of a proxy.
+	public string
+	site   *site
 
 	mu   sync.Mutex
 	kind workerKind
@@ -197,7 +201,7 @@
 	}
 	w.seq++
 	entry := map[string]any{
-		"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
+		"Service": w.service, "Address": w.public, "Zone": w.zone, "Version": "1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
 		"Sequence": w.seq, "Capacity": w.kind.capacity, "Labels": []string{w.kind.label, w.rack}, "born": w.born,
 	}
 	if !w.leavesAt.IsZero() {
@@ -228,7 +232,9 @@
 		case !r.stopAt.IsZero() && now.After(r.stopAt):
 			w.end(name, r, "stopped")
 		default:
-			if after, how := r.task.ending(name, r.number); how != "" && now.After(r.started.Add(after)) {
+			if once := time.Duration(r.task.FailsOnceMs) * time.Millisecond; once > 0 && now.After(r.started.Add(once)) && w.site.failsNow(name) {
+				w.end(name, r, "failed")
+			} else if after, how := r.task.ending(name, r.number); how != "" && now.After(r.started.Add(after)) {
 				w.end(name, r, how)
 			}
 		}
