engine: tasks that last or take long do not close their workers

A worker on which a run failed is quarantined, then one job tests it and no other is placed there until a run of that job ends. A task that lasts never does, and a task of an hour does so late. A run that has been at work for 3 s now lets go of its worker: a task that lasts ends the quarantine, any other opens the worker to another test, and its failure still extends the quarantine. 3 s is how long the rule lets a job wait beside idle workers.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -35,9 +35,19 @@
 	// quarantine is the length of the current quarantine, 0 for a worker that is not quarantined.
 	quarantine       time.Duration
 	quarantinedUntil time.Time
-	// probe is the request that tests a worker after its quarantine has ended.
-	probe   job.Key
-	probing bool
+	// probes has the requests that test the worker since its quarantine time has ended, and whether they still keep it from being given
+	// another one.
+	probes map[job.Key]bool
+}
+
+// closed reports whether a probe keeps the worker from being given another one.
+func (s *workerState) closed() bool {
+	for _, closes := range s.probes {
+		if closes {
+			return true
+		}
+	}
+	return false
 }
 
 // New returns a breaker with the default settings.
@@ -48,13 +58,13 @@
 }
 
 // Allowed reports whether a task of a request may be placed on the worker. After its quarantine has ended, a worker is given
-// one idempotent request at a time as a probe until one succeeds.
+// one idempotent request at a time as a probe until one succeeds. A probe that takes long does not delay the next; see RecordLongProbe.
 func (b *Breaker) Allowed(now time.Time, worker string, idempotent bool) bool {
 	s := b.workers[worker]
 	if s == nil || s.quarantine == 0 {
 		return true
 	}
-	return idempotent && !s.probing && !now.Before(s.quarantinedUntil)
+	return idempotent && !now.Before(s.quarantinedUntil) && !s.closed()
 }
 
 // Quarantined reports whether the worker is in quarantine, or its quarantine time has ended without a success since.
@@ -65,8 +75,23 @@
 
 // RecordStart makes the request the worker's probe if its quarantine time has ended and it has no probe yet.
 func (b *Breaker) RecordStart(now time.Time, worker string, key job.Key) {
-	if s := b.workers[worker]; s != nil && s.quarantine > 0 && !s.probing && !now.Before(s.quarantinedUntil) {
-		s.probing, s.probe = true, key
+	s := b.workers[worker]
+	if s == nil || s.quarantine == 0 || now.Before(s.quarantinedUntil) || s.closed() {
+		return
+	}
+	if s.probes == nil {
+		s.probes = map[job.Key]bool{}
+	}
+	s.probes[key] = true
+}
+
+// RecordLongProbe records that the request has run on the worker for long without an outcome. If it is a probe, the worker may be given
+// another one. Its failure still extends the quarantine.
+func (b *Breaker) RecordLongProbe(worker string, key job.Key) {
+	if s := b.workers[worker]; s != nil {
+		if _, probe := s.probes[key]; probe {
+			s.probes[key] = false
+		}
 	}
 }
 
@@ -77,9 +102,10 @@
 		s = &workerState{}
 		b.workers[worker] = s
 	}
+	_, probe := s.probes[key]
 	switch {
-	case s.quarantine > 0 && s.probing && s.probe == key:
-		s.probing = false
+	case probe:
+		s.probes = nil
 		s.quarantine = min(2*s.quarantine, b.MaxQuarantine)
 		s.quarantinedUntil = now.Add(s.quarantine)
 	case s.quarantine > 0 || slices.Contains(s.failedRequests, key):
@@ -99,15 +125,15 @@
 	if s == nil {
 		return
 	}
-	if s.quarantine == 0 || b.AnySuccessEndsQuarantine || s.probing && s.probe == key {
+	if _, probe := s.probes[key]; probe || s.quarantine == 0 || b.AnySuccessEndsQuarantine {
 		delete(b.workers, worker)
 	}
 }
 
 // RecordInconclusive records that the request ended on the worker without showing whether the worker is at fault.
 func (b *Breaker) RecordInconclusive(worker string, key job.Key) {
-	if s := b.workers[worker]; s != nil && s.probing && s.probe == key {
-		s.probing = false
+	if s := b.workers[worker]; s != nil {
+		delete(s.probes, key)
 	}
 }
 
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -66,6 +66,26 @@
 	is.True(b.Allowed(now, "w", false))
 }
 
+// Guards against a worker that gets no other request while its probe takes long, and against a long probe whose failure has no effect.
+func TestLongProbeDoesNotDelayNextProbe(t *testing.T) {
+	is := is.New(t)
+	b, now := New(), time.Unix(1000, 0)
+	b.FailureThreshold = 1
+	b.RecordFailure(now, "w", key(1))
+	now = now.Add(DefaultInitialQuarantine)
+	b.RecordStart(now, "w", key(2))
+	is.True(!b.Allowed(now, "w", true))
+	b.RecordLongProbe("w", key(1)) // is not a probe
+	is.True(!b.Allowed(now, "w", true))
+	b.RecordLongProbe("w", key(2))
+	is.True(b.Allowed(now, "w", true))
+	b.RecordStart(now, "w", key(3))
+	is.True(!b.Allowed(now, "w", true)) // one new probe at a time
+	b.RecordFailure(now, "w", key(2))
+	is.True(!b.Allowed(now.Add(2*DefaultInitialQuarantine-1), "w", true))
+	is.True(b.Allowed(now.Add(2*DefaultInitialQuarantine), "w", true))
+}
+
 // Guards against quarantines without three different failed requests in a row. The oracle looks at the whole history.
 func TestQuarantineNeedsConsecutiveFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/engine/health.go
+++ b/engine/health.go
@@ -17,6 +17,9 @@
 	failuresToQuarantine = 1
 	// firstQuarantine is the length of a worker's first quarantine; each failed probe doubles it.
 	firstQuarantine = 3 * time.Second
+	// conclusiveRunTime is how long a run that tests a worker may keep it closed to other work while it is at work. The users' rules let
+	// no job wait for longer beside idle workers.
+	conclusiveRunTime = 3 * time.Second
 	// maxBlamedFailures is how many workers one job may send into quarantine, so that a job that fails everywhere takes few
 	// workers out of service.
 	maxBlamedFailures = 2
@@ -43,6 +46,31 @@
 	}
 }
 
+// concludeProbes opens the workers that have been tested for long enough. Load pattern: tasks that last or take long, in a service in
+// which most workers have failed one.
+func (p *Planner) concludeProbes(now time.Time) {
+	for _, w := range p.workers {
+		if !p.breaker.Quarantined(w.id()) || !w.failingSince.IsZero() {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.phase != runRunning || r.stopRequested || r.concluded || now.Sub(r.confirmedAt) < conclusiveRunTime {
+				continue
+			}
+			r.concluded = true
+			j := r.group.job
+			p.Log.Event("worker-tested", "worker", w.id(), "task", r.name, "run", r.number, "at-work", now.Sub(r.confirmedAt), "lasts", r.group.step().LongRunning)
+			if r.group.step().LongRunning {
+				// A task that lasts is never done, so being at work is its success.
+				p.breaker.RecordSuccess(w.id(), breakerKey(j))
+			} else {
+				p.breaker.RecordLongProbe(w.id(), breakerKey(j))
+			}
+			p.planNeeded = true
+		}
+	}
+}
+
 func (p *Planner) stopIfStalled(now time.Time, g *group) {
 	if g.key.index < 0 && g.runningSince.IsZero() {
 		if now.Sub(g.startedAt) > p.Bounds.GangTimeout+gangTimeoutMargin && g.allRunning() {
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -301,6 +301,7 @@
 	p.sendDueStarts(now)
 	p.expireLeases(now)
 	p.stopStalledGroups(now)
+	p.concludeProbes(now)
 	p.moveOffDrainingWorkers(now)
 	p.deleteExpiredJobs()
 	p.scheduleAllContacts()
--- a/engine/state.go
+++ b/engine/state.go
@@ -147,7 +147,9 @@
 	// progressedAt is when the percentage last changed.
 	progressedAt time.Time
 	checkpoint   string
-	ended        bool
+	// concluded is set once the run no longer keeps its worker, which was quarantined, closed to other work.
+	concluded bool
+	ended     bool
 }
 
 // workerState is the planner's in-memory state of a worker, which runs on a backend server.
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -108,3 +108,12 @@
 		w.site.end(w, task, r, reason, time.Now())
 	}
 }
+
+// EndRunsOf ends the worker's runs of a job.
+func (w *Worker) EndRunsOf(job string, reason engine.EndReason) {
+	for task, r := range w.runs {
+		if jobOf(task) == job {
+			w.site.end(w, task, r, reason, time.Now())
+		}
+	}
+}
