engine, dispatch: a run that is removed no longer counts as the test of its worker

A job is placed before it is stored, and may be the one that tests a worker after its quarantine. When the store refused it, withdraw removed its runs without telling the breaker, which then waited for their end. Owners of racks had the same gap for the workers of a gang that failed on another worker, and for runs whose rack moved to another owner. All three tell the breaker now.

--- a/dispatch/finish.go
+++ b/dispatch/finish.go
@@ -51,9 +51,7 @@
 		r.startedAttempts++
 	}
 	if g.Result() != gang.ResultDone && g.Result() != gang.ResultFailed {
-		for _, name := range r.distinctWorkers() {
-			s.Breaker.RecordInconclusive(name, r.key())
-		}
+		r.recordInconclusive(s)
 	}
 	switch g.Result() {
 	case gang.ResultDone:
@@ -84,6 +82,8 @@
 	for _, name := range r.failedWorkers(g) {
 		s.Breaker.RecordFailure(now, name, r.key())
 	}
+	// The other workers of the gang have shown nothing.
+	r.recordInconclusive(s)
 	r.avoidWorkers = append(r.avoidWorkers, r.failedWorkers(g)...)
 	if r.request.Idempotent && r.requestKnown && !r.cancelled && r.failedAttempts < maxFailures && s.Retries.TryRetry() {
 		d.Metrics.Add(metrics.AttemptsRetried, 1)
@@ -96,6 +96,13 @@
 	})
 }
 
+// recordInconclusive records that the present attempt no longer tests the workers on which it has neither failed nor succeeded.
+func (r *run) recordInconclusive(s *board.State) {
+	for _, name := range r.distinctWorkers() {
+		s.Breaker.RecordInconclusive(name, r.key())
+	}
+}
+
 // failedWorkers returns the workers that made an attempt fail, or all of its workers when the gang names none.
 func (r *run) failedWorkers(g *gang.Gang) []string {
 	if names := g.FailedWorkers(); len(names) > 0 {
@@ -204,6 +211,7 @@
 		d.executeCommands(r, r.gang.Step(d.Clock.Now(), gang.Cancel{Code: job.CodeOwnerLost}))
 	}
 	d.releaseCapacity(s, r)
+	r.recordInconclusive(s)
 	d.removeRun(r, outcome)
 }
 
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -125,6 +125,7 @@
 			// Runs are started only after the job is stored, so none of these was.
 			r.ended = true
 			delete(r.worker.runs, r.name)
+			p.breaker.RecordInconclusive(r.worker.id(), breakerKey(j))
 		}
 	}
 	for _, result := range p.waiters[j] {
--- a/engine/probe_test.go
+++ b/engine/probe_test.go
@@ -93,3 +93,26 @@
 		r.waitForState(p, "short", workload.StateCompleted, 5*time.Second)
 	})
 }
+
+// Guards against a worker that is never used again because the job that was to test it after its quarantine was rejected, since the store
+// did not answer.
+func TestRejectedJobDoesNotCloseWorker(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		failing := newJob("failing", 1, singleTaskStep(1))
+		failing.MaxAttempts = 1
+		r.SetTaskProfile("failing", failing.Steps[0], 10*time.Second)
+		r.Equal(p.Submit(context.Background(), failing).Verdict, engine.VerdictAccepted)
+		time.Sleep(time.Second)
+		r.failRuns(r.IDs()[0], "failing")
+		time.Sleep(3500 * time.Millisecond)
+		r.Store.SetRefusing(true)
+		r.SetTaskProfile("next", singleTaskStep(1), time.Second)
+		r.Equal(p.Submit(context.Background(), newJob("next", 1, singleTaskStep(1))).Verdict, engine.VerdictUnavailable)
+		r.Store.SetRefusing(false)
+		time.Sleep(time.Second)
+		r.mustSubmit(p, "next", 1, singleTaskStep(1), time.Second)
+		r.waitForState(p, "next", workload.StateCompleted, 3*time.Second)
+	})
+}
