engine: verify entries that contradict the worker itself

An entry of another writer under the key of a live worker, with the service's name and a later start time or another address, made the planner start the worker's tasks elsewhere beside it (rule TWICE), and not use the worker again (rule LOST).

The planner took the entry for the worker's word: it ended the runs as those of an earlier incarnation, called the new address, took its refusal for the end of the worker, and ignored the worker's own entries as out of date. Such an entry is now verified by a poll where the worker last answered. An incarnation that only an entry tells is withdrawn when the worker answers as an earlier one. A refusal at an address where the worker never answered ends no runs.

--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -179,7 +179,7 @@
 					time.Sleep(time.Second)
 					return PollResponse{}, &ErrRefused{Reason: RefusedIncarnation}
 				}
-				w := &workerState{registration: Registration{ID: "w", Address: "a"}, runs: map[string]*run{}, registered: true}
+				w := &workerState{registration: Registration{ID: "w", Address: "a"}, answersAt: "a", runs: map[string]*run{}, registered: true}
 				j := newJobState(workload.Record{Job: workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 1}}}}, time.Now())
 				j.record.Progress = *workload.NewProgress(&j.record.Job)
 				r := p.addRun(&group{job: j}, workload.TaskID{Job: "j"}, 1, w)
@@ -234,8 +234,8 @@
 		w := &workerState{registration: Registration{ID: "w", Address: "w"}, runs: map[string]*run{}, registered: true}
 		sent := p.Clock.Now()
 		earlier := PollResponse{WorkerStatus: WorkerStatus{Incarnation: 1, Clock: WorkerTime(time.Hour)}, Ends: []RunEnd{{Number: 40, Task: "j.0.0.0", Run: 1, Reason: EndStopped}}}
-		p.handlePollResult(w, sent, PollRequest{}, PollResponse{WorkerStatus: WorkerStatus{Incarnation: 2, Clock: WorkerTime(time.Second)}}, nil)
-		p.handlePollResult(w, sent, PollRequest{}, earlier, nil)
+		p.handlePollResult(w, Target{ID: "w", Address: "w"}, sent, PollRequest{}, PollResponse{WorkerStatus: WorkerStatus{Incarnation: 2, Clock: WorkerTime(time.Second)}}, nil)
+		p.handlePollResult(w, Target{ID: "w", Address: "w"}, sent, PollRequest{}, earlier, nil)
 		is.Equal(w.lastEnd, int64(0))
 		is.Equal(w.clock, WorkerTime(time.Second))
 		// A run that only the earlier incarnation can have started ended with it. If an earlier start order got no response,
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -69,15 +69,20 @@
 	}
 }
 
-// handleReplaced ends the runs of a worker whose address another worker now uses. The earlier worker no longer exists, and
-// orders to it that are still in flight are refused.
+// handleReplaced ends the runs of a worker whose address another worker now uses. If it has answered there, the earlier worker no longer
+// exists, and orders to it that are still in flight are refused.
 func (p *Planner) handleReplaced(w *workerState) {
 	if w.registration.Address == "" {
 		return
 	}
-	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
+	verified := w.answersAt == w.registration.Address
+	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "verified", verified)
 	w.markUnregistered(p.Clock.Now())
 	w.fenced, w.registration.Address = false, ""
+	if !verified {
+		// The worker may be elsewhere: an entry of another writer may have told the address.
+		return
+	}
 	p.setOrphans(w, nil)
 	for _, r := range w.runs {
 		p.endRun(r, EndLapsed, r.checkpoint, basisReplaced)
@@ -144,6 +149,9 @@
 
 // needsPoll reports whether there is something to learn from a worker or to report to it.
 func (p *Planner) needsPoll(w *workerState) bool {
+	if w.unverified != nil {
+		return true
+	}
 	if p.suspended {
 		return len(w.runs) > 0
 	}
@@ -246,7 +254,7 @@
 			if number == w.polls {
 				w.polling = false
 			}
-			p.handlePollResult(w, now, request, response, p.applyRefusal(w, target, request.Fence, now, err))
+			p.handlePollResult(w, target, now, request, response, p.applyRefusal(w, target, request.Fence, now, err))
 		}
 	})
 }
@@ -279,7 +287,7 @@
 		})
 		return func() {
 			w.querying = false
-			p.handlePollResult(w, now, request, response, p.applyRefusal(w, target, request.Fence, now, err))
+			p.handlePollResult(w, target, now, request, response, p.applyRefusal(w, target, request.Fence, now, err))
 		}
 	})
 }
@@ -295,10 +303,11 @@
 	return false
 }
 
-func (p *Planner) handlePollResult(w *workerState, sent time.Time, request PollRequest, response PollResponse, err error) {
+func (p *Planner) handlePollResult(w *workerState, target Target, sent time.Time, request PollRequest, response PollResponse, err error) {
 	now, incarnation := p.Clock.Now(), w.incarnation
 	w.nextPoll = now
 	p.scheduleContact(w)
+	defer p.resolveUnverified(w, sent, response.Incarnation, err)
 	if errors.Is(err, errNotSent) {
 		return
 	}
@@ -309,6 +318,7 @@
 			p.recordNoAnswer(w, sent)
 			return
 		}
+		p.correctIncarnation(w, refused.Status.Incarnation, sent)
 		if !p.recordContact(w, refused.Status) {
 			return
 		}
@@ -321,10 +331,14 @@
 		p.handleRefusal(w, refused.Reason)
 		return
 	}
+	p.correctIncarnation(w, response.Incarnation, sent)
 	if !p.recordContact(w, response.WorkerStatus) {
 		return
 	}
 	w.recordIdentified(response.Incarnation, sent)
+	if response.Incarnation != 0 && target.Address == w.registration.Address {
+		w.toldIncarnation, w.answersAt = response.Incarnation, target.Address
+	}
 	if !w.fenced && request.Fence == w.fence {
 		p.recordFenced(w)
 	}
@@ -363,9 +377,9 @@
 // acknowledgeOnceStored defers the acknowledgement of an end until the job that it changed is stored.
 func (p *Planner) acknowledgeOnceStored(w *workerState, j *jobState) {
 	w.unstoredEnds++
-	incarnation := w.incarnation
+	changes := w.incarnationChanges
 	p.whenStored(j, j.lastChange, func() {
-		if w.incarnation == incarnation {
+		if w.incarnationChanges == changes {
 			w.unstoredEnds--
 			p.scheduleContact(w)
 		}
--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clementinepier/engine"
+	"clementinepier/standin/site"
 	"clementinepier/workload"
 )
 
@@ -79,3 +80,137 @@
 		r.Equal(r.starts(), 1)
 	})
 }
+
+// otherServers refuses the calls to addresses that no worker of the site has, as servers of other software do.
+func otherServers(w engine.Workers, isWorker func(address string) bool) engine.Workers {
+	refused := func(t engine.Target) error {
+		if isWorker(t.Address) {
+			return nil
+		}
+		time.Sleep(time.Millisecond)
+		return &engine.ErrRefused{Reason: engine.RefusedIncarnation}
+	}
+	return engine.Workers{
+		Start: func(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
+			if err := refused(t); err != nil {
+				return engine.WorkerStatus{}, err
+			}
+			return w.Start(ctx, t, o)
+		},
+		Stop: func(ctx context.Context, t engine.Target, o engine.StopOrder) (engine.WorkerStatus, error) {
+			if err := refused(t); err != nil {
+				return engine.WorkerStatus{}, err
+			}
+			return w.Stop(ctx, t, o)
+		},
+		Poll: func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+			if err := refused(t); err != nil {
+				return engine.PollResponse{}, err
+			}
+			return w.Poll(ctx, t, o)
+		},
+	}
+}
+
+// writeForeignEntry changes a worker's entry as another writer does.
+func (r *rig) writeForeignEntry(worker string, change func(entry *engine.Registration)) {
+	entry := r.Worker(worker).Registration
+	change(&entry)
+	r.registrations = map[string]engine.Registration{worker: entry}
+	r.Register(r.Worker(worker))
+}
+
+// writeOwnEntry lets a worker write its entry again.
+func (r *rig) writeOwnEntry(worker string) {
+	delete(r.registrations, worker)
+	r.Register(r.Worker(worker))
+}
+
+// foreignEntries are the changes that make a worker's entry one of another writer that looks like a worker that has restarted or moved.
+var foreignEntries = map[string]func(entry *engine.Registration){
+	"later incarnation":                   func(e *engine.Registration) { e.Incarnation += 500 },
+	"incarnation far ahead":               func(e *engine.Registration) { e.Incarnation = 1 << 52 },
+	"address of another server":           func(e *engine.Registration) { e.Address = "other" },
+	"later incarnation, another server":   func(e *engine.Registration) { e.Address, e.Incarnation = "other", e.Incarnation+500 },
+	"later incarnation, nobody's address": func(e *engine.Registration) { e.Address, e.Incarnation = "nobody", e.Incarnation+500 },
+	"later incarnation, draining for years": func(e *engine.Registration) {
+		e.Incarnation, e.Draining, e.DrainRemaining = e.Incarnation+500, true, 1<<62
+	},
+}
+
+// Guards against ending the runs of a worker because an entry of another writer under its key looks like a restart or a move, and against
+// a worker that is not used any more after such an entry.
+func TestEntryThatContradictsWorkerIsVerified(t *testing.T) {
+	for name, change := range foreignEntries {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.wrapWorkers = func(w engine.Workers) engine.Workers {
+					return otherServers(w, func(address string) bool { return address != "other" })
+				}
+				p, stop := r.startWithWorkers(2)
+				defer stop()
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 8*time.Second)
+				// A poll has listed the run by then.
+				time.Sleep(3 * time.Second)
+				at := r.WorkersRunning("j1")[0]
+				r.writeForeignEntry(at, change)
+				time.Sleep(1500 * time.Millisecond)
+				r.writeOwnEntry(at)
+				r.waitForState(p, "j1", workload.StateCompleted, 6*time.Second)
+				r.Equal(r.starts(), 1)
+				r.mustSubmit(p, "j2", 1, gangStep(2, 8), time.Second)
+				r.waitForState(p, "j2", workload.StateCompleted, 4*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a planner that has just loaded the workers' entries and takes one of another writer for the word of a worker with runs.
+func TestForeignEntryBeforePlannerChangeEndsNoRun(t *testing.T) {
+	for name, change := range foreignEntries {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.wrapWorkers = func(w engine.Workers) engine.Workers {
+					return otherServers(w, func(address string) bool { return address != "other" })
+				}
+				p, stop := r.startWithWorkers(2)
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 12*time.Second)
+				time.Sleep(3 * time.Second)
+				at := r.WorkersRunning("j1")[0]
+				r.writeForeignEntry(at, change)
+				stop()
+				p, stop = r.startPlanner("b")
+				defer stop()
+				time.Sleep(1500 * time.Millisecond)
+				r.writeOwnEntry(at)
+				r.waitForState(p, "j1", workload.StateCompleted, 12*time.Second)
+				r.Equal(r.starts(), 1)
+				r.mustSubmit(p, "j2", 1, gangStep(2, 8), time.Second)
+				r.waitForState(p, "j2", workload.StateCompleted, 4*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a worker that is not used any more after an entry of another writer that could not be verified, because the worker was
+// cut off meanwhile.
+func TestWorkerIsUsedAgainAfterUnverifiedEntry(t *testing.T) {
+	for name, change := range foreignEntries {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				p, stop := r.startWithWorkers(2)
+				defer stop()
+				time.Sleep(3 * time.Second)
+				at := r.IDs()[0]
+				r.Set(at, func(w *site.Worker) { w.Silent = true })
+				r.writeForeignEntry(at, change)
+				time.Sleep(2 * time.Second)
+				r.Set(at, func(w *site.Worker) { w.Silent = false })
+				r.writeOwnEntry(at)
+				time.Sleep(2 * time.Second)
+				r.mustSubmit(p, "j1", 1, gangStep(2, 8), time.Second)
+				r.waitForState(p, "j1", workload.StateCompleted, 4*time.Second)
+			})
+		})
+	}
+}
--- a/engine/load.go
+++ b/engine/load.go
@@ -209,68 +209,6 @@
 	p.pendingDeletes = append(p.pendingDeletes, Item{Key: item.Key, Revision: item.Revision})
 }
 
-// handleRegistration applies a change of a worker's registration in the store.
-func (p *Planner) handleRegistration(item Item) {
-	id := strings.TrimPrefix(item.Key, p.RegistrationPrefix)
-	if item.Deleted {
-		if w, ok := p.workers[id]; ok && w.registered {
-			w.markUnregistered(p.Clock.Now())
-			p.Log.Event("worker-unlisted", "worker", id, "runs", len(w.runs), "revision", item.Revision)
-		}
-		return
-	}
-	registration, err := p.DecodeRegistration(item.Key, item.Value)
-	if err != nil {
-		p.Log.Event("advert-unreadable", "key", item.Key, "error", err)
-		if w, ok := p.workers[id]; ok {
-			w.markUnregistered(p.Clock.Now())
-		}
-		return
-	}
-	w := p.workerByID(id)
-	if known := w.registration.Service; known != "" && registration.Service != known && !p.Configuration().namesService(registration.Service) ||
-		registration.Incarnation == 0 && w.incarnation != 0 {
-		// The entry is of another writer and does not show that the worker has restarted.
-		p.Log.Event("advert-foreign", "worker", id, "service", registration.Service, "born", registration.Incarnation, "revision", item.Revision)
-		w.markUnregistered(p.Clock.Now())
-		return
-	}
-	if registration.Incarnation != 0 && registration.Incarnation < w.incarnation {
-		// The worker has responded as a newer incarnation, which the store does not have yet, so this registration is out of
-		// date.
-		p.Log.Event("advert-outdated", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "revision", item.Revision)
-		return
-	}
-	if !w.registered {
-		p.Log.Event("worker-listed", "worker", id, "failure-domain", registration.FailureDomain, "rack", registration.Rack, "revision", item.Revision)
-	}
-	if w.registration.Address != registration.Address {
-		w.fenced = false
-	}
-	w.registration, w.registered = registration, true
-	p.invalidateFleets()
-	p.scheduleContact(w)
-	p.applyIncarnation(w, registration.Incarnation)
-	p.recordDraining(w, registration.Draining, registration.DrainRemaining)
-	p.planNeeded = true
-}
-
-// recordDraining records that a worker drains, and the earliest time at which it leaves.
-func (p *Planner) recordDraining(w *workerState, draining bool, remaining time.Duration) {
-	if !draining {
-		return
-	}
-	end := p.Clock.Now().Add(remaining)
-	if !w.draining {
-		p.Log.Event("worker-draining", "worker", w.id(), "runs", len(w.runs), "left", remaining)
-		w.drainEnd = end
-	}
-	w.draining = true
-	if remaining > 0 {
-		w.drainEnd = end
-	}
-}
-
 // watch passes every change under a prefix after a revision to handle, on the control goroutine, until ctx ends. The
 // returned channel is closed then.
 func (p *Planner) watch(ctx context.Context, prefix string, revision int64, handle func(Item)) <-chan struct{} {
--- /dev/null
+++ b/engine/registration.go
@@ -0,0 +1,127 @@
+package engine
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// unverifiedEntry is a worker's entry that contradicts the worker's own word, while the worker is asked at the address at which it last
+// answered. Another writer may have left the entry.
+type unverifiedEntry struct {
+	registration Registration
+	revision     int64
+	arrivedAt    time.Time
+}
+
+// handleRegistration applies a change of a worker's registration in the store.
+func (p *Planner) handleRegistration(item Item) {
+	id := strings.TrimPrefix(item.Key, p.RegistrationPrefix)
+	if w, ok := p.workers[id]; ok {
+		// Only the newest entry counts.
+		w.unverified = nil
+	}
+	if item.Deleted {
+		if w, ok := p.workers[id]; ok && w.registered {
+			w.markUnregistered(p.Clock.Now())
+			p.Log.Event("worker-unlisted", "worker", id, "runs", len(w.runs), "revision", item.Revision)
+		}
+		return
+	}
+	registration, err := p.DecodeRegistration(item.Key, item.Value)
+	if err != nil {
+		p.Log.Event("advert-unreadable", "key", item.Key, "error", err)
+		if w, ok := p.workers[id]; ok {
+			w.markUnregistered(p.Clock.Now())
+		}
+		return
+	}
+	w := p.workerByID(id)
+	if known := w.registration.Service; known != "" && registration.Service != known && !p.Configuration().namesService(registration.Service) ||
+		registration.Incarnation == 0 && w.incarnation != 0 {
+		p.ignoreForeignEntry(w, registration, item.Revision)
+		return
+	}
+	switch {
+	case registration.Incarnation != 0 && registration.Incarnation < w.toldIncarnation:
+		// The worker has responded as a newer incarnation, which the store does not have yet, so this registration is out of
+		// date.
+		p.Log.Event("advert-outdated", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "revision", item.Revision)
+	case w.contradictedBy(registration):
+		w.markUnregistered(p.Clock.Now())
+		w.unverified = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: p.Clock.Now()}
+		p.Log.Event("advert-unverified", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "address", registration.Address,
+			"answers-at", w.answersAt, "revision", item.Revision)
+		p.suspectRestart(w)
+	default:
+		p.applyRegistration(w, registration, item.Revision)
+	}
+}
+
+// contradictedBy reports whether a registration tells another address or a later incarnation than the worker itself, which may still be
+// there.
+func (w *workerState) contradictedBy(r Registration) bool {
+	return w.registration.Address != "" && w.answersAt == w.registration.Address && w.toldIncarnation == w.incarnation && w.incarnation != 0 &&
+		(r.Incarnation > w.incarnation || r.Address != w.registration.Address)
+}
+
+// ignoreForeignEntry records that the entry under the worker's key is of another writer. It does not show that the worker has restarted,
+// but the worker is not used until it has registered again.
+func (p *Planner) ignoreForeignEntry(w *workerState, r Registration, revision int64) {
+	p.Log.Event("advert-foreign", "worker", w.id(), "service", r.Service, "born", r.Incarnation, "known", w.incarnation, "address", r.Address, "revision", revision)
+	w.markUnregistered(p.Clock.Now())
+}
+
+// applyRegistration applies a registration that is taken for the worker's own.
+func (p *Planner) applyRegistration(w *workerState, registration Registration, revision int64) {
+	if registration.Incarnation != 0 && registration.Incarnation < w.incarnation {
+		p.withdrawIncarnation(w, registration.Incarnation)
+	}
+	if !w.registered {
+		p.Log.Event("worker-listed", "worker", w.id(), "failure-domain", registration.FailureDomain, "rack", registration.Rack, "revision", revision)
+	}
+	if w.registration.Address != registration.Address {
+		w.fenced = false
+	}
+	w.registration, w.registered = registration, true
+	p.invalidateFleets()
+	p.scheduleContact(w)
+	p.applyIncarnation(w, registration.Incarnation)
+	p.recordDraining(w, registration.Draining, registration.DrainRemaining)
+	p.planNeeded = true
+}
+
+// resolveUnverified decides on an entry that contradicts the worker's own word by the result of a poll, sent at the given time to the address
+// at which the worker last answered. A worker that has restarted answers as its new incarnation, or no longer there, so any other answer
+// shows that the entry is of another writer.
+func (p *Planner) resolveUnverified(w *workerState, sent time.Time, told int64, err error) {
+	entry := w.unverified
+	if entry == nil || sent.Before(entry.arrivedAt) || errors.Is(err, errNotSent) || errors.Is(err, errOutdatedRefusal) {
+		return
+	}
+	w.unverified = nil
+	var refused *ErrRefused
+	answered := err == nil || errors.As(err, &refused) && refused.Reason != RefusedIncarnation
+	if answered && (entry.registration.Address != w.registration.Address || told != 0 && told != entry.registration.Incarnation) {
+		p.ignoreForeignEntry(w, entry.registration, entry.revision)
+		return
+	}
+	p.applyRegistration(w, entry.registration, entry.revision)
+}
+
+// recordDraining records that a worker drains, and the earliest time at which it leaves.
+func (p *Planner) recordDraining(w *workerState, draining bool, remaining time.Duration) {
+	if !draining {
+		return
+	}
+	end := p.Clock.Now().Add(remaining)
+	if !w.draining {
+		p.Log.Event("worker-draining", "worker", w.id(), "runs", len(w.runs), "left", remaining)
+		w.drainEnd = end
+	}
+	w.draining = true
+	if remaining > 0 {
+		w.drainEnd = end
+	}
+}
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -14,21 +14,14 @@
 		return
 	}
 	earlier := w.incarnation
-	w.incarnation = incarnation
+	w.incarnation, w.incarnationSince = incarnation, p.Clock.Now()
 	if earlier == 0 {
 		return
 	}
 	p.boundLeasesAfterRestart(w)
 	p.raiseFence(w)
 	p.Log.Event("worker-reborn", "worker", w.id(), "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
-	w.lastEnd, w.acknowledgedEnd, w.unstoredEnds = 0, 0, 0
-	p.setOrphans(w, nil)
-	w.fenced, w.draining, w.drainEnd, w.pollOverdueAt = false, false, time.Time{}, time.Time{}
-	w.moreEnds = false
-	w.clock, w.clockAt = 0, time.Time{}
-	clear(w.inferredEnds)
-	// A poll in flight was probably lost with the earlier incarnation.
-	w.polling, w.nextPoll = false, p.Clock.Now()
+	p.resetIncarnation(w)
 	for _, r := range w.runs {
 		switch {
 		case r.unconfirmed && p.Clock.Since(r.startSentAt) < maxOrderDelay:
@@ -46,6 +39,34 @@
 	}
 }
 
+// resetIncarnation forgets what an incarnation of a worker has told.
+func (p *Planner) resetIncarnation(w *workerState) {
+	w.incarnationChanges++
+	w.lastEnd, w.acknowledgedEnd, w.unstoredEnds = 0, 0, 0
+	p.setOrphans(w, nil)
+	w.fenced, w.draining, w.drainEnd, w.pollOverdueAt = false, false, time.Time{}, time.Time{}
+	w.moreEnds = false
+	w.clock, w.clockAt = 0, time.Time{}
+	clear(w.inferredEnds)
+	// A poll in flight was probably lost with the earlier incarnation.
+	w.polling, w.nextPoll = false, p.Clock.Now()
+}
+
+// withdrawIncarnation records that a worker has not restarted, although an entry told a later incarnation: the entry was of another writer.
+// No run was started for that incarnation, since a start needs the worker's own word.
+func (p *Planner) withdrawIncarnation(w *workerState, incarnation int64) {
+	p.Log.Event("worker-not-reborn", "worker", w.id(), "runs", len(w.runs), "born", incarnation, "withdrawn", w.incarnation)
+	w.incarnation, w.incarnationSince = incarnation, p.Clock.Now()
+	p.resetIncarnation(w)
+}
+
+// correctIncarnation withdraws an incarnation that only an entry has told if an earlier one responds to a call that was sent since.
+func (p *Planner) correctIncarnation(w *workerState, told int64, sent time.Time) {
+	if told != 0 && told >= w.toldIncarnation && told < w.incarnation && sent.After(w.incarnationSince) {
+		p.withdrawIncarnation(w, told)
+	}
+}
+
 // mayHaveLateStart reports whether an order that was sent to the run's worker, to start the run or an earlier one of its task or gang, may
 // still be executed: one that got no response, or one of an earlier planner, which may have got none.
 func (p *Planner) mayHaveLateStart(r *run) bool {
@@ -72,11 +93,16 @@
 	w.boundLeases(p.Clock.Now().Add(maxOrderDelay + p.leaseBound(p.Bounds.MaxLease)))
 }
 
-// noticeRestart records that a worker has restarted whose new incarnation is not known yet: its clock has gone back. The response to the
-// next poll tells the incarnation, and applyIncarnation does the rest.
+// noticeRestart records that a worker has restarted whose new incarnation is not known yet: its clock has gone back.
 func (p *Planner) noticeRestart(w *workerState, clock WorkerTime) {
+	p.Log.Event("worker-clock-back", "worker", w.id(), "clock", time.Duration(clock), "before", time.Duration(w.clock))
+	p.suspectRestart(w)
+}
+
+// suspectRestart records that a worker may have restarted. The response to the next poll tells the incarnation, and applyIncarnation does
+// the rest.
+func (p *Planner) suspectRestart(w *workerState) {
 	p.boundLeasesAfterRestart(w)
-	p.Log.Event("worker-clock-back", "worker", w.id(), "clock", time.Duration(clock), "before", time.Duration(w.clock), "leases-end", w.leasesEndBy)
 	w.fenced, w.polling, w.nextPoll = false, false, p.Clock.Now()
 	w.clock, w.clockAt = 0, time.Time{}
 	p.scheduleContact(w)
--- a/engine/state.go
+++ b/engine/state.go
@@ -163,8 +163,17 @@
 	// fenced is set once the present incarnation has responded to a poll with that token. It then refuses orders of earlier
 	// planners, and those that were meant for earlier incarnations.
 	fenced bool
-	// incarnation is the newest known incarnation of the worker; the runs belong to it.
-	incarnation int64
+	// incarnation is the newest known incarnation of the worker, since incarnationSince; the runs belong to it. incarnationChanges
+	// counts its changes.
+	incarnation        int64
+	incarnationSince   time.Time
+	incarnationChanges int
+	// toldIncarnation is the newest incarnation that the worker itself has told, and answersAt the address at which it did. Entries in
+	// the store may be of other writers.
+	toldIncarnation int64
+	answersAt       string
+	// unverified is the newest entry if it contradicts that, until the worker has been asked. It is not registered meanwhile.
+	unverified *unverifiedEntry
 	// clock is a reading of the clock of the worker's incarnation, which arrived at clockAt.
 	clock   WorkerTime
 	clockAt time.Time
