engine: tasks of hours do not count as stalled

A run counted as stalled when its percent had not changed for 4.5 s, and workers tell whole percents.

The time without progress is now at least that of one percent of a task that takes 20 times its estimate, and of a poll. A task that has seemed to stall twice gets twice the time at each further try.

Tried and taken out: a job that has failed on each worker of a service no longer avoids them all; then TestQuarantinedWorkerReturnsToUse fails.

--- a/engine/stall_test.go
+++ b/engine/stall_test.go
@@ -175,3 +175,56 @@
 		r.waitForState(p, "j1", workload.StateCompleted, 5*time.Minute)
 	})
 }
+
+// Guards against a task of hours, or of many times its estimate, that is stopped as stalled because it takes long to gain a percent.
+func TestLongTaskIsDoneInItsFirstRun(t *testing.T) {
+	for name, task := range map[string]struct{ work, estimate time.Duration }{
+		"an hour":                     {time.Hour, time.Hour},
+		"ten hours":                   {10 * time.Hour, 10 * time.Hour},
+		"20 times its estimate":       {20 * time.Minute, time.Minute},
+		"20 times its short estimate": {5 * time.Minute, 15 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				p, stop := r.startWithWorkers(2)
+				defer stop()
+				step := singleTaskStep(8)
+				step.Estimate = task.estimate
+				r.mustSubmit(p, "j1", 1, step, task.work)
+				time.Sleep(task.work - time.Second)
+				r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+				r.Equal(r.starts(), 1)
+			})
+		})
+	}
+}
+
+// Guards against a task that is never done because it has no estimate and takes long: each run was stopped as stalled.
+func TestLongTaskWithoutEstimateIsDone(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(2)
+		defer stop()
+		step := singleTaskStep(8)
+		step.Estimate = 0
+		r.mustSubmit(p, "j1", 1, step, time.Hour)
+		r.waitForState(p, "j1", workload.StateCompleted, 70*time.Minute)
+	})
+}
+
+// Guards against a long task that hangs and stays on its worker: it is moved after a fifth of its estimate and two polls.
+func TestLongTaskThatHangsIsMoved(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(2)
+		defer stop()
+		step := singleTaskStep(8)
+		step.Estimate = 10 * time.Minute
+		r.mustSubmit(p, "j1", 1, step, 10*time.Minute)
+		time.Sleep(time.Minute)
+		at := r.WorkersRunning("j1")[0]
+		r.Set(at, func(w *site.Worker) { w.Stalled = true })
+		time.Sleep(2*time.Minute + 6*time.Second)
+		running := r.WorkersRunning("j1")
+		r.Equal(len(running), 1)
+		r.True(running[0] != at)
+	})
+}
--- a/engine/state.go
+++ b/engine/state.go
@@ -29,6 +29,8 @@
 	groups   map[groupKey]*group
 	// avoid has the workers on which a run of this job stalled or failed, and until when the job avoids them.
 	avoid map[string]time.Time
+	// stalls counts, by task or gang, the runs that were stopped because they seemed to stall.
+	stalls map[groupKey]int
 	// blamedFailures counts the failures that were attributed to workers.
 	blamedFailures int
 	// maybeStored is set once the store may have the job, from a commit of this planner that got no response or from another
