--- a/engine/contact.go
+++ b/engine/contact.go
@@ -335,10 +335,7 @@
 	if !p.recordContact(w, response.WorkerStatus) {
 		return
 	}
-	w.recordIdentified(response.Incarnation, sent)
-	if response.Incarnation != 0 && target.Address == w.registration.Address {
-		w.toldIncarnation, w.answersAt = response.Incarnation, target.Address
-	}
+	w.recordIdentified(response.Incarnation, target.Address, sent)
 	if !w.fenced && request.Fence == w.fence {
 		p.recordFenced(w)
 	}
--- a/engine/state.go
+++ b/engine/state.go
@@ -242,11 +242,18 @@
 	return w.clock != 0 && now.Sub(w.clockAt) <= maxClockAge
 }
 
-// recordIdentified records that the worker told its incarnation, unless it is 0, in the response to a call that was sent at the given time.
-func (w *workerState) recordIdentified(incarnation int64, sent time.Time) {
-	if incarnation != 0 && sent.After(w.identifiedSentAt) {
+// recordIdentified records that the worker told its incarnation, unless it is 0, in the response to a call to an address that was sent at the
+// given time.
+func (w *workerState) recordIdentified(incarnation int64, address string, sent time.Time) {
+	if incarnation == 0 {
+		return
+	}
+	if sent.After(w.identifiedSentAt) {
 		w.identifiedSentAt = sent
 	}
+	if address == w.registration.Address {
+		w.toldIncarnation, w.answersAt = incarnation, address
+	}
 }
 
 // identifiedSince reports whether the worker has told its incarnation in the response to a call that was sent at the given time or later.
