engine: jobs wait until a run of them has begun

A job counted as started once it was placed. It now counts as waiting until a worker has confirmed a run of it, or the outcome of one is known.

--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -228,7 +228,7 @@
 func (p *Planner) countWaiting(queue string) int {
 	n := 0
 	for _, j := range p.active {
-		if j.record.Job.Queue == queue && !j.record.Progress.Started {
+		if j.record.Job.Queue == queue && !j.begun {
 			n++
 		}
 	}
--- a/engine/load.go
+++ b/engine/load.go
@@ -99,6 +99,7 @@
 	age := max(0, p.TimeOfDay().Sub(record.Job.Accepted))
 	j := newJobState(*record, p.Clock.Now().Add(-age))
 	j.revision = item.Revision
+	j.begun = record.Progress.HasOutcome()
 	p.jobs[j.id()] = j
 	if !j.state().Ended() {
 		p.active[j.id()] = j
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -188,6 +188,7 @@
 	p.Log.Event("run-confirmed", "task", r.name, "run", r.number, "worker", r.worker.id(), "by", call, "sent", r.startSentAt,
 		"doubtful", r.unconfirmed, "stopping", r.stopRequested)
 	r.phase, r.confirmedAt, r.progressedAt = runRunning, now, now
+	r.group.job.begun = true
 	r.worker.nextPoll = now
 	p.scheduleContact(r.worker)
 	g := r.group
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -114,6 +114,7 @@
 
 // recordDone records that a task is done; one done member completes all tasks of a gang.
 func (p *Planner) recordDone(j *jobState, key groupKey) {
+	j.begun = true
 	tasks := j.record.Progress.Tasks[key.occurrence][key.step]
 	for i := range tasks {
 		if key.index < 0 || i == key.index {
@@ -126,6 +127,7 @@
 // recordFailure records a failed run. A group counts as one failed attempt of its tasks, however many of its runs fail.
 func (p *Planner) recordFailure(r *run) {
 	g, j := r.group, r.group.job
+	j.begun = true
 	if j.blamedFailures < maxBlamedFailures || p.breaker.Quarantined(r.worker.id()) {
 		j.blamedFailures++
 		p.breaker.RecordFailure(p.Clock.Now(), r.worker.id(), breakerKey(j))
--- a/engine/state.go
+++ b/engine/state.go
@@ -24,6 +24,8 @@
 	onStored []storedCallback
 	// readySince is when each step became ready to start, by occurrence and step; zero while it is not.
 	readySince [][]time.Time
+	// begun is set once a worker has confirmed a run of the job, or an earlier planner has recorded the outcome of one.
+	begun bool
 	// accepted is when the job was accepted, on the planner's clock.
 	accepted time.Time
 	groups   map[groupKey]*group
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -115,6 +115,20 @@
 	return true
 }
 
+// HasOutcome reports whether a run of any task is known to have made progress or to have ended as done or failed.
+func (p *Progress) HasOutcome() bool {
+	for _, steps := range p.Tasks {
+		for _, tasks := range steps {
+			for _, t := range tasks {
+				if t.Phase == PhaseDone || t.Failed > 0 || t.Checkpoint != "" {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // State returns the state that is reported to callers.
 func (p *Progress) State() State {
 	switch {
