engine: move tasks that last off a worker that drains

The time that a run still needs was computed from its percent, and such a task tells 100. It never completes, so it is moved as soon as its worker drains, if there is room elsewhere.

--- a/engine/health.go
+++ b/engine/health.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"time"
 
 	"clementinepier/workload"
@@ -159,8 +160,12 @@
 	}
 }
 
-// remainingTime estimates the time that the run still needs from its progress. It reports false if there is no estimate yet.
+// remainingTime estimates the time that the run still needs from its progress. It reports false if there is no estimate yet. A task that
+// lasts never completes.
 func (r *run) remainingTime(now time.Time) (time.Duration, bool) {
+	if r.group.step().LongRunning {
+		return math.MaxInt64, true
+	}
 	if r.group.runningSince.IsZero() {
 		return 0, false
 	}
