--- a/engine/state.go
+++ b/engine/state.go
@@ -228,11 +228,6 @@
 
 func (w *workerState) id() string { return w.registration.ID }
 
-// describesPresentIncarnation reports whether the registration is of the worker's present incarnation. The next one may be of another kind.
-func (w *workerState) describesPresentIncarnation() bool {
-	return w.registration.Incarnation == w.incarnation || w.registration.Incarnation == 0
-}
-
 // used returns the resources that runs occupy on the worker, and the part of them that is about to become free.
 func (w *workerState) used() (all, stopping workload.Resources) {
 	for _, r := range w.runs {
