engine: a drain that only an entry of another writer tells is withdrawn

A worker was not used again after an entry of another writer under its key told that it drains, although its own entries told otherwise: a drain stood until the worker restarted. It stands now only if the worker itself has told it; otherwise a newer entry withdraws it.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -53,6 +53,7 @@
 	if status.Clock != 0 {
 		w.clock, w.clockAt = status.Clock, now
 	}
+	w.toldDraining = w.toldDraining || status.Draining
 	p.recordDraining(w, status.Draining, status.DrainRemaining)
 	return true
 }
--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -214,3 +214,18 @@
 		})
 	}
 }
+
+// Guards against a worker that is not used any more because an entry of another writer told that it drains.
+func TestWorkerIsUsedAgainAfterForeignDrainingEntry(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		r.writeForeignEntry("r1-w0", func(e *engine.Registration) { e.Draining, e.DrainRemaining = true, time.Hour })
+		time.Sleep(1500 * time.Millisecond)
+		r.writeOwnEntry("r1-w0")
+		time.Sleep(time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), time.Second)
+		r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+	})
+}
--- /dev/null
+++ b/engine/random_entries_test.go
@@ -0,0 +1,108 @@
+package engine_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clementinepier/engine"
+	"clementinepier/standin/site"
+	"clementinepier/workload"
+)
+
+// entryRounds is the number of events that a seed of the random entries plays.
+const entryRounds = 80
+
+// Guards against entries of other writers, over those of live workers that run tasks, that make a task run twice or keep a worker from
+// being used: next to restarts of workers and changes of the planner. With -faults-first and -faults-seeds it plays other seeds.
+func TestRandomForeignEntries(t *testing.T) {
+	for seed := *faultsFirst; seed < *faultsFirst+uint64(max(0, *faultsSeeds)); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			runInVirtualTime(t, func(r *rig) { playForeignEntries(r, rand.New(rand.NewPCG(seed, 3))) })
+		})
+	}
+}
+
+func playForeignEntries(r *rig, random *rand.Rand) {
+	encode := func(entry engine.Registration) []byte {
+		value, err := json.Marshal(entry)
+		r.NoErr(err)
+		return value
+	}
+	r.EncodeRegistration = encode
+	r.decodeRegistration = func(value []byte) (entry engine.Registration, err error) {
+		err = json.Unmarshal(value, &entry)
+		return entry, err
+	}
+	r.wrapWorkers = func(w engine.Workers) engine.Workers {
+		return otherServers(w, func(address string) bool { return address != "other" })
+	}
+	const workers = 4
+	p, stop := r.startWithWorkers(workers)
+	defer func() { stop() }()
+	ids := r.IDs()
+	// Workers write their entries from time to time.
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for i := 0; ; i++ {
+			select {
+			case <-ended:
+				return
+			case <-time.After(1500 * time.Millisecond / workers):
+			}
+			r.Register(r.Worker(ids[i%workers]))
+		}
+	}()
+	var jobs []string
+	for round := range entryRounds {
+		time.Sleep(time.Duration(random.Int64N(int64(500 * time.Millisecond))))
+		id := ids[random.IntN(workers)]
+		switch n := random.IntN(20); {
+		case n < 7:
+			job := fmt.Sprint("j", round)
+			r.mustSubmit(p, job, 1, singleTaskStep(1+random.Int64N(8)), time.Duration(random.Int64N(int64(6*time.Second))))
+			jobs = append(jobs, job)
+		case n < 17:
+			r.Store.Write(site.RegistrationPrefix+id, foreignEntry(random, r.Worker(id).Registration, encode))
+		case n < 19:
+			r.Set(id, (*site.Worker).Restart)
+		default:
+			stop()
+			p, stop = r.startPlanner(fmt.Sprint("p", round))
+		}
+	}
+	for _, job := range jobs {
+		r.waitForState(p, job, workload.StateCompleted, time.Minute)
+	}
+	// Each worker has written its entry since, and is used.
+	time.Sleep(5 * time.Second)
+	r.mustSubmit(p, "last", 1, gangStep(workers, 8), time.Second)
+	r.waitForState(p, "last", workload.StateCompleted, 3*time.Second)
+}
+
+// foreignEntry returns an entry of another writer in place of a worker's.
+func foreignEntry(random *rand.Rand, entry engine.Registration, encode func(engine.Registration) []byte) []byte {
+	entry.Address = []string{entry.Address, "other", "nobody"}[random.IntN(3)]
+	switch random.IntN(6) {
+	case 0:
+		return []byte("{")
+	case 1:
+		entry.Incarnation = 0
+	case 2:
+		entry.Incarnation -= random.Int64N(5000)
+	case 3:
+		entry.Incarnation = 1 << 52
+	case 4:
+		entry.Incarnation += random.Int64N(5000)
+	default:
+		entry.Service = "elsewhere"
+	}
+	if random.IntN(4) == 0 {
+		entry.Draining, entry.DrainRemaining = true, time.Duration(random.Int64N(int64(time.Hour)))
+	}
+	return encode(entry)
+}
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -88,6 +88,11 @@
 	p.invalidateFleets()
 	p.scheduleContact(w)
 	p.applyIncarnation(w, registration.Incarnation)
+	if w.draining && !registration.Draining && !w.toldDraining {
+		// Only an earlier entry has told that the worker drains, and may be of another writer.
+		w.draining, w.drainEnd = false, time.Time{}
+		p.Log.Event("worker-not-draining", "worker", w.id(), "revision", revision)
+	}
 	p.recordDraining(w, registration.Draining, registration.DrainRemaining)
 	p.planNeeded = true
 }
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -44,7 +44,7 @@
 	w.incarnationChanges++
 	w.lastEnd, w.acknowledgedEnd, w.unstoredEnds = 0, 0, 0
 	p.setOrphans(w, nil)
-	w.fenced, w.draining, w.drainEnd, w.pollOverdueAt = false, false, time.Time{}, time.Time{}
+	w.fenced, w.draining, w.toldDraining, w.drainEnd, w.pollOverdueAt = false, false, false, time.Time{}, time.Time{}
 	w.moreEnds = false
 	w.clock, w.clockAt = 0, time.Time{}
 	clear(w.inferredEnds)
--- a/engine/state.go
+++ b/engine/state.go
@@ -217,6 +217,8 @@
 	// unstoredEnds counts the ends up to lastEnd that are not stored. They are acknowledged once there are none.
 	unstoredEnds int
 	draining     bool
+	// toldDraining is set once the worker itself has told that it drains, not only an entry.
+	toldDraining bool
 	// drainEnd is the earliest time at which a draining worker leaves.
 	drainEnd time.Time
 	// unhealthyUntil is when the worker may get new runs again.
