engine: do not decide on an entry while the worker answers other calls

If the poll that is to verify an entry got no response, the entry was taken for a restart, also when the worker had answered another call since: it is there, and the next poll decides. Found by reading.

TestEntryIsNotDecidedWhileWorkerAnswersOtherCalls failed on the commit before.

--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -253,3 +253,29 @@
 		}
 	})
 }
+
+// Guards against taking an entry for a worker's restart because the poll that was to verify it got no response, although the worker has
+// responded to another call since.
+func TestEntryIsNotDecidedWhileWorkerAnswersOtherCalls(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		t.Run(fmt.Sprintf("answered %t", answered), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, _ := newCallPlanner(t)
+				p.Metrics, p.breaker = &metrics.Set{}, breaker.New()
+				w := &workerState{
+					registration: Registration{ID: "w", Address: "w"}, answersAt: "w", incarnation: 1, toldIncarnation: 1, runs: map[string]*run{},
+					unverified: &unverifiedEntry{registration: Registration{ID: "w", Address: "w", Incarnation: 2}, arrivedAt: p.Clock.Now()},
+				}
+				sent := p.Clock.Now()
+				time.Sleep(time.Millisecond)
+				if answered {
+					w.lastAnswer = p.Clock.Now()
+				}
+				p.handlePollResult(w, Target{ID: "w", Address: "w"}, sent, PollRequest{}, PollResponse{}, context.DeadlineExceeded)
+				is.Equal(w.unverified != nil, answered)
+				is.Equal(w.incarnation == 1, answered)
+			})
+		})
+	}
+}
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -105,9 +105,13 @@
 	if entry == nil || sent.Before(entry.arrivedAt) || errors.Is(err, errNotSent) || errors.Is(err, errOutdatedRefusal) {
 		return
 	}
-	w.unverified = nil
 	var refused *ErrRefused
 	answered := err == nil || errors.As(err, &refused) && refused.Reason != RefusedIncarnation
+	if !answered && w.lastAnswer.After(sent) {
+		// The worker is there. The next poll decides.
+		return
+	}
+	w.unverified = nil
 	if answered && (entry.registration.Address != w.registration.Address || told != 0 && told != entry.registration.Incarnation) {
 		p.ignoreForeignEntry(w, entry.registration, entry.revision)
 		return
