breaker, engine: only a task that was started as a test ends a quarantine

A task that lasts and had been at work since before the failure ended its worker's quarantine at the next tick. Found by reading. The breaker keeps when a test began, and the engine compares it with the start of the run.

--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -35,15 +35,21 @@
 	// quarantine is the length of the current quarantine, 0 for a worker that is not quarantined.
 	quarantine       time.Duration
 	quarantinedUntil time.Time
-	// probes has the requests that test the worker since its quarantine time has ended, and whether they still keep it from being given
-	// another one.
-	probes map[job.Key]bool
+	// probes has the requests that test the worker since its quarantine time has ended.
+	probes map[job.Key]probe
+}
+
+// probe is the test of a worker by a request.
+type probe struct {
+	startedAt time.Time
+	// long is set once the probe no longer keeps the worker from being given another one.
+	long bool
 }
 
 // closed reports whether a probe keeps the worker from being given another one.
 func (s *workerState) closed() bool {
-	for _, closes := range s.probes {
-		if closes {
+	for _, p := range s.probes {
+		if !p.long {
 			return true
 		}
 	}
@@ -80,18 +86,26 @@
 		return
 	}
 	if s.probes == nil {
-		s.probes = map[job.Key]bool{}
+		s.probes = map[job.Key]probe{}
 	}
-	s.probes[key] = true
+	s.probes[key] = probe{startedAt: now}
+}
+
+// ProbeStart returns when the request began to test the worker, and false if it does not.
+func (b *Breaker) ProbeStart(worker string, key job.Key) (time.Time, bool) {
+	s := b.workers[worker]
+	if s == nil {
+		return time.Time{}, false
+	}
+	p, ok := s.probes[key]
+	return p.startedAt, ok
 }
 
 // RecordLongProbe records that the request has run on the worker for long without an outcome. If it is a probe, the worker may be given
 // another one. Its failure still extends the quarantine.
 func (b *Breaker) RecordLongProbe(worker string, key job.Key) {
-	if s := b.workers[worker]; s != nil {
-		if _, probe := s.probes[key]; probe {
-			s.probes[key] = false
-		}
+	if startedAt, ok := b.ProbeStart(worker, key); ok {
+		b.workers[worker].probes[key] = probe{startedAt: startedAt, long: true}
 	}
 }
 
@@ -102,9 +116,9 @@
 		s = &workerState{}
 		b.workers[worker] = s
 	}
-	_, probe := s.probes[key]
+	_, tested := s.probes[key]
 	switch {
-	case probe:
+	case tested:
 		s.probes = nil
 		s.quarantine = min(2*s.quarantine, b.MaxQuarantine)
 		s.quarantinedUntil = now.Add(s.quarantine)
@@ -125,7 +139,7 @@
 	if s == nil {
 		return
 	}
-	if _, probe := s.probes[key]; probe || s.quarantine == 0 || b.AnySuccessEndsQuarantine {
+	if _, tested := s.probes[key]; tested || s.quarantine == 0 || b.AnySuccessEndsQuarantine {
 		delete(b.workers, worker)
 	}
 }
--- a/engine/health.go
+++ b/engine/health.go
@@ -63,14 +63,17 @@
 			if r.phase != runRunning || r.stopRequested || r.concluded || now.Sub(r.confirmedAt) < conclusiveRunTime {
 				continue
 			}
+			key := breakerKey(r.group.job)
+			if start, ok := p.breaker.ProbeStart(w.id(), key); !ok || r.group.startedAt.Before(start) {
+				continue
+			}
 			r.concluded = true
-			j := r.group.job
 			p.Log.Event("worker-tested", "worker", w.id(), "task", r.name, "run", r.number, "at-work", now.Sub(r.confirmedAt), "lasts", r.group.step().LongRunning)
 			if r.group.step().LongRunning {
 				// A task that lasts is never done, so being at work is its success.
-				p.breaker.RecordSuccess(w.id(), breakerKey(j))
+				p.breaker.RecordSuccess(w.id(), key)
 			} else {
-				p.breaker.RecordLongProbe(w.id(), breakerKey(j))
+				p.breaker.RecordLongProbe(w.id(), key)
 			}
 			p.planNeeded = true
 		}
--- a/engine/probe_test.go
+++ b/engine/probe_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+// Guards against a quarantine that is ended by a task that has been at work since before it.
+func TestLastingTaskFromBeforeQuarantineDoesNotEndIt(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.LongRunning = true
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.mustSubmit(p, "serve", 1, lastingStep(1), time.Hour)
+		r.mustSubmit(p, "failing", 1, singleTaskStep(1), 10*time.Second)
+		time.Sleep(5 * time.Second)
+		worker := r.IDs()[0]
+		r.failRuns(worker, "failing")
+		time.Sleep(500 * time.Millisecond)
+		r.mustSubmit(p, "next", 1, singleTaskStep(1), 10*time.Second)
+		time.Sleep(2 * time.Second)
+		r.Equal(len(r.WorkersRunning("next")), 0)
+		time.Sleep(time.Second)
+		r.Equal(len(r.WorkersRunning("next")), 1)
+	})
+}
+
 // Guards against a worker that is closed to other work for as long as the task that tests it after its quarantine takes.
 func TestLongTaskDoesNotCloseWorker(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
