--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -15,33 +15,7 @@
 func TestEntryOfAnotherWriterEndsNoRun(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		r.wrapWorkers = func(w engine.Workers) engine.Workers {
-			other := func(t engine.Target) error {
-				if t.ID == t.Address {
-					return nil
-				}
-				time.Sleep(time.Millisecond)
-				return &engine.ErrRefused{Reason: engine.RefusedIncarnation}
-			}
-			return engine.Workers{
-				Start: func(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
-					if err := other(t); err != nil {
-						return engine.WorkerStatus{}, err
-					}
-					return w.Start(ctx, t, o)
-				},
-				Stop: func(ctx context.Context, t engine.Target, o engine.StopOrder) (engine.WorkerStatus, error) {
-					if err := other(t); err != nil {
-						return engine.WorkerStatus{}, err
-					}
-					return w.Stop(ctx, t, o)
-				},
-				Poll: func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
-					if err := other(t); err != nil {
-						return engine.PollResponse{}, err
-					}
-					return w.Poll(ctx, t, o)
-				},
-			}
+			return otherServers(w, func(t engine.Target) bool { return t.ID != t.Address })
 		}
 		p, stop := r.startWithWorkers(2)
 		defer stop()
@@ -81,10 +55,10 @@
 	})
 }
 
-// otherServers refuses the calls to addresses that no worker of the site has, as servers of other software do.
-func otherServers(w engine.Workers, isWorker func(address string) bool) engine.Workers {
+// otherServers refuses the calls that reach another server than the worker that they are meant for.
+func otherServers(w engine.Workers, isOther func(t engine.Target) bool) engine.Workers {
 	refused := func(t engine.Target) error {
-		if isWorker(t.Address) {
+		if !isOther(t) {
 			return nil
 		}
 		time.Sleep(time.Millisecond)
@@ -112,6 +86,9 @@
 	}
 }
 
+// isOtherAddress reports whether a call goes to the address that foreign entries give for another server.
+func isOtherAddress(t engine.Target) bool { return t.Address == "other" }
+
 // writeForeignEntry changes a worker's entry as another writer does.
 func (r *rig) writeForeignEntry(worker string, change func(entry *engine.Registration)) {
 	entry := r.Worker(worker).Registration
@@ -145,7 +122,7 @@
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
 				r.wrapWorkers = func(w engine.Workers) engine.Workers {
-					return otherServers(w, func(address string) bool { return address != "other" })
+					return otherServers(w, isOtherAddress)
 				}
 				p, stop := r.startWithWorkers(2)
 				defer stop()
@@ -171,7 +148,7 @@
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
 				r.wrapWorkers = func(w engine.Workers) engine.Workers {
-					return otherServers(w, func(address string) bool { return address != "other" })
+					return otherServers(w, isOtherAddress)
 				}
 				p, stop := r.startWithWorkers(2)
 				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 12*time.Second)
--- a/engine/probe_test.go
+++ b/engine/probe_test.go
@@ -22,6 +22,17 @@
 	r.Set(worker, func(w *site.Worker) { w.EndRunsOf(job, engine.EndFailed) })
 }
 
+// failOnOnlyWorker lets a job fail on the only worker of the site, which quarantines it.
+func (r *rig) failOnOnlyWorker(p *engine.Planner) {
+	r.t.Helper()
+	failing := newJob("failing", 1, singleTaskStep(1))
+	failing.MaxAttempts = 1
+	r.SetTaskProfile("failing", failing.Steps[0], 10*time.Second)
+	r.Equal(p.Submit(context.Background(), failing).Verdict, engine.VerdictAccepted)
+	time.Sleep(time.Second)
+	r.failRuns(r.IDs()[0], "failing")
+}
+
 // Guards against a service that takes no other work once tasks that last have failed on each of its workers: the task that tests a
 // worker after its quarantine was never done.
 func TestLastingTasksDoNotCloseWorkers(t *testing.T) {
@@ -98,12 +109,7 @@
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(1)
 		defer stop()
-		failing := newJob("failing", 1, singleTaskStep(1))
-		failing.MaxAttempts = 1
-		r.SetTaskProfile("failing", failing.Steps[0], 10*time.Second)
-		r.Equal(p.Submit(context.Background(), failing).Verdict, engine.VerdictAccepted)
-		time.Sleep(time.Second)
-		r.failRuns(r.IDs()[0], "failing")
+		r.failOnOnlyWorker(p)
 		// The quarantine is over by then.
 		time.Sleep(3500 * time.Millisecond)
 		r.mustSubmit(p, "long", 1, singleTaskStep(1), 30*time.Second)
@@ -120,12 +126,7 @@
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(1)
 		defer stop()
-		failing := newJob("failing", 1, singleTaskStep(1))
-		failing.MaxAttempts = 1
-		r.SetTaskProfile("failing", failing.Steps[0], 10*time.Second)
-		r.Equal(p.Submit(context.Background(), failing).Verdict, engine.VerdictAccepted)
-		time.Sleep(time.Second)
-		r.failRuns(r.IDs()[0], "failing")
+		r.failOnOnlyWorker(p)
 		time.Sleep(3500 * time.Millisecond)
 		r.Store.SetRefusing(true)
 		r.SetTaskProfile("next", singleTaskStep(1), time.Second)
--- a/engine/random_entries_test.go
+++ b/engine/random_entries_test.go
@@ -38,7 +38,7 @@
 		return entry, err
 	}
 	r.wrapWorkers = func(w engine.Workers) engine.Workers {
-		return otherServers(w, func(address string) bool { return address != "other" })
+		return otherServers(w, isOtherAddress)
 	}
 	const workers = 4
 	p, stop := r.startWithWorkers(workers)
