engine: list the failing test of a foreign entry over a worker that is cut off

An entry of another writer that tells a restart counts if the worker does not answer the poll that verifies it; the worker's task then runs twice. Waiting for its lease would hold each task of a worker that restarts behind a cut.

--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -206,3 +206,20 @@
 		r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
 	})
 }
+
+// Guards against starting the task of a worker elsewhere because an entry of another writer tells a restart while the worker is cut off.
+func TestForeignEntryOfCutOffWorkerEndsNoRun(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(2)
+		defer stop()
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 8*time.Second)
+		time.Sleep(3 * time.Second)
+		at := r.WorkersRunning("j1")[0]
+		r.Set(at, func(w *site.Worker) { w.Silent = true })
+		r.writeForeignEntry(at, func(e *engine.Registration) { e.Incarnation += 500 })
+		time.Sleep(1500 * time.Millisecond)
+		r.Set(at, func(w *site.Worker) { w.Silent = false })
+		r.writeOwnEntry(at)
+		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
+	})
+}
