engine: log what has told a restart

worker-reborn names the source: the worker's own response, or only an entry in the store, which may be of another writer. worker-clock-back has leases-end again, which was lost when the restart was given a file of its own.

--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -213,7 +213,7 @@
 				p.poll(w, p.Clock.Now())
 				if raised {
 					p.lastRevision = 6
-					p.applyIncarnation(w, 2)
+					p.applyIncarnation(w, 2, toldByWorker)
 				}
 				time.Sleep(200 * time.Millisecond)
 				settle()
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -46,7 +46,7 @@
 	}
 	w.lastAnswer = now
 	p.scheduleContact(w)
-	p.applyIncarnation(w, status.Incarnation)
+	p.applyIncarnation(w, status.Incarnation, toldByWorker)
 	if status.Incarnation != 0 {
 		w.identifiedAt = now
 	}
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -87,7 +87,7 @@
 	w.registration, w.registered = registration, true
 	p.invalidateFleets()
 	p.scheduleContact(w)
-	p.applyIncarnation(w, registration.Incarnation)
+	p.applyIncarnation(w, registration.Incarnation, toldByEntry)
 	if w.draining && !registration.Draining && !w.toldDraining {
 		// Only an earlier entry has told that the worker drains, and may be of another writer.
 		w.draining, w.drainEnd = false, time.Time{}
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -6,9 +6,19 @@
 	"github.com/pkg/errors"
 )
 
+// incarnationSource is what has told an incarnation of a worker.
+type incarnationSource string
+
+const (
+	// toldByWorker means that the worker has told it in a response.
+	toldByWorker incarnationSource = "worker"
+	// toldByEntry means that only an entry in the store tells it, which may be of another writer.
+	toldByEntry incarnationSource = "entry"
+)
+
 // applyIncarnation applies that a worker has restarted: none of its earlier runs exists any more, but calls that were meant for the
 // earlier incarnation may still be executed.
-func (p *Planner) applyIncarnation(w *workerState, incarnation int64) {
+func (p *Planner) applyIncarnation(w *workerState, incarnation int64, source incarnationSource) {
 	if incarnation <= w.incarnation {
 		// The registration in the store may be older than the worker's latest response.
 		return
@@ -20,7 +30,7 @@
 	}
 	p.boundLeasesAfterRestart(w)
 	p.raiseFence(w)
-	p.Log.Event("worker-reborn", "worker", w.id(), "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
+	p.Log.Event("worker-reborn", "worker", w.id(), "source", source, "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
 	p.resetIncarnation(w)
 	for _, r := range w.runs {
 		switch {
@@ -95,8 +105,9 @@
 
 // noticeRestart records that a worker has restarted whose new incarnation is not known yet: its clock has gone back.
 func (p *Planner) noticeRestart(w *workerState, clock WorkerTime) {
-	p.Log.Event("worker-clock-back", "worker", w.id(), "clock", time.Duration(clock), "before", time.Duration(w.clock))
+	before := w.clock
 	p.suspectRestart(w)
+	p.Log.Event("worker-clock-back", "worker", w.id(), "clock", time.Duration(clock), "before", time.Duration(before), "leases-end", w.leasesEndBy)
 }
 
 // suspectRestart records that a worker may have restarted. The response to the next poll tells the incarnation, and applyIncarnation does
