--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"clementinepier/engine"
 	"clementinepier/standin/site"
 	"clementinepier/workload"
@@ -223,3 +226,92 @@
 		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
 	})
 }
+
+// losePoll loses the response to the next poll that does not extend the lease, such as that which verifies an entry, once the flag that it
+// returns is set. The poll fails at once, or when its time is over. It applies to planners that are started afterwards.
+func (r *rig) losePoll(atOnce bool) *atomic.Bool {
+	var lose atomic.Bool
+	r.wrapWorkers = func(w engine.Workers) engine.Workers {
+		poll := w.Poll
+		w.Poll = func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+			response, err := poll(ctx, t, o)
+			if o.Until != 0 || !lose.CompareAndSwap(true, false) {
+				return response, err
+			}
+			if !atOnce {
+				<-ctx.Done()
+			}
+			return engine.PollResponse{}, errors.New("response lost")
+		}
+		return w
+	}
+	return &lose
+}
+
+// Guards against starting the task of a worker elsewhere because an entry of another writer tells a restart and one response of the worker
+// is lost, by a reset or a pause of the planner, although the worker can be reached.
+func TestForeignEntryAndOneLostResponseEndNoRun(t *testing.T) {
+	for name, atOnce := range map[string]bool{"connection reset": true, "not read in time": false} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				lose := r.losePoll(atOnce)
+				p, stop := r.startWithWorkers(2)
+				defer stop()
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 8*time.Second)
+				time.Sleep(3 * time.Second)
+				at := r.WorkersRunning("j1")[0]
+				lose.Store(true)
+				r.writeForeignEntry(at, func(e *engine.Registration) { e.Incarnation += 500 })
+				time.Sleep(1500 * time.Millisecond)
+				r.writeOwnEntry(at)
+				r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
+				r.True(!lose.Load())
+				r.Equal(r.starts(), 1)
+			})
+		})
+	}
+}
+
+// Guards against starting the task of a worker elsewhere because an entry of another writer tells a restart while the worker refuses polls
+// as unhealthy, which does not tell its incarnation.
+func TestForeignEntryOfUnhealthyWorkerEndsNoRun(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(2)
+		defer stop()
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 8*time.Second)
+		time.Sleep(3 * time.Second)
+		at := r.WorkersRunning("j1")[0]
+		r.Set(at, func(w *site.Worker) { w.RefusesPolls = true })
+		r.writeForeignEntry(at, func(e *engine.Registration) { e.Incarnation += 500 })
+		time.Sleep(1500 * time.Millisecond)
+		r.Set(at, func(w *site.Worker) { w.RefusesPolls = false })
+		r.writeOwnEntry(at)
+		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
+		r.Equal(r.starts(), 1)
+	})
+}
+
+// Guards against taking an entry of another writer for a restart without asking the worker, because an earlier one told another address
+// while the worker could not be reached.
+func TestForeignEntryAfterUnverifiedAddressIsVerified(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			return otherServers(w, isOtherAddress)
+		}
+		p, stop := r.startWithWorkers(2)
+		defer stop()
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 8*time.Second)
+		time.Sleep(3 * time.Second)
+		at := r.WorkersRunning("j1")[0]
+		r.Set(at, func(w *site.Worker) { w.Silent = true })
+		r.writeForeignEntry(at, func(e *engine.Registration) { e.Address = "other" })
+		time.Sleep(time.Second)
+		r.Set(at, func(w *site.Worker) { w.Silent = false })
+		r.Equal(r.starts(), 1)
+		r.writeForeignEntry(at, func(e *engine.Registration) { e.Address, e.Incarnation = "other", e.Incarnation+500 })
+		time.Sleep(500 * time.Millisecond)
+		r.writeOwnEntry(at)
+		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
+		r.Equal(r.starts(), 1)
+	})
+}
