engine: an entry alone shows no end of a run

Now an entry that contradicts the worker's own word stays a claim until the worker itself tells its incarnation: where it last answered, or at the address of the entry, which is asked while the worker fails. The runs end by that, by a refusal at the address where it answered, or by the leases of the incarnation that confirmed them. That bound no longer contains the 40 s that late orders may give a later incarnation, unless an order of the run, or of an earlier one of its task, may still be carried out.

Found on the way: a worker whose earlier address refused the verifying poll was not asked again until its next entry (TestWorkerThatMovedIsUsedAfterItsAddressIsTaken); the first answer to a planner did not count if an entry had told another address since the call (TestForeignEntryBeforeFirstAnswerKeepsRuns).

TestEntryIsNotDecidedWhileWorkerAnswersOtherCalls asserted in one of its two cases that a poll without an answer lets the entry count, which is the fault. TestEntryIsDecidedByWorkerItself takes its place: both cases, now without a decision, and four more.

The new tests were seen failing on the code before.

TestRunOnRestartedWorkerIsPlacedElsewhereSoon and TestRunOnWorkerThatRestartsLongAfterItsStartIsPlacedElsewhereSoon asked for the next run within 3 s of a restart that only an entry tells. That is the fault: the same entry over a worker that is at work and cut off starts the task twice. They play both sources now. If the worker has told its restart before it is cut off, the next run has to be elsewhere within the same 3 s; if only an entry tells it, nothing may be started elsewhere in these 3 s, and the next run has to be there when the longest lease of the platform is over. The cases of the entry were seen failing on the code before.

--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -254,11 +254,25 @@
 	})
 }
 
-// Guards against taking an entry for a worker's restart because the poll that was to verify it got no response, although the worker has
-// responded to another call since.
-func TestEntryIsNotDecidedWhileWorkerAnswersOtherCalls(t *testing.T) {
-	for _, answered := range []bool{true, false} {
-		t.Run(fmt.Sprintf("answered %t", answered), func(t *testing.T) {
+// Guards against deciding on an entry that contradicts a worker by anything but the incarnation that the worker tells, or a refusal by another
+// worker at its address: the poll that is to verify it may get no response, also while the worker responds to other calls, or be refused by
+// an unhealthy worker, which does not tell it.
+func TestEntryIsDecidedByWorkerItself(t *testing.T) {
+	for name, c := range map[string]struct {
+		answered    bool
+		told        int64
+		err         error
+		decided     bool
+		incarnation int64
+	}{
+		"no answer":                 {err: context.DeadlineExceeded, incarnation: 1},
+		"answer to another call":    {answered: true, err: context.DeadlineExceeded, incarnation: 1},
+		"refused as unhealthy":      {err: &ErrRefused{Reason: RefusedUnhealthy}, incarnation: 1},
+		"refused by another worker": {err: &ErrRefused{Reason: RefusedIncarnation}, decided: true, incarnation: 2},
+		"answer of the earlier":     {told: 1, decided: true, incarnation: 1},
+		"answer of the later":       {told: 2, decided: true, incarnation: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				p, _ := newCallPlanner(t)
@@ -269,12 +283,34 @@
 				}
 				sent := p.Clock.Now()
 				time.Sleep(time.Millisecond)
-				if answered {
+				if c.answered {
 					w.lastAnswer = p.Clock.Now()
 				}
-				p.handlePollResult(w, Target{ID: "w", Address: "w"}, sent, PollRequest{}, PollResponse{}, context.DeadlineExceeded)
-				is.Equal(w.unverified != nil, answered)
-				is.Equal(w.incarnation == 1, answered)
+				response := PollResponse{WorkerStatus: WorkerStatus{Incarnation: c.told}}
+				p.handlePollResult(w, Target{ID: "w", Address: "w"}, sent, PollRequest{}, response, c.err)
+				is.Equal(w.unverified == nil, c.decided)
+				is.Equal(w.incarnation, c.incarnation)
+			})
+		})
+	}
+}
+
+// Guards against ending a run that an incarnation of its worker has because an entry alone tells a later one.
+func TestEntryAloneEndsNoRun(t *testing.T) {
+	for source, ends := range map[incarnationSource]bool{toldByEntry: false, toldByWorker: true} {
+		t.Run(string(source), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, _ := newCallPlanner(t)
+				p.Metrics, p.breaker = &metrics.Set{}, breaker.New()
+				w := &workerState{registration: Registration{ID: "w", Address: "w"}, incarnation: 1, runs: map[string]*run{}}
+				j := newJobState(workload.Record{Job: workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 1}}}}, time.Now())
+				j.record.Progress = *workload.NewProgress(&j.record.Job)
+				p.jobs, p.dirty = map[string]*jobState{"j": j}, map[*jobState]bool{}
+				r := p.addRun(&group{job: j}, workload.TaskID{Job: "j"}, 1, w)
+				r.phase, r.incarnation, r.placementChange = runRunning, 1, 1
+				p.applyIncarnation(w, 2, source)
+				is.Equal(r.ended, ends)
 			})
 		})
 	}
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -79,7 +79,7 @@
 	verified := w.answersAt == w.registration.Address
 	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "verified", verified)
 	w.markUnregistered(p.Clock.Now())
-	w.fenced, w.registration.Address = false, ""
+	w.fenced, w.registration.Address, w.answersAt = false, "", ""
 	if !verified {
 		// The worker may be elsewhere: an entry of another writer may have told the address.
 		return
@@ -88,6 +88,10 @@
 	for _, r := range w.runs {
 		p.endRun(r, EndLapsed, r.checkpoint, basisReplaced)
 	}
+	if entry := w.unverified; entry != nil {
+		w.unverified = nil
+		p.applyRegistration(w, entry.registration, entry.revision)
+	}
 }
 
 // scheduleContact queues the worker for contactWorkers at the end of this pass. Each tick queues all workers, so that none
@@ -117,6 +121,7 @@
 			// The response to the poll in flight seems lost.
 			w.polling = false
 		}
+		p.queryUnverified(w, now)
 		query, poll := !w.querying && p.startNeedsAnswer(w, now), !w.polling && p.needsPoll(w)
 		if w.registration.Address == "" || !query && !poll {
 			continue
@@ -212,7 +217,7 @@
 // mayAcknowledge reports whether the ends of a worker can be acknowledged now. An acknowledgement that reaches a later incarnation makes
 // it discard ends of its own, so an end is acknowledged only until the worker has confirmed it.
 func (p *Planner) mayAcknowledge(w *workerState, now time.Time) bool {
-	if w.lastEnd <= w.acknowledgedEnd || !w.failingSince.IsZero() || w.unstoredEnds > 0 || p.startedSinceIdentified(w) {
+	if w.lastEnd <= w.acknowledgedEnd || w.unverified != nil || !w.failingSince.IsZero() || w.unstoredEnds > 0 || p.startedSinceIdentified(w) {
 		return false
 	}
 	return !w.mayStartAny(now) || now.Sub(w.identifiedAt) < recentIdentification
@@ -496,7 +501,7 @@
 			p.setOrphans(w, nil)
 		}
 		if len(w.runs) == 0 {
-			if !w.registered && !w.polling && now.After(w.leasesEndBy) && now.Sub(w.unregisteredAt) > impossibleRetryAfter {
+			if !w.registered && w.unverified == nil && !w.polling && now.After(w.leasesEndBy) && now.Sub(w.unregisteredAt) > impossibleRetryAfter {
 				p.forgottenFence = max(p.forgottenFence, w.fence)
 				delete(p.workers, id)
 				p.invalidateFleets()
@@ -504,7 +509,7 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.phase != runRecorded && !r.startInFlight && !now.Before(w.leasesEndBy) {
+			if r.phase != runRecorded && !r.startInFlight && !now.Before(p.leaseEndsBy(r, now)) {
 				p.endRun(r, EndLapsed, r.checkpoint, basisLeaseOver)
 			}
 		}
--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -272,8 +272,92 @@
 	}
 }
 
-// Guards against starting the task of a worker elsewhere because an entry of another writer tells a restart while the worker refuses polls
-// as unhealthy, which does not tell its incarnation.
+// Guards against taking an entry of another writer for a restart without asking the worker, because an earlier one told another address
+// while the worker could not be reached.
+func TestForeignEntryAfterUnverifiedAddressIsVerified(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			return otherServers(w, isOtherAddress)
+		}
+		p, stop := r.startWithWorkers(2)
+		defer stop()
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 8*time.Second)
+		time.Sleep(3 * time.Second)
+		at := r.WorkersRunning("j1")[0]
+		r.Set(at, func(w *site.Worker) { w.Silent = true })
+		r.writeForeignEntry(at, func(e *engine.Registration) { e.Address = "other" })
+		time.Sleep(time.Second)
+		r.Set(at, func(w *site.Worker) { w.Silent = false })
+		r.Equal(r.starts(), 1)
+		r.writeForeignEntry(at, func(e *engine.Registration) { e.Address, e.Incarnation = "other", e.Incarnation+500 })
+		time.Sleep(500 * time.Millisecond)
+		r.writeOwnEntry(at)
+		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
+		r.Equal(r.starts(), 1)
+	})
+}
+
+// Guards against ending, or losing, the runs of a worker that is cut off because an entry of another writer looks like a restart or a move:
+// also if the entry stays for longer than a lease, or if the planner changes meanwhile.
+func TestForeignEntryDuringCutKeepsRuns(t *testing.T) {
+	steps := map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8), "task that lasts": lastingStep(1)}
+	for course, c := range map[string]struct {
+		stays, successor bool
+		successorAfter   time.Duration
+	}{
+		"entry replaced": {}, "entry stays": {stays: true},
+		"planner changes": {successor: true}, "planner changes later": {successor: true, successorAfter: time.Second},
+	} {
+		for stepName, step := range steps {
+			for entryName, change := range foreignEntries {
+				t.Run(course+", "+stepName+", "+entryName, func(t *testing.T) {
+					runInVirtualTime(t, func(r *rig) {
+						r.wrapWorkers = func(w engine.Workers) engine.Workers {
+							return otherServers(w, isOtherAddress)
+						}
+						p, stop := r.startWithWorkers(4)
+						defer func() { stop() }()
+						work := 20 * time.Second
+						if step.LongRunning {
+							work = time.Hour
+						}
+						r.mustSubmit(p, "j1", 1, step, work)
+						time.Sleep(3 * time.Second)
+						at := r.WorkersRunning("j1")[0]
+						r.Set(at, func(w *site.Worker) { w.Silent = true })
+						r.writeForeignEntry(at, change)
+						end := time.Now().Add(2 * time.Second)
+						time.Sleep(c.successorAfter)
+						if c.successor {
+							stop()
+							p, stop = r.startPlanner("b")
+						}
+						time.Sleep(time.Until(end))
+						r.Set(at, func(w *site.Worker) { w.Silent = false })
+						if !c.stays {
+							r.writeOwnEntry(at)
+						}
+						time.Sleep(maxLease + 2*time.Second)
+						r.Equal(r.starts(), step.Tasks)
+						r.writeOwnEntry(at)
+						if step.LongRunning {
+							r.Equal(r.WorkersRunning("j1"), []string{at})
+							r.Equal(p.Cancel(context.Background(), "j1").Verdict, engine.VerdictAccepted)
+						} else {
+							r.waitForState(p, "j1", workload.StateCompleted, 6*time.Second)
+						}
+						time.Sleep(2 * time.Second)
+						r.mustSubmit(p, "j2", 1, gangStep(4, 8), time.Second)
+						r.waitForState(p, "j2", workload.StateCompleted, 4*time.Second)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against ending the runs of a worker that refuses polls, as an unhealthy one does, because an entry of another writer tells a later
+// incarnation: such a refusal does not tell the incarnation.
 func TestForeignEntryOfUnhealthyWorkerEndsNoRun(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(2)
@@ -285,33 +369,172 @@
 		r.writeForeignEntry(at, func(e *engine.Registration) { e.Incarnation += 500 })
 		time.Sleep(1500 * time.Millisecond)
 		r.Set(at, func(w *site.Worker) { w.RefusesPolls = false })
+		time.Sleep(time.Second)
 		r.writeOwnEntry(at)
-		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
+		r.waitForState(p, "j1", workload.StateCompleted, 6*time.Second)
 		r.Equal(r.starts(), 1)
 	})
 }
 
-// Guards against taking an entry of another writer for a restart without asking the worker, because an earlier one told another address
-// while the worker could not be reached.
-func TestForeignEntryAfterUnverifiedAddressIsVerified(t *testing.T) {
+// Guards against ending the runs of a worker that is cut off because several entries of another writer follow each other: the first, which
+// tells another address, must not keep the second from being verified.
+func TestForeignEntriesDuringCutEndNoRun(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
-		r.wrapWorkers = func(w engine.Workers) engine.Workers {
-			return otherServers(w, isOtherAddress)
-		}
 		p, stop := r.startWithWorkers(2)
 		defer stop()
-		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 8*time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
 		time.Sleep(3 * time.Second)
 		at := r.WorkersRunning("j1")[0]
 		r.Set(at, func(w *site.Worker) { w.Silent = true })
-		r.writeForeignEntry(at, func(e *engine.Registration) { e.Address = "other" })
-		time.Sleep(time.Second)
+		for _, change := range []func(e *engine.Registration){
+			func(e *engine.Registration) { e.Address = "nobody" },
+			func(e *engine.Registration) { e.Address, e.Incarnation = "nobody", e.Incarnation+500 },
+			func(e *engine.Registration) { e.Incarnation += 1000 },
+			func(e *engine.Registration) { e.Address = "nobody" },
+		} {
+			r.writeForeignEntry(at, change)
+			time.Sleep(1200 * time.Millisecond)
+		}
 		r.Set(at, func(w *site.Worker) { w.Silent = false })
+		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
 		r.Equal(r.starts(), 1)
-		r.writeForeignEntry(at, func(e *engine.Registration) { e.Address, e.Incarnation = "other", e.Incarnation+500 })
-		time.Sleep(500 * time.Millisecond)
-		r.writeOwnEntry(at)
+	})
+}
+
+// Guards against losing the runs of a worker that has given its first answer to a planner while an entry of another writer told another
+// address: the worker is asked where it has answered.
+func TestForeignEntryBeforeFirstAnswerKeepsRuns(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(2)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+		time.Sleep(3 * time.Second)
+		at := r.WorkersRunning("j1")[0]
+		stop()
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			poll := w.Poll
+			var polls atomic.Int64
+			w.Poll = func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+				response, err := poll(ctx, t, o)
+				if t.ID == at && polls.Add(1) == 1 {
+					time.Sleep(600 * time.Millisecond)
+				}
+				return response, err
+			}
+			return w
+		}
+		p, stop = r.startPlanner("b")
+		defer stop()
+		time.Sleep(20 * time.Millisecond)
+		r.writeForeignEntry(at, func(e *engine.Registration) { e.Address = "nobody" })
 		r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
 		r.Equal(r.starts(), 1)
 	})
 }
+
+// Guards against not noticing at its first answer that a worker has restarted behind a cut, because its entry counts as a claim only: at
+// the address that it had, or at another one.
+func TestRestartBehindCutEndsRunsAtFirstAnswer(t *testing.T) {
+	for name, moves := range map[string]bool{"same address": false, "another address": true} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				if moves {
+					r.wrapWorkers = func(w engine.Workers) engine.Workers { return r.movedWorker(w, "r1-w0", "moved") }
+				}
+				p, stop := r.startWithWorkers(1)
+				defer stop()
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), time.Minute)
+				time.Sleep(3 * time.Second)
+				r.AddWorkers("r2", 1)
+				r.Set("r1-w0", func(w *site.Worker) {
+					w.Restart()
+					w.Silent = true
+					if moves {
+						w.Registration.Address = "moved"
+					}
+				})
+				r.Register(r.Worker("r1-w0"))
+				time.Sleep(2 * time.Second)
+				r.Equal(r.starts(), 1)
+				r.Set("r1-w0", func(w *site.Worker) { w.Silent = false })
+				time.Sleep(2 * time.Second)
+				r.Equal(r.starts(), 2)
+				r.Equal(len(r.WorkersRunning("j1")), 1)
+				r.mustSubmit(p, "j2", 1, singleTaskStep(8), time.Second)
+				r.waitForState(p, "j2", workload.StateCompleted, 4*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a worker that has moved and is not used, because another worker refuses the poll at its earlier address that is to verify
+// its entry, which it does not write again.
+func TestWorkerThatMovedIsUsedAfterItsAddressIsTaken(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			return otherServers(r.movedWorker(w, "r1-w0", "moved"), func(t engine.Target) bool {
+				return t.Address == "r1-w0" && r.Worker("r1-w0").Registration.Address == "moved"
+			})
+		}
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 6*time.Second)
+		time.Sleep(3 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.Registration.Address = "moved"
+		})
+		r.Register(r.Worker("r1-w0"))
+		r.waitForState(p, "j1", workload.StateCompleted, 9*time.Second)
+	})
+}
+
+// movedWorker sends calls to the address that a worker has after a move to the worker, and lets those to its earlier address time out then.
+func (r *rig) movedWorker(w engine.Workers, id, moved string) engine.Workers {
+	resolve := func(t engine.Target) engine.Target {
+		switch {
+		case t.Address == moved:
+			t.Address = id
+		case t.Address == id && r.Worker(id).Registration.Address == moved:
+			t.Address = "nobody"
+		}
+		return t
+	}
+	return engine.Workers{
+		Start: func(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
+			return w.Start(ctx, resolve(t), o)
+		},
+		Stop: func(ctx context.Context, t engine.Target, o engine.StopOrder) (engine.WorkerStatus, error) {
+			return w.Stop(ctx, resolve(t), o)
+		},
+		Poll: func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+			return w.Poll(ctx, resolve(t), o)
+		},
+	}
+}
+
+// Guards against keeping the runs of a worker that has restarted, and cannot be reached, for longer than the leases that the earlier
+// incarnation had: a start that was answered cannot be carried out late.
+func TestRunOfUnreachableRestartedWorkerEndsByItsLease(t *testing.T) {
+	for name, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8), "task that lasts": lastingStep(1)} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				p, stop := r.startWithWorkers(step.Tasks)
+				defer stop()
+				r.mustSubmit(p, "j1", 1, step, time.Minute)
+				time.Sleep(3 * time.Second)
+				r.AddWorkers("r2", step.Tasks)
+				for range 5 {
+					r.Set("r1-w0", func(w *site.Worker) {
+						w.Restart()
+						w.Silent = true
+					})
+					r.Register(r.Worker("r1-w0"))
+					time.Sleep(2 * time.Second)
+				}
+				time.Sleep(1500 * time.Millisecond)
+				r.Equal(r.starts(), 2*step.Tasks)
+				r.Equal(len(r.WorkersRunning("j1")), step.Tasks)
+			})
+		})
+	}
+}
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -73,18 +73,48 @@
 	})
 }
 
-// Guards against keeping a run on a restarted worker that cannot be reached until the longest lease is over, because the start of
-// another task there got no answer.
+// leaseOver is the time after which every lease that an incarnation had when it ended is over, also on a clock that is 2% slow.
+const leaseOver = maxLease*100/98 + 500*time.Millisecond
+
+// restartOutOfReach restarts r1-w0, which runs j1, so that calls no longer reach it. The worker itself has told the restart before, or only its
+// entry tells it. The task goes on at the worker r2-w0 at once in the first case, and once the earlier incarnation's lease is over in the
+// second, since the entry may be of another writer and the worker still at work.
+func (r *rig) restartOutOfReach(told bool) {
+	r.Set("r1-w0", func(w *site.Worker) {
+		w.Restart()
+		// The drain keeps the next run away from a worker that answers.
+		w.Silent, w.Registration.Draining = !told, told
+	})
+	time.Sleep(500 * time.Millisecond)
+	r.Set("r1-w0", func(w *site.Worker) { w.Silent = true })
+	restarted := time.Now()
+	r.Register(r.Worker("r1-w0"))
+	r.AddWorkers("r2", 1)
+	time.Sleep(3 * time.Second)
+	if !told {
+		r.Equal(r.Worker("r2-w0").Starts, 0)
+		time.Sleep(time.Until(restarted.Add(leaseOver)))
+	}
+	r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+}
+
+// Guards against keeping a run on a restarted worker that cannot be reached until the longest lease of a late order is over, because the start
+// of another task there got no answer.
 func TestRunOnRestartedWorkerIsPlacedElsewhereSoon(t *testing.T) {
-	for name, long := range map[string]bool{"task": false, "task that lasts": true} {
+	for name, c := range map[string]struct{ long, told bool }{
+		"task":                              {told: true},
+		"task that lasts":                   {long: true, told: true},
+		"task, told by an entry":            {},
+		"task that lasts, told by an entry": {long: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
-				r.LongRunning = long
+				r.LongRunning = c.long
 				p, stop := r.startWithWorkers(1)
 				defer stop()
 				time.Sleep(10 * time.Second)
 				step := singleTaskStep(1)
-				step.LongRunning = long
+				step.LongRunning = c.long
 				r.mustSubmit(p, "j1", 1, step, 30*time.Second)
 				time.Sleep(100 * time.Millisecond)
 				r.Set("r1-w0", func(w *site.Worker) { w.LoseStarts = true })
@@ -92,49 +122,40 @@
 				time.Sleep(100 * time.Millisecond)
 				r.Set("r1-w0", func(w *site.Worker) { w.LoseStarts = false })
 				r.waitForState(p, "j0", workload.StateCompleted, 3*time.Second)
-				r.Set("r1-w0", func(w *site.Worker) {
-					w.Restart()
-					w.Silent = true
-				})
-				r.Register(r.Worker("r1-w0"))
-				r.AddWorkers("r2", 1)
-				time.Sleep(3 * time.Second)
-				r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+				r.restartOutOfReach(c.told)
 			})
 		})
 	}
 }
 
-// Guards against keeping a run on a restarted worker that cannot be reached until the longest lease is over, because a start got no
-// answer, or another planner started it, so long ago that nothing can be late any more.
+// Guards against keeping a run on a restarted worker that cannot be reached until the longest lease of a late order is over, because a start
+// got no answer, or another planner started it, so long ago that nothing can be late any more.
 func TestRunOnWorkerThatRestartsLongAfterItsStartIsPlacedElsewhereSoon(t *testing.T) {
-	for name, inherited := range map[string]bool{"start unanswered": false, "inherited": true} {
+	for name, c := range map[string]struct{ inherited, told bool }{
+		"start unanswered":                   {told: true},
+		"inherited":                          {inherited: true, told: true},
+		"start unanswered, told by an entry": {},
+		"inherited, told by an entry":        {inherited: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
 				r.LongRunning = true
 				p, stop := r.startWithWorkers(1)
 				time.Sleep(10 * time.Second)
-				r.Set("r1-w0", func(w *site.Worker) { w.LoseStarts = !inherited })
+				r.Set("r1-w0", func(w *site.Worker) { w.LoseStarts = !c.inherited })
 				step := singleTaskStep(1)
 				step.LongRunning = true
 				r.mustSubmit(p, "j1", 1, step, time.Hour)
 				time.Sleep(20 * time.Millisecond)
 				r.Set("r1-w0", func(w *site.Worker) { w.LoseStarts = false })
-				if inherited {
+				if c.inherited {
 					stop()
 					_, stop = r.startPlanner("b")
 				}
 				defer func() { stop() }()
 				time.Sleep(5 * time.Minute)
 				r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
-				r.Set("r1-w0", func(w *site.Worker) {
-					w.Restart()
-					w.Silent = true
-				})
-				r.Register(r.Worker("r1-w0"))
-				r.AddWorkers("r2", 1)
-				time.Sleep(3 * time.Second)
-				r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+				r.restartOutOfReach(c.told)
 			})
 		})
 	}
--- a/engine/load.go
+++ b/engine/load.go
@@ -143,7 +143,8 @@
 func (p *Planner) workerByID(id string) *workerState {
 	w, ok := p.workers[id]
 	if !ok {
-		w = &workerState{registration: Registration{ID: id}, fence: max(p.lastRevision, p.forgottenFence), runs: map[string]*run{}, leasesEndBy: p.started.Add(p.leaseBound(p.Bounds.MaxLease))}
+		w = &workerState{registration: Registration{ID: id}, fence: max(p.lastRevision, p.forgottenFence), runs: map[string]*run{}}
+		w.boundLeases(p.started.Add(p.leaseBound(p.Bounds.MaxLease)))
 		p.workers[id] = w
 		p.invalidateFleets()
 	}
--- a/engine/random_entries_test.go
+++ b/engine/random_entries_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -15,8 +16,12 @@
 // entryRounds is the number of events that a seed of the random entries plays.
 const entryRounds = 80
 
+// maxLastingJobs is the number of jobs of a task that lasts that a seed submits at most.
+const maxLastingJobs = 3
+
 // Guards against entries of other writers, over those of live workers that run tasks, that make a task run twice or keep a worker from
-// being used: next to restarts of workers and changes of the planner. With -faults-first and -faults-seeds it plays other seeds.
+// being used: next to cut off workers, restarts of workers and changes of the planner, with single tasks, gangs and tasks that last. With
+// -faults-first and -faults-seeds it plays other seeds.
 func TestRandomForeignEntries(t *testing.T) {
 	for seed := *faultsFirst; seed < *faultsFirst+uint64(max(0, *faultsSeeds)); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -57,18 +62,40 @@
 			r.Register(r.Worker(ids[i%workers]))
 		}
 	}()
-	var jobs []string
+	cut := func(id string) {
+		r.Set(id, func(w *site.Worker) { w.Silent = true })
+		time.AfterFunc(300*time.Millisecond+time.Duration(random.Int64N(int64(3700*time.Millisecond))), func() {
+			r.Set(id, func(w *site.Worker) { w.Silent = false })
+		})
+	}
+	var jobs, lasting []string
 	for round := range entryRounds {
 		time.Sleep(time.Duration(random.Int64N(int64(500 * time.Millisecond))))
 		id := ids[random.IntN(workers)]
-		switch n := random.IntN(20); {
+		job, work := fmt.Sprint("j", round), time.Duration(random.Int64N(int64(6*time.Second)))
+		switch n := random.IntN(24); {
+		case n < 5:
+			r.mustSubmit(p, job, 1, singleTaskStep(1+random.Int64N(8)), work)
+			jobs = append(jobs, job)
 		case n < 7:
-			job := fmt.Sprint("j", round)
-			r.mustSubmit(p, job, 1, singleTaskStep(1+random.Int64N(8)), time.Duration(random.Int64N(int64(6*time.Second))))
+			r.mustSubmit(p, job, 1, gangStep(2, 1+random.Int64N(7)), work)
 			jobs = append(jobs, job)
+		case n < 8 && len(lasting) < maxLastingJobs:
+			r.mustSubmit(p, job, 1, lastingStep(1), time.Hour)
+			lasting = append(lasting, job)
 		case n < 17:
+			around := random.IntN(3)
+			if around == 0 {
+				cut(id)
+			}
 			r.Store.Write(site.RegistrationPrefix+id, foreignEntry(random, r.Worker(id).Registration, encode))
-		case n < 19:
+			if around == 1 {
+				time.Sleep(time.Duration(random.Int64N(int64(100 * time.Millisecond))))
+				cut(id)
+			}
+		case n < 20:
+			cut(id)
+		case n < 23:
 			r.Set(id, (*site.Worker).Restart)
 		default:
 			stop()
@@ -78,6 +105,10 @@
 	for _, job := range jobs {
 		r.waitForState(p, job, workload.StateCompleted, time.Minute)
 	}
+	for _, job := range lasting {
+		r.Equal(len(r.WorkersRunning(job)), 1)
+		r.Equal(p.Cancel(context.Background(), job).Verdict, engine.VerdictAccepted)
+	}
 	// Each worker has written its entry since, and is used.
 	time.Sleep(5 * time.Second)
 	r.mustSubmit(p, "last", 1, gangStep(workers, 8), time.Second)
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -1,18 +1,24 @@
 package engine
 
 import (
+	"context"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"clementinepier/metrics"
 )
 
 // unverifiedEntry is a worker's entry that contradicts the worker's own word, while the worker is asked at the address at which it last
-// answered. Another writer may have left the entry.
+// answered, and at that of the entry. Another writer may have left the entry.
 type unverifiedEntry struct {
 	registration Registration
 	revision     int64
 	arrivedAt    time.Time
+	// querying is set while a query to the address of the entry is in flight; nextQuery is the earliest time of the next one.
+	querying  bool
+	nextQuery time.Time
 }
 
 // handleRegistration applies a change of a worker's registration in the store.
@@ -53,7 +59,7 @@
 		w.unverified = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: p.Clock.Now()}
 		p.Log.Event("advert-unverified", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "address", registration.Address,
 			"answers-at", w.answersAt, "revision", item.Revision)
-		p.suspectRestart(w)
+		p.suspectRestart(w, toldByEntry)
 	default:
 		p.applyRegistration(w, registration, item.Revision)
 	}
@@ -62,8 +68,7 @@
 // contradictedBy reports whether a registration tells another address or a later incarnation than the worker itself, which may still be
 // there.
 func (w *workerState) contradictedBy(r Registration) bool {
-	return w.registration.Address != "" && w.answersAt == w.registration.Address && w.toldIncarnation == w.incarnation && w.incarnation != 0 &&
-		(r.Incarnation > w.incarnation || r.Address != w.registration.Address)
+	return w.answersAt != "" && (r.Incarnation > w.incarnation || r.Address != w.answersAt)
 }
 
 // ignoreForeignEntry records that the entry under the worker's key is of another writer. It does not show that the worker has restarted,
@@ -98,27 +103,58 @@
 }
 
 // resolveUnverified decides on an entry that contradicts the worker's own word by the result of a poll, sent at the given time to the address
-// at which the worker last answered. A worker that has restarted answers as its new incarnation, or no longer there, so any other answer
-// shows that the entry is of another writer.
+// at which the worker last answered. Only an incarnation that the worker tells there decides: it may be cut off, or refuse the poll.
 func (p *Planner) resolveUnverified(w *workerState, sent time.Time, told int64, err error) {
 	entry := w.unverified
-	if entry == nil || sent.Before(entry.arrivedAt) || errors.Is(err, errNotSent) || errors.Is(err, errOutdatedRefusal) {
+	if entry == nil || sent.Before(entry.arrivedAt) {
 		return
 	}
 	var refused *ErrRefused
-	answered := err == nil || errors.As(err, &refused) && refused.Reason != RefusedIncarnation
-	if !answered && w.lastAnswer.After(sent) {
-		// The worker is there. The next poll decides.
+	if errors.As(err, &refused) {
+		told = refused.Status.Incarnation
+	}
+	if err != nil && told == 0 {
 		return
 	}
 	w.unverified = nil
-	if answered && (entry.registration.Address != w.registration.Address || told != 0 && told != entry.registration.Incarnation) {
+	if entry.registration.Address != w.registration.Address || told != entry.registration.Incarnation {
 		p.ignoreForeignEntry(w, entry.registration, entry.revision)
 		return
 	}
 	p.applyRegistration(w, entry.registration, entry.revision)
 }
 
+// queryUnverified asks for a worker at the address that an unverified entry tells, while it does not answer where it last did. The query
+// grants no lease and acknowledges no ends.
+func (p *Planner) queryUnverified(w *workerState, now time.Time) {
+	entry := w.unverified
+	if entry == nil || entry.registration.Address == w.registration.Address || w.failingSince.IsZero() || entry.querying || now.Before(entry.nextQuery) {
+		return
+	}
+	entry.querying = true
+	request := PollRequest{Fence: w.fence}
+	target := Target{ID: w.id(), Address: entry.registration.Address}
+	p.Metrics.Add(metrics.Polls, 1)
+	p.call(classPoll, func() func() {
+		var response PollResponse
+		err := p.sendQuery(now, pollTimeout, func(ctx context.Context) (err error) {
+			response, err = p.Workers.Poll(ctx, target, request)
+			return err
+		})
+		return func() {
+			entry.querying, entry.nextQuery = false, p.Clock.Now().Add(pollRetryDelay)
+			if w.unverified != entry || err != nil || response.Incarnation != entry.registration.Incarnation {
+				return
+			}
+			w.unverified = nil
+			p.Log.Event("worker-moved", "worker", w.id(), "from", w.answersAt, "to", target.Address, "born", response.Incarnation, "before", w.incarnation)
+			p.applyIncarnation(w, response.Incarnation, toldByWorker)
+			p.applyRegistration(w, entry.registration, entry.revision)
+			p.handlePollResult(w, target, now, request, response, nil)
+		}
+	})
+}
+
 // recordDraining records that a worker drains, and the earliest time at which it leaves.
 func (p *Planner) recordDraining(w *workerState, draining bool, remaining time.Duration) {
 	if !draining {
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -17,7 +17,7 @@
 )
 
 // applyIncarnation applies that a worker has restarted: none of its earlier runs exists any more, but calls that were meant for the
-// earlier incarnation may still be executed.
+// earlier incarnation may still be executed. An entry alone ends no run.
 func (p *Planner) applyIncarnation(w *workerState, incarnation int64, source incarnationSource) {
 	if incarnation <= w.incarnation {
 		// The registration in the store may be older than the worker's latest response.
@@ -28,7 +28,7 @@
 	if earlier == 0 {
 		return
 	}
-	p.boundLeasesAfterRestart(w)
+	p.boundLeasesAfterRestart(w, source)
 	p.raiseFence(w)
 	p.Log.Event("worker-reborn", "worker", w.id(), "source", source, "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
 	p.resetIncarnation(w)
@@ -40,6 +40,8 @@
 			p.stopGroup(r.group, "its worker has restarted")
 		case r.phase != runRecorded && p.mayHaveLateStart(r):
 			r.phase, r.incarnation = runDoubtful, 0
+		case r.incarnation != 0 && source == toldByEntry:
+			r.phase, r.incarnation = runDoubtful, 0
 		case r.incarnation != 0:
 			p.endRun(r, EndLapsed, "", basisRestarted)
 		default:
@@ -99,21 +101,46 @@
 // boundLeasesAfterRestart bounds the leases that a new incarnation of a worker may have, or get, from orders that were sent before it
 // was known. Their ends were meant for the clock of the earlier one and may be far ahead on the new one, so only the longest lease
 // bounds them, from the latest time at which they may be executed.
-func (p *Planner) boundLeasesAfterRestart(w *workerState) {
-	w.boundLeases(p.Clock.Now().Add(maxOrderDelay + p.leaseBound(p.Bounds.MaxLease)))
+func (p *Planner) boundLeasesAfterRestart(w *workerState, source incarnationSource) {
+	until := p.Clock.Now().Add(p.lateRunBound())
+	if source == toldByEntry {
+		w.boundLateLeases(until)
+		return
+	}
+	w.boundLeases(until)
+}
+
+// lateRunBound returns how long after the sending of an order a run that a late one has started may exist, unless its lease is renewed.
+func (p *Planner) lateRunBound() time.Duration {
+	return maxOrderDelay + p.leaseBound(p.Bounds.MaxLease)
+}
+
+// leaseEndsBy returns the time after which the run's lease has certainly ended. A run that the worker's own incarnation has, and that no
+// late order can start again, ends by the leases of that incarnation, whatever entries tell.
+func (p *Planner) leaseEndsBy(r *run, now time.Time) time.Time {
+	w := r.worker
+	late, ok := w.lateStarts[r.group.name()]
+	switch {
+	case r.incarnation == 0,
+		r.unconfirmed && now.Sub(r.startSentAt) < p.lateRunBound(),
+		ok && now.Sub(late) < p.lateRunBound(),
+		(r.placementChange == 0 || r.number > 1) && now.Sub(p.started) < p.lateRunBound():
+		return w.leasesEndBy
+	}
+	return w.confirmedLeasesEndBy
 }
 
 // noticeRestart records that a worker has restarted whose new incarnation is not known yet: its clock has gone back.
 func (p *Planner) noticeRestart(w *workerState, clock WorkerTime) {
 	before := w.clock
-	p.suspectRestart(w)
+	p.suspectRestart(w, toldByWorker)
 	p.Log.Event("worker-clock-back", "worker", w.id(), "clock", time.Duration(clock), "before", time.Duration(before), "leases-end", w.leasesEndBy)
 }
 
 // suspectRestart records that a worker may have restarted. The response to the next poll tells the incarnation, and applyIncarnation does
 // the rest.
-func (p *Planner) suspectRestart(w *workerState) {
-	p.boundLeasesAfterRestart(w)
+func (p *Planner) suspectRestart(w *workerState, source incarnationSource) {
+	p.boundLeasesAfterRestart(w, source)
 	w.fenced, w.polling, w.nextPoll = false, false, p.Clock.Now()
 	w.clock, w.clockAt = 0, time.Time{}
 	p.scheduleContact(w)
@@ -126,6 +153,9 @@
 	if bound := p.Clock.Now().Add(p.leaseBound(p.Bounds.MaxLease)); bound.Before(w.leasesEndBy) {
 		w.leasesEndBy = bound
 	}
+	if w.leasesEndBy.Before(w.confirmedLeasesEndBy) {
+		w.confirmedLeasesEndBy = w.leasesEndBy
+	}
 	p.planNeeded = true
 }
 
--- a/engine/state.go
+++ b/engine/state.go
@@ -172,11 +172,12 @@
 	incarnation        int64
 	incarnationSince   time.Time
 	incarnationChanges int
-	// toldIncarnation is the newest incarnation that the worker itself has told, and answersAt the address at which it did. Entries in
-	// the store may be of other writers.
+	// toldIncarnation is the newest incarnation that the worker itself has told, and answersAt the address at which it did, which is that
+	// of the registration; empty once another worker has it. Entries in the store may be of other writers.
 	toldIncarnation int64
 	answersAt       string
-	// unverified is the newest entry if it contradicts that, until the worker has been asked. It is not registered meanwhile.
+	// unverified is the newest entry if it contradicts that, until the worker itself has told its incarnation again. It is not registered
+	// meanwhile.
 	unverified *unverifiedEntry
 	// clock is a reading of the clock of the worker's incarnation, which arrived at clockAt.
 	clock   WorkerTime
@@ -206,8 +207,9 @@
 	lateStarts map[string]time.Time
 	// leaseRenewedAt is when a poll last extended the lease.
 	leaseRenewedAt time.Time
-	// leasesEndBy is the time after which all granted leases have certainly ended.
-	leasesEndBy time.Time
+	// leasesEndBy is the time after which all leases of the worker have certainly ended, also those that a later incarnation may get from
+	// late orders. confirmedLeasesEndBy, which is never later, leaves out the incarnations that only entries tell.
+	leasesEndBy, confirmedLeasesEndBy time.Time
 	// lastEnd is the number of the last end that was applied; acknowledgedEnd is the last one that the worker may discard.
 	lastEnd, acknowledgedEnd int64
 	// moreEnds is set while the worker may have ends beyond those that it last listed.
@@ -255,6 +257,10 @@
 	if sent.After(w.identifiedSentAt) {
 		w.identifiedSentAt = sent
 	}
+	if w.toldIncarnation == 0 && w.registration.Address != "" {
+		// An entry may have told another address since the call was sent.
+		w.registration.Address = address
+	}
 	if address == w.registration.Address {
 		w.toldIncarnation, w.answersAt = incarnation, address
 	}
@@ -270,6 +276,14 @@
 
 // boundLeases records that leases of the worker may last until the given time.
 func (w *workerState) boundLeases(until time.Time) {
+	w.boundLateLeases(until)
+	if until.After(w.confirmedLeasesEndBy) {
+		w.confirmedLeasesEndBy = until
+	}
+}
+
+// boundLateLeases records that leases of an incarnation that only an entry tells may last until the given time.
+func (w *workerState) boundLateLeases(until time.Time) {
 	if until.After(w.leasesEndBy) {
 		w.leasesEndBy = until
 	}
