engine: test for a late start that outlasts the lease of a confirmed run

A start without an answer is in lateStarts, so the run's own mark of it decides nothing in leaseEndsBy and is dropped there. With the condition on runs of an earlier planner left out, the test fails (TWICE); with the one on lateStarts left out no test does, since lateGroups keeps the task from being placed.

--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -538,3 +538,39 @@
 		})
 	}
 }
+
+// Guards against ending a confirmed run by the lease of its incarnation while the next one, which cannot be reached, may still carry out the
+// unanswered start of an earlier run of the task.
+func TestLateStartOfEarlierRunOutlastsLeaseOfConfirmedRun(t *testing.T) {
+	const lateStart = 20 * time.Second
+	for name, successor := range map[string]bool{"same planner": false, "successor": true} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				p, stop := r.startWithWorkers(1)
+				defer func() { stop() }()
+				r.rest(time.Minute)
+				r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = lateStart, true })
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 30*time.Second)
+				submitted := time.Now()
+				time.Sleep(100 * time.Millisecond)
+				r.Set("r1-w0", func(w *site.Worker) { w.StartDelay = 0 })
+				time.Sleep(4 * time.Second)
+				r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+				if successor {
+					stop()
+					p, stop = r.startPlanner("b")
+					time.Sleep(time.Second)
+				}
+				r.AddWorkers("r2", 1)
+				r.Set("r1-w0", func(w *site.Worker) {
+					w.Restart()
+					w.Silent = true
+				})
+				r.Register(r.Worker("r1-w0"))
+				time.Sleep(time.Until(submitted.Add(lateStart + 2*time.Second)))
+				r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+				r.waitForState(p, "j1", workload.StateCompleted, 2*time.Minute)
+			})
+		})
+	}
+}
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -122,7 +122,6 @@
 	late, ok := w.lateStarts[r.group.name()]
 	switch {
 	case r.incarnation == 0,
-		r.unconfirmed && now.Sub(r.startSentAt) < p.lateRunBound(),
 		ok && now.Sub(late) < p.lateRunBound(),
 		(r.placementChange == 0 || r.number > 1) && now.Sub(p.started) < p.lateRunBound():
 		return w.leasesEndBy
