engine: withdraw the next run while a restarted worker may start the last

The later run is stopped now, with a checkpoint where the step has them, once the worker shows a sign of a restart and has not answered for 200 ms; lateGroups withholds the task until the worker is fenced or the bound is over. A worker that can be reached answers first. Entries of other writers can give the sign, but only within 30 s of an unanswered start of the same group, so that they withdraw no run for ever. Tasks that last are withdrawn only while all others of their step are at work (rule AVAIL); their service would be broken off for certain otherwise, for a second run that may not come.

--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -431,3 +431,159 @@
 		r.waitForState(p, "j1", workload.StateCompleted, 90*time.Second)
 	})
 }
+
+// Guards against leaving the next run of a task, or gang, at work while the worker of an earlier run is known to have restarted, cannot
+// be reached, and may still carry out a start order of that run that got no response.
+func TestLaterRunIsWithdrawnWhileRestartedWorkerMayStartEarlierRun(t *testing.T) {
+	for name, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) { r.restartBeforeLateStart(step) })
+		})
+	}
+}
+
+// restartBeforeLateStart plays a worker that does not answer a start, restarts while the next run is at work elsewhere, registers and cannot
+// be reached, and carries the start out.
+func (r *rig) restartBeforeLateStart(step workload.Step) {
+	p, stop := r.startWithWorkers(step.Tasks)
+	defer stop()
+	r.rest(30 * time.Second)
+	late := "r1-w0"
+	r.Set(late, func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 6*time.Second, true })
+	r.mustSubmit(p, "j1", 1, step, 20*time.Second)
+	submitted := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	// The drain keeps the next run away from the worker.
+	r.Set(late, func(w *site.Worker) { w.Registration.Draining = true })
+	r.Register(r.Worker(late))
+	r.AddWorkers("r2", 1)
+	time.Sleep(time.Until(submitted.Add(3 * time.Second)))
+	r.Equal(len(r.WorkersRunning("j1")), step.Tasks)
+	r.Equal(r.Worker("r2-w0").Starts, 1)
+	time.Sleep(time.Until(submitted.Add(4 * time.Second)))
+	r.Set(late, func(w *site.Worker) {
+		w.Restart()
+		w.StartDelay, w.Registration.Draining, w.Silent = 0, false, true
+	})
+	r.Register(r.Worker(late))
+	time.Sleep(time.Until(submitted.Add(8 * time.Second)))
+	r.Equal(r.WorkersRunning("j1"), []string{late})
+	r.Set(late, func(w *site.Worker) { w.Silent = false })
+	r.waitForState(p, "j1", workload.StateCompleted, time.Minute)
+}
+
+// Guards against stopping the next run of a task although the worker of an earlier run, which seems to have restarted, can be reached: it
+// refuses the late start from its answer on.
+func TestLaterRunIsNotWithdrawnIfWorkerAnswers(t *testing.T) {
+	for name, restarts := range map[string]bool{"restarted": true, "entry of another writer": false} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				var slow atomic.Bool
+				r.wrapWorkers = func(w engine.Workers) engine.Workers {
+					poll := w.Poll
+					w.Poll = func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+						if slow.Load() {
+							time.Sleep(150 * time.Millisecond)
+						}
+						return poll(ctx, t, o)
+					}
+					return w
+				}
+				p, stop := r.startWithWorkers(1)
+				defer stop()
+				r.rest(30 * time.Second)
+				r.startLate(p, singleTaskStep(8), 20*time.Second)
+				slow.Store(true)
+				if restarts {
+					r.Set("r1-w0", func(w *site.Worker) {
+						w.Restart()
+						w.StartDelay, w.Registration.Draining = 0, false
+					})
+					r.Register(r.Worker("r1-w0"))
+				} else {
+					r.writeForeignEntry("r1-w0", func(e *engine.Registration) { e.Incarnation += 500 })
+				}
+				r.waitForState(p, "j1", workload.StateCompleted, 30*time.Second)
+				r.Equal(r.starts(), 1)
+			})
+		})
+	}
+}
+
+// startLate starts a job on r1-w0, which carries the start out 6 s later without an answer and drains, and waits until its next run has been
+// at work on r2-w0 for a while.
+func (r *rig) startLate(p *engine.Planner, step workload.Step, work time.Duration) {
+	r.t.Helper()
+	r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 6*time.Second, true })
+	r.mustSubmit(p, "j1", 1, step, work)
+	time.Sleep(20 * time.Millisecond)
+	r.Set("r1-w0", func(w *site.Worker) { w.Registration.Draining = true })
+	r.Register(r.Worker("r1-w0"))
+	r.AddWorkers("r2", 1)
+	time.Sleep(4 * time.Second)
+	r.Equal(r.Worker("r2-w0").Starts, 1)
+}
+
+// Guards against stopping a task again and again because entries of another writer tell restarts of a worker that cannot be reached, or
+// only now and then.
+func TestEntriesOfUnreachableWorkerDoNotWithdrawRunsForEver(t *testing.T) {
+	for name, returns := range map[string]bool{"cut off": false, "cut off now and then": true} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				p, stop := r.startWithWorkers(1)
+				defer stop()
+				r.rest(30 * time.Second)
+				r.startLate(p, singleTaskStep(8), 10*time.Second)
+				r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.Registration.Draining = 0, false })
+				foreign := r.Worker("r1-w0").Registration
+				r.registrations = map[string]engine.Registration{}
+				for i := range 110 {
+					r.Set("r1-w0", func(w *site.Worker) { w.LosePolls = !returns || i%8 < 4 })
+					foreign.Incarnation++
+					r.registrations["r1-w0"] = foreign
+					r.Register(r.Worker("r1-w0"))
+					time.Sleep(500 * time.Millisecond)
+				}
+				r.Equal(p.State(context.Background(), "j1").State, workload.StateCompleted)
+				r.True(r.starts() <= 10)
+			})
+		})
+	}
+}
+
+// Guards against stopping a task that lasts, for a start that may be late, while another task of its step is away.
+func TestLastingTaskIsNotWithdrawnWhileAnotherIsAway(t *testing.T) {
+	for name, away := range map[string]bool{"others at work": false, "another away": true} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.LongRunning = true
+				p, stop := r.startWithWorkers(2)
+				defer stop()
+				r.rest(30 * time.Second)
+				r.startLate(p, lastingStep(2), time.Hour)
+				r.Equal(r.WorkersRunning("j1"), []string{"r1-w1", "r2-w0"})
+				if away {
+					r.Set("r1-w1", func(w *site.Worker) { w.Registration.Draining = true })
+					r.Register(r.Worker("r1-w1"))
+					time.Sleep(time.Second)
+					r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+				}
+				r.Set("r1-w0", func(w *site.Worker) {
+					w.Restart()
+					w.StartDelay, w.KeepsLateOrders, w.Registration.Draining, w.Silent = 0, false, false, true
+				})
+				r.Register(r.Worker("r1-w0"))
+				time.Sleep(1500 * time.Millisecond)
+				r.Equal(r.Worker("r2-w0").Starts, 1)
+				if away {
+					r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+				} else {
+					r.Equal(r.WorkersRunning("j1"), []string{"r1-w1"})
+				}
+				r.Set("r1-w0", func(w *site.Worker) { w.Silent = false })
+				time.Sleep(2 * time.Second)
+				r.Equal(len(r.WorkersRunning("j1")), 2)
+			})
+		})
+	}
+}
--- a/engine/orphans.go
+++ b/engine/orphans.go
@@ -50,8 +50,8 @@
 		if w.fenced || w.registration.Address == "" || !now.Before(w.leasesEndBy) {
 			continue
 		}
-		for name, sent := range w.lateStarts {
-			if now.Sub(sent) >= maxOrderDelay+p.leaseBound(p.Bounds.MaxLease) {
+		for name, s := range w.lateStarts {
+			if now.Sub(s.sent) >= maxOrderDelay+p.leaseBound(p.Bounds.MaxLease) {
 				continue
 			}
 			if groups == nil {
@@ -63,6 +63,57 @@
 	return groups
 }
 
+// restartAnswerTime is how long a worker that seems to have restarted may take to answer before runs elsewhere are stopped because of its
+// late starts. A worker that can be reached answers within a few milliseconds.
+const restartAnswerTime = 200 * time.Millisecond
+
+// withdrawLaterRuns stops the runs elsewhere of a group that a worker may start late, because it seems to have restarted and cannot be
+// told to refuse the order. lateGroups keeps the group from being placed again. Load pattern: a worker leaves a start unanswered, is cut
+// off and restarts behind the cut, which only its registration tells.
+func (p *Planner) withdrawLaterRuns(now time.Time) {
+	for _, w := range p.workers {
+		if w.fenced || w.registration.Address == "" || w.restartSuspectedAt.IsZero() ||
+			now.Sub(w.restartSuspectedAt) < restartAnswerTime || now.Sub(w.lastAnswer) < restartAnswerTime {
+			continue
+		}
+		for _, s := range w.lateStarts {
+			if now.Sub(s.sent) >= maxOrderDelay {
+				continue
+			}
+			if g := p.laterGroup(w, s); g != nil {
+				p.Log.Event("later-run-withdrawn", "group", g.name(), "run", g.runs[0].number, "late-run", s.run, "worker", w.id(), "sent", s.sent)
+				p.stopGroup(g, "a restarted worker may start an earlier run")
+			}
+		}
+	}
+}
+
+// laterGroup returns the group whose runs have to stop while the worker may carry out the late start, or nil. A run on the same worker
+// is resolved with the worker.
+func (p *Planner) laterGroup(w *workerState, s lateStart) *group {
+	j, ok := p.jobs[s.job]
+	if !ok {
+		return nil
+	}
+	g, ok := j.groups[s.key]
+	elsewhere := func(r *run) bool { return r.worker != w && r.number > s.run }
+	if !ok || g.stopping || g.done || !slices.ContainsFunc(g.runs, elsewhere) || g.step().LongRunning && !g.step().Gang && j.taskAway(s.key) {
+		return nil
+	}
+	return g
+}
+
+// taskAway reports whether another task of the group's step is not at work. Its users bear the loss of few tasks at a time.
+func (j *jobState) taskAway(key groupKey) bool {
+	for i := range j.record.Progress.Tasks[key.occurrence][key.step] {
+		g, ok := j.groups[groupKey{occurrence: key.occurrence, step: key.step, index: i}]
+		if i != key.index && (!ok || g.stopping || g.runningSince.IsZero()) {
+			return true
+		}
+	}
+	return false
+}
+
 // stopOrphanRun stops an orphan run, unless a stop was sent shortly before, and returns when the last one was sent.
 func (p *Planner) stopOrphanRun(w *workerState, task string, number int) time.Time {
 	now, last := p.Clock.Now(), w.orphans[task]
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -300,6 +300,7 @@
 	}
 	p.sendDueStarts(now)
 	p.expireLeases(now)
+	p.withdrawLaterRuns(now)
 	p.stopStalledGroups(now)
 	p.concludeProbes(now)
 	p.moveOffDrainingWorkers(now)
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -98,10 +98,13 @@
 	}
 }
 
-// boundLeasesAfterRestart bounds the leases that a new incarnation of a worker may have, or get, from orders that were sent before it
-// was known. Their ends were meant for the clock of the earlier one and may be far ahead on the new one, so only the longest lease
-// bounds them, from the latest time at which they may be executed.
+// boundLeasesAfterRestart records a sign of a restart, and bounds the leases that a new incarnation of a worker may have, or get, from orders
+// that were sent before it was known. Their ends were meant for the clock of the earlier one and may be far ahead on the new one, so only the
+// longest lease bounds them, from the latest time at which they may be executed.
 func (p *Planner) boundLeasesAfterRestart(w *workerState, source incarnationSource) {
+	if w.restartSuspectedAt.IsZero() {
+		w.restartSuspectedAt = p.Clock.Now()
+	}
 	until := p.Clock.Now().Add(p.lateRunBound())
 	if source == toldByEntry {
 		w.boundLateLeases(until)
@@ -122,7 +125,7 @@
 	late, ok := w.lateStarts[r.group.name()]
 	switch {
 	case r.incarnation == 0,
-		ok && now.Sub(late) < p.lateRunBound(),
+		ok && now.Sub(late.sent) < p.lateRunBound(),
 		(r.placementChange == 0 || r.number > 1) && now.Sub(p.started) < p.lateRunBound():
 		return w.leasesEndBy
 	}
@@ -148,7 +151,7 @@
 // recordFenced records that the worker refuses orders of earlier planners, and those that were meant for earlier incarnations. No lease
 // that such an order has given can last longer than the longest lease from now.
 func (p *Planner) recordFenced(w *workerState) {
-	w.fenced = true
+	w.fenced, w.restartSuspectedAt = true, time.Time{}
 	if bound := p.Clock.Now().Add(p.leaseBound(p.Bounds.MaxLease)); bound.Before(w.leasesEndBy) {
 		w.leasesEndBy = bound
 	}
--- a/engine/state.go
+++ b/engine/state.go
@@ -203,8 +203,10 @@
 	// was sent.
 	identifiedAt, identifiedSentAt time.Time
 	nextPoll                       time.Time
-	// lateStarts has, by the name of the group, when the last start order was sent that got no response.
-	lateStarts map[string]time.Time
+	// lateStarts has, by the name of the group, the last start order that got no response.
+	lateStarts map[string]lateStart
+	// restartSuspectedAt is when the first sign came that the worker has restarted since it was last fenced; zero if none has.
+	restartSuspectedAt time.Time
 	// leaseRenewedAt is when a poll last extended the lease.
 	leaseRenewedAt time.Time
 	// leasesEndBy is the time after which all leases of the worker have certainly ended, also those that a later incarnation may get from
@@ -227,6 +229,15 @@
 	unhealthyUntil time.Time
 }
 
+// lateStart is a start order that got no response, so that the worker may carry it out later.
+type lateStart struct {
+	job string
+	key groupKey
+	// run is the number of the run.
+	run  int
+	sent time.Time
+}
+
 // markUnregistered records that the store has no valid registration of the worker any more.
 func (w *workerState) markUnregistered(now time.Time) { w.registered, w.unregisteredAt = false, now }
 
@@ -289,25 +300,25 @@
 	}
 }
 
-// recordLateStart records that a start order for a run of the group got no response. It drops entries that no run can come from any more.
-func (w *workerState) recordLateStart(group string, sent time.Time) {
-	maps.DeleteFunc(w.lateStarts, func(_ string, at time.Time) bool { return sent.Sub(at) >= 2*maxOrderDelay })
+// recordLateStart records a start order that got no response. It drops entries that no run can come from any more.
+func (w *workerState) recordLateStart(s lateStart) {
+	maps.DeleteFunc(w.lateStarts, func(_ string, earlier lateStart) bool { return s.sent.Sub(earlier.sent) >= 2*maxOrderDelay })
 	if w.lateStarts == nil {
-		w.lateStarts = map[string]time.Time{}
+		w.lateStarts = map[string]lateStart{}
 	}
-	w.lateStarts[group] = sent
+	w.lateStarts[groupName(s.job, s.key)] = s
 }
 
 // mayStartLate reports whether a start order for a run of the group that got no response may still be executed.
 func (w *workerState) mayStartLate(now time.Time, group string) bool {
-	sent, ok := w.lateStarts[group]
-	return ok && now.Sub(sent) < maxOrderDelay
+	s, ok := w.lateStarts[group]
+	return ok && now.Sub(s.sent) < maxOrderDelay
 }
 
 // mayStartAny reports whether any start order that got no response may still be executed.
 func (w *workerState) mayStartAny(now time.Time) bool {
-	for _, sent := range w.lateStarts {
-		if now.Sub(sent) < maxOrderDelay {
+	for _, s := range w.lateStarts {
+		if now.Sub(s.sent) < maxOrderDelay {
 			return true
 		}
 	}
