engine, workload: a job's record carries starts that may be late

When a run ends whose start got no response within the last 30 s, the record, which is stored for that end anyway, keeps the worker, its incarnation, the run and the time of day; at most 16 a job, dropped once no run can come from them (about 40.5 s). A successor treats them as its own, but takes a worker for restarted only if it shows a later incarnation than the order was meant for: a worker that crashed with the order and stays away holds no task. If the wall clocks of the two differ by more than that time, the entry is lost or counts for up to 40.5 s longer. Builds without the field read the record and drop it.

--- a/engine/commit.go
+++ b/engine/commit.go
@@ -122,6 +122,7 @@
 	var entries []commitEntry
 	size := 0
 	for _, j := range p.jobsToCommit(now) {
+		j.record.Progress.DropLateStarts(p.TimeOfDay().Add(-p.lateRunBound()))
 		value, err := j.record.Encode()
 		if err != nil {
 			p.rejectUnencodable(j, err)
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -501,7 +501,7 @@
 			p.setOrphans(w, nil)
 		}
 		if len(w.runs) == 0 {
-			if !w.registered && w.unverified == nil && !w.polling && now.After(w.leasesEndBy) && now.Sub(w.unregisteredAt) > impossibleRetryAfter {
+			if w.forgettable(now) {
 				p.forgottenFence = max(p.forgottenFence, w.fence)
 				delete(p.workers, id)
 				p.invalidateFleets()
@@ -515,3 +515,9 @@
 		}
 	}
 }
+
+// forgettable reports whether nothing that the planner knows of a worker without runs is needed any more.
+func (w *workerState) forgettable(now time.Time) bool {
+	return !w.registered && w.unverified == nil && !w.polling && !w.mayStartAny(now) && now.After(w.leasesEndBy) &&
+		now.Sub(w.unregisteredAt) > impossibleRetryAfter
+}
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -432,21 +432,41 @@
 	})
 }
 
+// plannerChange is when a test changes the planner.
+type plannerChange int
+
+const (
+	noChange plannerChange = iota
+	changeBeforeNextRun
+	changeBeforeRestart
+	changeAfterRestart
+)
+
 // Guards against leaving the next run of a task, or gang, at work while the worker of an earlier run is known to have restarted, cannot
 // be reached, and may still carry out a start order of that run that got no response.
 func TestLaterRunIsWithdrawnWhileRestartedWorkerMayStartEarlierRun(t *testing.T) {
-	for name, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
-		t.Run(name, func(t *testing.T) {
-			runInVirtualTime(t, func(r *rig) { r.restartBeforeLateStart(step) })
-		})
+	for name, change := range map[string]plannerChange{
+		"same planner": noChange, "successor inherits next run": changeBeforeRestart, "successor finds restarted worker": changeAfterRestart,
+	} {
+		for size, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
+			t.Run(name+", "+size, func(t *testing.T) {
+				runInVirtualTime(t, func(r *rig) { r.restartBeforeLateStart(step, change) })
+			})
+		}
 	}
 }
 
 // restartBeforeLateStart plays a worker that does not answer a start, restarts while the next run is at work elsewhere, registers and cannot
 // be reached, and carries the start out.
-func (r *rig) restartBeforeLateStart(step workload.Step) {
+func (r *rig) restartBeforeLateStart(step workload.Step, change plannerChange) {
 	p, stop := r.startWithWorkers(step.Tasks)
-	defer stop()
+	defer func() { stop() }()
+	changeAt := func(at plannerChange) {
+		if at == change {
+			stop()
+			p, stop = r.startPlanner("b")
+		}
+	}
 	r.rest(30 * time.Second)
 	late := "r1-w0"
 	r.Set(late, func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 6*time.Second, true })
@@ -457,15 +477,23 @@
 	r.Set(late, func(w *site.Worker) { w.Registration.Draining = true })
 	r.Register(r.Worker(late))
 	r.AddWorkers("r2", 1)
+	changeAt(changeBeforeNextRun)
 	time.Sleep(time.Until(submitted.Add(3 * time.Second)))
 	r.Equal(len(r.WorkersRunning("j1")), step.Tasks)
 	r.Equal(r.Worker("r2-w0").Starts, 1)
+	changeAt(changeBeforeRestart)
 	time.Sleep(time.Until(submitted.Add(4 * time.Second)))
+	if change == changeAfterRestart {
+		stop()
+	}
 	r.Set(late, func(w *site.Worker) {
 		w.Restart()
 		w.StartDelay, w.Registration.Draining, w.Silent = 0, false, true
 	})
 	r.Register(r.Worker(late))
+	if change == changeAfterRestart {
+		p, stop = r.startPlanner("b")
+	}
 	time.Sleep(time.Until(submitted.Add(8 * time.Second)))
 	r.Equal(r.WorkersRunning("j1"), []string{late})
 	r.Set(late, func(w *site.Worker) { w.Silent = false })
--- a/engine/load.go
+++ b/engine/load.go
@@ -105,6 +105,7 @@
 		p.active[j.id()] = j
 	}
 	p.inheritRuns(j)
+	p.inheritLateStarts(j)
 	p.planNeeded = true
 	return j
 }
@@ -139,6 +140,23 @@
 	}
 }
 
+// inheritLateStarts adds the starts without a response that an earlier planner has recorded.
+func (p *Planner) inheritLateStarts(j *jobState) {
+	if j.state().Ended() {
+		return
+	}
+	for _, s := range j.record.Progress.LateStarts {
+		age := max(0, p.TimeOfDay().Sub(s.Sent))
+		if age >= p.lateRunBound() {
+			continue
+		}
+		p.workerByID(s.Worker).recordLateStart(lateStart{
+			job: j.id(), key: groupKey{occurrence: s.Occurrence, step: s.Step, index: s.Index}, run: s.Run, sent: p.Clock.Now().Add(-age),
+			incarnation: s.Incarnation,
+		})
+	}
+}
+
 // workerByID returns the worker with an ID and creates it if necessary. The worker need not be registered any more.
 func (p *Planner) workerByID(id string) *workerState {
 	w, ok := p.workers[id]
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -152,7 +152,7 @@
 		p.Metrics.Add(metrics.OrdersUnanswered, 1)
 		p.Log.Event("start-unanswered", "task", r.name, "run", r.number, "worker", w.id(), "try", r.startAttempts, "error", err)
 		r.unconfirmed = true
-		w.recordLateStart(lateStart{job: r.group.job.id(), key: r.group.key, run: r.number, sent: sent})
+		w.recordLateStart(lateStart{job: r.group.job.id(), key: r.group.key, run: r.number, sent: sent, incarnation: w.incarnation})
 		p.recordNoAnswer(w, sent)
 		if r.startAttempts >= maxStartAttempts {
 			p.stopGroup(r.group, "a start order got no response")
--- a/engine/orphans.go
+++ b/engine/orphans.go
@@ -47,11 +47,8 @@
 func (p *Planner) lateGroups(now time.Time) map[string]bool {
 	var groups map[string]bool
 	for _, w := range p.workers {
-		if w.fenced || w.registration.Address == "" || !now.Before(w.leasesEndBy) {
-			continue
-		}
 		for name, s := range w.lateStarts {
-			if now.Sub(s.sent) >= maxOrderDelay+p.leaseBound(p.Bounds.MaxLease) {
+			if now.Sub(s.sent) >= p.lateRunBound() || !w.restartSuspected(s) {
 				continue
 			}
 			if groups == nil {
@@ -72,12 +69,14 @@
 // off and restarts behind the cut, which only its registration tells.
 func (p *Planner) withdrawLaterRuns(now time.Time) {
 	for _, w := range p.workers {
-		if w.fenced || w.registration.Address == "" || w.restartSuspectedAt.IsZero() ||
-			now.Sub(w.restartSuspectedAt) < restartAnswerTime || now.Sub(w.lastAnswer) < restartAnswerTime {
-			continue
-		}
 		for _, s := range w.lateStarts {
-			if now.Sub(s.sent) >= maxOrderDelay {
+			if now.Sub(s.sent) >= maxOrderDelay || !w.restartSuspected(s) {
+				continue
+			}
+			if w.restartSuspectedAt.IsZero() {
+				w.restartSuspectedAt = now
+			}
+			if now.Sub(w.restartSuspectedAt) < restartAnswerTime || now.Sub(w.lastAnswer) < restartAnswerTime {
 				continue
 			}
 			if g := p.laterGroup(w, s); g != nil {
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -77,6 +77,7 @@
 	t := j.task(r.task)
 	if t.Phase == workload.PhasePlaced && t.Run == r.number {
 		t.Phase = workload.PhaseWaiting
+		p.storeLateStart(r)
 		p.recordChange(j)
 	}
 	p.removeRun(g, r)
@@ -84,6 +85,19 @@
 	p.planNeeded = true
 }
 
+// storeLateStart records, for a successor, that the start of a run that has ended may be executed still.
+func (p *Planner) storeLateStart(r *run) {
+	now, g := p.Clock.Now(), r.group
+	s, ok := r.worker.lateStarts[g.name()]
+	if !ok || s.run != r.number || now.Sub(s.sent) >= maxOrderDelay {
+		return
+	}
+	g.job.record.Progress.AddLateStart(workload.LateStart{
+		Occurrence: g.key.occurrence, Step: g.key.step, Index: g.key.index, Run: s.run, Worker: r.worker.id(), Incarnation: s.incarnation,
+		Sent: p.TimeOfDay().Add(-now.Sub(s.sent)),
+	})
+}
+
 // removeRun removes a run from its group, and stops the rest of a gang that can no longer complete.
 func (p *Planner) removeRun(g *group, r *run) {
 	for i := range g.runs {
--- a/engine/state.go
+++ b/engine/state.go
@@ -236,6 +236,8 @@
 	// run is the number of the run.
 	run  int
 	sent time.Time
+	// incarnation is the one that the order was meant for; 0 is unknown.
+	incarnation int64
 }
 
 // markUnregistered records that the store has no valid registration of the worker any more.
@@ -309,6 +311,12 @@
 	w.lateStarts[groupName(s.job, s.key)] = s
 }
 
+// restartSuspected reports whether there is a sign that the worker has restarted since a start was sent, and it has not been fenced
+// since. An earlier planner's start may have been meant for an incarnation that this planner has not met.
+func (w *workerState) restartSuspected(s lateStart) bool {
+	return !w.fenced && w.registration.Address != "" && (!w.restartSuspectedAt.IsZero() || s.incarnation != 0 && s.incarnation < w.incarnation)
+}
+
 // mayStartLate reports whether a start order for a run of the group that got no response may still be executed.
 func (w *workerState) mayStartLate(now time.Time, group string) bool {
 	s, ok := w.lateStarts[group]
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,6 +65,41 @@
 	// GangFailures has, by occurrence and step, the number of the last run of a gang whose failure was counted; 0 or missing means
 	// none.
 	GangFailures [][]int `cbor:"6,keyasint,omitempty"`
+	// LateStarts has the start orders without a response of runs that have ended, the oldest first, at most maxLateStarts.
+	LateStarts []LateStart `cbor:"7,keyasint,omitempty"`
+}
+
+// maxLateStarts bounds the late starts in a record; each takes about 60 bytes.
+const maxLateStarts = 16
+
+// LateStart is a start order that got no response, so that its worker may carry it out later.
+type LateStart struct {
+	Occurrence int `cbor:"1,keyasint,omitempty"`
+	Step       int `cbor:"2,keyasint,omitempty"`
+	// Index is the number of the task, or -1 for a gang.
+	Index int `cbor:"3,keyasint,omitempty"`
+	Run   int `cbor:"4,keyasint,omitempty"`
+	// Worker is the id of the worker, and Incarnation the one that the order was meant for; 0 is unknown.
+	Worker      string `cbor:"5,keyasint,omitempty"`
+	Incarnation int64  `cbor:"6,keyasint,omitempty"`
+	// Sent is when the order was sent at the latest, by the planner's wall clock.
+	Sent time.Time `cbor:"7,keyasint,omitzero"`
+}
+
+// AddLateStart adds a late start, in place of an earlier one of the same task or gang on the same worker.
+func (p *Progress) AddLateStart(s LateStart) {
+	p.LateStarts = slices.DeleteFunc(p.LateStarts, func(o LateStart) bool {
+		return o.Worker == s.Worker && o.Occurrence == s.Occurrence && o.Step == s.Step && o.Index == s.Index
+	})
+	p.LateStarts = append(p.LateStarts, s)
+	if n := len(p.LateStarts) - maxLateStarts; n > 0 {
+		p.LateStarts = slices.Delete(p.LateStarts, 0, n)
+	}
+}
+
+// DropLateStarts drops the late starts that were sent before the given time.
+func (p *Progress) DropLateStarts(before time.Time) {
+	p.LateStarts = slices.DeleteFunc(p.LateStarts, func(s LateStart) bool { return s.Sent.Before(before) })
 }
 
 // NewProgress returns the progress of a job that has not started.
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"clementinepier/codec"
 	"clementinepier/workload"
 )
 
@@ -135,3 +136,46 @@
 	j := job(step(time.Second), step(3*time.Second), step(time.Second, 0, 1), step(500*time.Millisecond, 0))
 	is.New(t).Equal(j.CriticalPath(), 4*time.Second)
 }
+
+// Guards against a record with late starts that an earlier build cannot read, or the reverse, and against late starts that pile up in it.
+func TestLateStartsInRecord(t *testing.T) {
+	is := is.New(t)
+	j := job(workload.Step{Tasks: 2})
+	r := workload.Record{Job: j, Progress: *workload.NewProgress(&j)}
+	plain, err := r.Encode()
+	is.NoErr(err)
+	decoded, err := workload.DecodeRecord(plain)
+	is.NoErr(err)
+	is.Equal(len(decoded.Progress.LateStarts), 0)
+
+	sent := time.UnixMilli(1700000000123)
+	first := workload.LateStart{Index: -1, Run: 1, Worker: "w", Incarnation: 7, Sent: sent}
+	r.Progress.AddLateStart(first)
+	data, err := r.Encode()
+	is.NoErr(err)
+	decoded, err = workload.DecodeRecord(data)
+	is.NoErr(err)
+	is.Equal(len(decoded.Progress.LateStarts), 1)
+	is.True(decoded.Progress.LateStarts[0].Sent.Sub(sent).Abs() < time.Millisecond)
+	decoded.Progress.LateStarts[0].Sent = sent
+	is.Equal(decoded.Progress.LateStarts[0], first)
+	var earlier struct {
+		Progress struct {
+			Tasks   [][][]workload.TaskProgress `cbor:"1,keyasint"`
+			Started bool                        `cbor:"2,keyasint,omitempty"`
+		} `cbor:"2,keyasint"`
+	}
+	is.NoErr(codec.Unmarshal(data, &earlier))
+	is.Equal(earlier.Progress.Tasks, r.Progress.Tasks)
+
+	for run := range 100 {
+		r.Progress.AddLateStart(workload.LateStart{Run: run, Worker: "w", Sent: sent.Add(time.Second)})
+	}
+	is.Equal(len(r.Progress.LateStarts), 2) // one of a task on a worker
+	for i := range 100 {
+		r.Progress.AddLateStart(workload.LateStart{Index: i, Worker: "w", Sent: sent.Add(time.Second)})
+	}
+	is.True(len(r.Progress.LateStarts) <= 20)
+	r.Progress.DropLateStarts(sent.Add(2 * time.Second))
+	is.Equal(len(r.Progress.LateStarts), 0)
+}
