engine: an inherited run may have been started without an answer

A successor that found an inherited run not listed, or its lease over, placed the task again and took nothing of it for late, while the start of the planner before may have got no response. It costs nothing unless the worker shows a restart and cannot be reached.

TestNotListedInheritedRunMayStartLateAfterRestart stays listed: nothing tells the restart there. With the entry of the new incarnation the same course holds.

Seen failing before: "successor inherits first run" of TestLaterRunIsWithdrawnWhileRestartedWorkerMayStartEarlierRun, for a task and a gang, and TestLaterRunIsWithdrawnAfterLeaseOfInheritedRun.

--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -446,7 +446,8 @@
 // be reached, and may still carry out a start order of that run that got no response.
 func TestLaterRunIsWithdrawnWhileRestartedWorkerMayStartEarlierRun(t *testing.T) {
 	for name, change := range map[string]plannerChange{
-		"same planner": noChange, "successor inherits next run": changeBeforeRestart, "successor finds restarted worker": changeAfterRestart,
+		"same planner": noChange, "successor inherits first run": changeBeforeNextRun, "successor inherits next run": changeBeforeRestart,
+		"successor finds restarted worker": changeAfterRestart,
 	} {
 		for size, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
 			t.Run(name+", "+size, func(t *testing.T) {
@@ -538,6 +539,35 @@
 	}
 }
 
+// Guards against a successor that leaves the next run of a task at work although the earlier planner's start may be late: the lease of the
+// inherited run is over, and its worker, which never answered, restarts.
+func TestLaterRunIsWithdrawnAfterLeaseOfInheritedRun(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		r.rest(30 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 14*time.Second, true })
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+		submitted := time.Now()
+		time.Sleep(20 * time.Millisecond)
+		stop()
+		r.Set("r1-w0", func(w *site.Worker) { w.Silent = true })
+		p, stop = r.startPlanner("b")
+		defer stop()
+		r.AddWorkers("r2", 1)
+		time.Sleep(time.Until(submitted.Add(12 * time.Second)))
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.StartDelay, w.Silent = 0, true
+		})
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(time.Until(submitted.Add(16 * time.Second)))
+		r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+		r.Set("r1-w0", func(w *site.Worker) { w.Silent = false })
+		r.waitForState(p, "j1", workload.StateCompleted, time.Minute)
+	})
+}
+
 // startLate starts a job on r1-w0, which carries the start out 6 s later without an answer and drains, and waits until its next run has been
 // at work on r2-w0 for a while.
 func (r *rig) startLate(p *engine.Planner, step workload.Step, work time.Duration) {
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -85,9 +85,17 @@
 	p.planNeeded = true
 }
 
-// storeLateStart records, for a successor, that the start of a run that has ended may be executed still.
+// storeLateStart records, also for a successor, that the start of a run that has ended may be executed still.
 func (p *Planner) storeLateStart(r *run) {
 	now, g := p.Clock.Now(), r.group
+	if r.placementChange == 0 && now.Sub(p.started) < maxOrderDelay {
+		// The earlier planner may have got no response to a start.
+		late := lateStart{job: g.job.id(), key: g.key, run: r.number, sent: p.started, incarnation: r.worker.incarnation}
+		if recorded, ok := r.worker.lateStarts[g.name()]; ok && recorded.incarnation != 0 {
+			late.incarnation = min(late.incarnation, recorded.incarnation)
+		}
+		r.worker.recordLateStart(late)
+	}
 	s, ok := r.worker.lateStarts[g.name()]
 	if !ok || s.run != r.number || now.Sub(s.sent) >= maxOrderDelay {
 		return
