--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -574,3 +574,23 @@
 		})
 	}
 }
+
+// Guards against forgetting a worker whose entry has not been verified for long, because the worker cannot be reached: it does not write its
+// entry again.
+func TestWorkerIsUsedAfterLongCutWithUnverifiedEntry(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.Silent = true
+		})
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(3 * time.Minute)
+		r.Set("r1-w0", func(w *site.Worker) { w.Silent = false })
+		time.Sleep(2 * time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), time.Second)
+		r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+	})
+}
