--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -568,6 +568,34 @@
 	})
 }
 
+// Guards against leaving the next run of a task at work although its earlier worker, whose address another worker had, has come back and
+// may still carry out the start.
+func TestLaterRunIsWithdrawnWhenReplacedWorkerReturns(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		time.Sleep(time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 2500*time.Millisecond, true })
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+		time.Sleep(200 * time.Millisecond)
+		r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
+		r.Deregister(r.Worker("r1-w0"))
+		time.Sleep(800 * time.Millisecond)
+		r.AddWorkers("r2", 1)
+		time.Sleep(500 * time.Millisecond)
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Replaced = false
+			w.Restart()
+			w.StartDelay, w.LosePolls = 0, true
+		})
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(6 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.LosePolls = false })
+		r.waitForState(p, "j1", workload.StateCompleted, 90*time.Second)
+	})
+}
+
 // startLate starts a job on r1-w0, which carries the start out 6 s later without an answer and drains, and waits until its next run has been
 // at work on r2-w0 for a while.
 func (r *rig) startLate(p *engine.Planner, step workload.Step, work time.Duration) {
