engine: an earlier response shows no fence after a sign of a restart

A response that the earlier incarnation of a worker gave before it restarted, and that arrives after its entry or a clock that went back, was taken for proof that the worker refuses late orders: the fencing token of the poll was still the present one. The bound of late orders was cut to one lease, the task was started elsewhere, and the late start was carried out beside it (rule TWICE). Since entries are claims, the token is not raised by one, which opened this for entries; for clocks it was there before.

Only the response to a poll that was sent after the last sign counts now.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -342,7 +342,7 @@
 		return
 	}
 	w.recordIdentified(response.Incarnation, target.Address, sent)
-	if !w.fenced && request.Fence == w.fence {
+	if !w.fenced && request.Fence == w.fence && !sent.Before(w.restartSignAt) {
 		p.recordFenced(w)
 	}
 	if w.incarnation == incarnation && request.Fence == w.fence {
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -673,3 +673,102 @@
 		})
 	}
 }
+
+// runWithLateStart brings j1 to run as a confirmed run of r1-w0, while the unanswered start of its first run may still be carried out, with a
+// delay. It returns when that start was about to be sent.
+func (r *rig) runWithLateStart(p *engine.Planner, delay time.Duration) time.Time {
+	r.rest(time.Minute)
+	r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = delay, true })
+	r.mustSubmit(p, "j1", 1, singleTaskStep(8), 30*time.Second)
+	submitted := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	r.Set("r1-w0", func(w *site.Worker) { w.StartDelay = 0 })
+	time.Sleep(4 * time.Second)
+	r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+	return submitted
+}
+
+// Guards against taking a response that the earlier incarnation gave before it restarted, and that arrives after the entry of the later one,
+// for proof that the worker refuses late orders.
+func TestEarlierResponseAfterEntryShowsNoFence(t *testing.T) {
+	const lateStart = 25 * time.Second
+	runInVirtualTime(t, func(r *rig) {
+		var delay atomic.Bool
+		answered := make(chan struct{})
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			poll := w.Poll
+			w.Poll = func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+				response, err := poll(ctx, t, o)
+				if t.ID == "r1-w0" && err == nil && delay.CompareAndSwap(true, false) {
+					close(answered)
+					time.Sleep(650 * time.Millisecond)
+				}
+				return response, err
+			}
+			return w
+		}
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		submitted := r.runWithLateStart(p, lateStart)
+		r.AddWorkers("r2", 1)
+		delay.Store(true)
+		<-answered
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.Silent = true
+		})
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(time.Until(submitted.Add(lateStart + 2*time.Second)))
+		r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+		r.waitForState(p, "j1", workload.StateCompleted, 2*time.Minute)
+	})
+}
+
+// Guards against taking such a response for that proof after the clock in the response to an order has told the restart.
+func TestEarlierResponseAfterClockWentBackShowsNoFence(t *testing.T) {
+	const lateStart = 25 * time.Second
+	runInVirtualTime(t, func(r *rig) {
+		var delay atomic.Bool
+		answered := make(chan struct{})
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			poll, stop := w.Poll, w.Stop
+			w.Poll = func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+				response, err := poll(ctx, t, o)
+				if t.ID == "r1-w0" && err == nil && delay.CompareAndSwap(true, false) {
+					close(answered)
+					time.Sleep(300 * time.Millisecond)
+				}
+				return response, err
+			}
+			w.Stop = func(ctx context.Context, t engine.Target, o engine.StopOrder) (engine.WorkerStatus, error) {
+				status, err := stop(ctx, t, o)
+				select {
+				case <-answered:
+					r.Set("r1-w0", func(w *site.Worker) { w.Silent = true })
+				default:
+				}
+				return status, err
+			}
+			return w
+		}
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.rest(time.Minute)
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = lateStart, true })
+		r.mustSubmit(p, "j1", 1, singleTaskStep(4), 30*time.Second)
+		submitted := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay = 0 })
+		time.Sleep(time.Second)
+		r.mustSubmit(p, "j2", 1, singleTaskStep(4), 30*time.Second)
+		time.Sleep(3 * time.Second)
+		r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+		r.AddWorkers("r2", 1)
+		delay.Store(true)
+		<-answered
+		r.Set("r1-w0", (*site.Worker).Restart)
+		r.Equal(p.Cancel(context.Background(), "j2").Verdict, engine.VerdictAccepted)
+		time.Sleep(time.Until(submitted.Add(lateStart + 2*time.Second)))
+		r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+	})
+}
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -102,8 +102,9 @@
 // that were sent before it was known. Their ends were meant for the clock of the earlier one and may be far ahead on the new one, so only the
 // longest lease bounds them, from the latest time at which they may be executed.
 func (p *Planner) boundLeasesAfterRestart(w *workerState, source incarnationSource) {
+	w.restartSignAt = p.Clock.Now()
 	if w.restartSuspectedAt.IsZero() {
-		w.restartSuspectedAt = p.Clock.Now()
+		w.restartSuspectedAt = w.restartSignAt
 	}
 	until := p.Clock.Now().Add(p.lateRunBound())
 	if source == toldByEntry {
--- a/engine/state.go
+++ b/engine/state.go
@@ -207,6 +207,8 @@
 	lateStarts map[string]lateStart
 	// restartSuspectedAt is when the first sign came that the worker has restarted since it was last fenced; zero if none has.
 	restartSuspectedAt time.Time
+	// restartSignAt is when the latest such sign came. A response to an earlier call may be of the incarnation before.
+	restartSignAt time.Time
 	// leaseRenewedAt is when a poll last extended the lease.
 	leaseRenewedAt time.Time
 	// leasesEndBy is the time after which all leases of the worker have certainly ended, also those that a later incarnation may get from
