engine: late polls prolong the bound of a late start

A run whose worker may have restarted unseen was taken for ended 40.5 s after the start order that got no response, if it had been confirmed.

The bound of a start still decides whether the order can matter. The log's leases-end of an ended run is the bound that decided.

Found by review. Seen failing before: TestLatePollRenewsLeaseOfLateStart.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -509,7 +509,7 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.phase != runRecorded && !r.startInFlight && !now.Before(p.leaseEndsBy(r, now)) {
+			if r.phase != runRecorded && !r.startInFlight && !now.Before(p.runEndsBy(r)) {
 				p.endRun(r, EndLapsed, r.checkpoint, basisLeaseOver)
 			}
 		}
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -772,3 +772,26 @@
 		r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
 	})
 }
+
+// Guards against ending a run by the lease of its incarnation when the next one may have the task from a late start, and a late poll has
+// renewed its lease there.
+func TestLatePollRenewsLeaseOfLateStart(t *testing.T) {
+	const lateStart = 25 * time.Second
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		submitted := r.runWithLateStart(p, lateStart)
+		r.AddWorkers("r2", 1)
+		time.Sleep(time.Until(submitted.Add(19 * time.Second)))
+		r.Set("r1-w0", func(w *site.Worker) { w.PollDelay = 14 * time.Second })
+		time.Sleep(2200 * time.Millisecond)
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.Silent, w.PollDelay = true, 0
+		})
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(time.Until(submitted.Add(42 * time.Second)))
+		r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+		r.waitForState(p, "j1", workload.StateCompleted, 2*time.Minute)
+	})
+}
--- a/engine/orphans.go
+++ b/engine/orphans.go
@@ -48,7 +48,7 @@
 	var groups map[string]bool
 	for _, w := range p.workers {
 		for name, s := range w.lateStarts {
-			if now.Sub(s.sent) >= p.lateRunBound() || !w.restartSuspected(s) {
+			if !w.restartSuspected(s) || !p.mayHaveLateRun(now, w, s) {
 				continue
 			}
 			if groups == nil {
@@ -60,6 +60,16 @@
 	return groups
 }
 
+// mayHaveLateRun reports whether a worker that seems to have restarted may have a run from a late start. Polls that renew leases were sent
+// before the sign of the restart, and may be executed late as well.
+func (p *Planner) mayHaveLateRun(now time.Time, w *workerState, s lateStart) bool {
+	suspected := w.restartSuspectedAt
+	if suspected.IsZero() {
+		suspected = now
+	}
+	return suspected.Sub(s.sent) < p.lateRunBound() && now.Sub(suspected) < p.lateRunBound()
+}
+
 // restartAnswerTime is how long a worker that seems to have restarted may take to answer before runs elsewhere are stopped because of its
 // late starts. A worker that can be reached answers within a few milliseconds.
 const restartAnswerTime = 200 * time.Millisecond
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -108,29 +108,29 @@
 	}
 	until := p.Clock.Now().Add(p.lateRunBound())
 	if source == toldByEntry {
-		w.boundLateLeases(until)
+		w.boundAnyLeases(until)
 		return
 	}
 	w.boundLeases(until)
 }
 
-// lateRunBound returns how long after the sending of an order a run that a late one has started may exist, unless its lease is renewed.
+// lateRunBound returns how long after its sending an order without a response may keep a run at a worker: it is executed late, and gives
+// the longest lease.
 func (p *Planner) lateRunBound() time.Duration {
 	return maxOrderDelay + p.leaseBound(p.Bounds.MaxLease)
 }
 
-// leaseEndsBy returns the time after which the run's lease has certainly ended. A run that the worker's own incarnation has, and that no
+// runEndsBy returns the time after which the run's lease has certainly ended. A run that the worker's own incarnation has, and that no
 // late order can start again, ends by the leases of that incarnation, whatever entries tell.
-func (p *Planner) leaseEndsBy(r *run, now time.Time) time.Time {
+func (p *Planner) runEndsBy(r *run) time.Time {
 	w := r.worker
 	late, ok := w.lateStarts[r.group.name()]
-	switch {
-	case r.incarnation == 0,
-		ok && now.Sub(late.sent) < p.lateRunBound(),
-		(r.placementChange == 0 || r.number > 1) && now.Sub(p.started) < p.lateRunBound():
+	// After a sign of a restart, late polls may renew the lease of a run that a late start has begun.
+	lateRun := func(sent time.Time) bool { return w.restartSuspectedAt.Sub(sent) < p.lateRunBound() }
+	if r.incarnation == 0 || ok && lateRun(late.sent) || (r.placementChange == 0 || r.number > 1) && lateRun(p.started) {
 		return w.leasesEndBy
 	}
-	return w.confirmedLeasesEndBy
+	return w.toldLeasesEndBy
 }
 
 // noticeRestart records that a worker has restarted whose new incarnation is not known yet: its clock has gone back.
@@ -156,8 +156,8 @@
 	if bound := p.Clock.Now().Add(p.leaseBound(p.Bounds.MaxLease)); bound.Before(w.leasesEndBy) {
 		w.leasesEndBy = bound
 	}
-	if w.leasesEndBy.Before(w.confirmedLeasesEndBy) {
-		w.confirmedLeasesEndBy = w.leasesEndBy
+	if w.leasesEndBy.Before(w.toldLeasesEndBy) {
+		w.toldLeasesEndBy = w.leasesEndBy
 	}
 	p.planNeeded = true
 }
--- a/engine/state.go
+++ b/engine/state.go
@@ -211,9 +211,9 @@
 	restartSignAt time.Time
 	// leaseRenewedAt is when a poll last extended the lease.
 	leaseRenewedAt time.Time
-	// leasesEndBy is the time after which all leases of the worker have certainly ended, also those that a later incarnation may get from
-	// late orders. confirmedLeasesEndBy, which is never later, leaves out the incarnations that only entries tell.
-	leasesEndBy, confirmedLeasesEndBy time.Time
+	// leasesEndBy is the time after which the leases of all incarnations of the worker have certainly ended, also those that one that only an
+	// entry tells may get from late orders. toldLeasesEndBy, which is never later, counts the incarnations that the worker has told.
+	leasesEndBy, toldLeasesEndBy time.Time
 	// lastEnd is the number of the last end that was applied; acknowledgedEnd is the last one that the worker may discard.
 	lastEnd, acknowledgedEnd int64
 	// moreEnds is set while the worker may have ends beyond those that it last listed.
@@ -289,24 +289,28 @@
 	return w.clock + WorkerTime(float64(now.Sub(w.clockAt))*(1-maxClockDrift))
 }
 
-// boundLeases records that leases of the worker may last until the given time.
+// boundLeases records that leases of an incarnation that the worker has told may last until the given time.
 func (w *workerState) boundLeases(until time.Time) {
-	w.boundLateLeases(until)
-	if until.After(w.confirmedLeasesEndBy) {
-		w.confirmedLeasesEndBy = until
+	w.boundAnyLeases(until)
+	if until.After(w.toldLeasesEndBy) {
+		w.toldLeasesEndBy = until
 	}
 }
 
-// boundLateLeases records that leases of an incarnation that only an entry tells may last until the given time.
-func (w *workerState) boundLateLeases(until time.Time) {
+// boundAnyLeases records that leases of any incarnation, also one that only an entry tells, may last until the given time.
+func (w *workerState) boundAnyLeases(until time.Time) {
 	if until.After(w.leasesEndBy) {
 		w.leasesEndBy = until
 	}
 }
 
+// lateStartAge is how long late starts are kept: a restart may show as long as the order may be executed, and a run from it, whose lease late
+// polls renew, lasts for the same time and the longest lease.
+const lateStartAge = 3 * maxOrderDelay
+
 // recordLateStart records a start order that got no response. It drops entries that no run can come from any more.
 func (w *workerState) recordLateStart(s lateStart) {
-	maps.DeleteFunc(w.lateStarts, func(_ string, earlier lateStart) bool { return s.sent.Sub(earlier.sent) >= 2*maxOrderDelay })
+	maps.DeleteFunc(w.lateStarts, func(_ string, earlier lateStart) bool { return s.sent.Sub(earlier.sent) >= lateStartAge })
 	if w.lateStarts == nil {
 		w.lateStarts = map[string]lateStart{}
 	}
