--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -594,3 +594,66 @@
 		r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
 	})
 }
+
+// Guards against a worker that has left and is polled for ever: the planner could not verify its last entry, and missed its deletion because the
+// store had discarded the history.
+func TestWorkerThatLeftIsNotPolledForEver(t *testing.T) {
+	for name, compacted := range map[string]bool{"deletion seen": false, "history discarded": true} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.AddWorkers("r1", 1)
+				var hidden, polls atomic.Int64
+				store := r.Store.Engine()
+				watch := store.Watch
+				store.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]engine.Item, int64, error) {
+					if prefix == site.RegistrationPrefix && hidden.Load() > after {
+						return nil, 0, &engine.ErrCompacted{After: after}
+					}
+					return watch(ctx, prefix, after, wait)
+				}
+				term := r.claimTwice(store, "a")
+				p := r.newPlanner("a", term, store, engine.Workers{
+					Start: r.Start, Stop: r.Stop,
+					Poll: func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+						polls.Add(1)
+						return r.Poll(ctx, t, o)
+					},
+				})
+				ctx, cancel := context.WithCancel(context.Background())
+				renewed := term.Run(ctx, nil, p.Stalled)
+				planned, err := p.Run(ctx)
+				r.NoErr(err)
+				<-p.Ready()
+				defer func() {
+					cancel()
+					if err := <-renewed; err != nil {
+						t.Log("term:", err)
+					}
+					if err := <-planned; err != nil {
+						t.Log("planner:", err)
+					}
+				}()
+				time.Sleep(3 * time.Second)
+				r.Set("r1-w0", func(w *site.Worker) {
+					w.Restart()
+					w.Dead = true
+				})
+				r.Register(r.Worker("r1-w0"))
+				time.Sleep(2 * time.Second)
+				if compacted {
+					hidden.Store(1 << 40)
+				}
+				// A watch that was waiting has ended then.
+				time.Sleep(2 * time.Second)
+				r.Store.Remove(site.RegistrationPrefix + "r1-w0")
+				time.Sleep(2 * time.Second)
+				hidden.Store(0)
+				time.Sleep(3 * time.Minute)
+				before := polls.Load()
+				time.Sleep(time.Minute)
+				t.Log("polls in the fourth minute:", polls.Load()-before)
+				r.Equal(polls.Load()-before, int64(0))
+			})
+		})
+	}
+}
