engine: ask for a moved worker whose earlier address refuses, and once a second only

A worker that had moved was not used, and its job waited, while a server at its earlier address refused the polls as unhealthy: such a refusal tells no incarnation, and the address of the entry was asked only while calls failed. It is asked now from 0.25 s after the entry on, whatever comes from the earlier address, unless the worker itself tells its incarnation there.

Where the address of an entry refused at once, it was called 65 times in 20 s (each is a probe); the pause between two calls is 1 s now.

Found by review. Seen failing before: TestWorkerThatMovedIsUsedWhileItsEarlierAddressRefuses, TestAddressOfUnverifiedEntryIsCalledAboutOnceASecond.

--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -657,3 +657,56 @@
 		})
 	}
 }
+
+// Guards against a worker that has moved and is not used, because another one at its earlier address refuses the polls as unhealthy.
+func TestWorkerThatMovedIsUsedWhileItsEarlierAddressRefuses(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			moved := r.movedWorker(w, "r1-w0", "moved")
+			poll := moved.Poll
+			moved.Poll = func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+				if t.Address == "r1-w0" && r.Worker("r1-w0").Registration.Address == "moved" {
+					time.Sleep(time.Millisecond)
+					return engine.PollResponse{}, &engine.ErrRefused{Reason: engine.RefusedUnhealthy}
+				}
+				return poll(ctx, t, o)
+			}
+			return moved
+		}
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.Registration.Address = "moved"
+		})
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(5 * time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), time.Second)
+		r.waitForState(p, "j1", workload.StateCompleted, 5*time.Second)
+	})
+}
+
+// Guards against calls without much of a pause to the address of an unverified entry where calls are refused at once.
+func TestAddressOfUnverifiedEntryIsCalledAboutOnceASecond(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		var calls atomic.Int64
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			return otherServers(w, func(t engine.Target) bool {
+				other := isOtherAddress(t)
+				if other {
+					calls.Add(1)
+				}
+				return other
+			})
+		}
+		_, stop := r.startWithWorkers(1)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.Silent = true })
+		r.writeForeignEntry("r1-w0", func(e *engine.Registration) { e.Address, e.Incarnation = "other", e.Incarnation+500 })
+		time.Sleep(20 * time.Second)
+		t.Log("calls in 20 s:", calls.Load())
+		r.True(calls.Load() <= 30)
+	})
+}
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -56,7 +56,8 @@
 		p.Log.Event("advert-outdated", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "revision", item.Revision)
 	case w.contradictedBy(registration):
 		w.markUnregistered(p.Clock.Now())
-		w.unverified = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: p.Clock.Now()}
+		now := p.Clock.Now()
+		w.unverified = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: now, nextQuery: now.Add(pollRetryDelay)}
 		p.Log.Event("advert-unverified", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "address", registration.Address,
 			"answers-at", w.answersAt, "revision", item.Revision)
 		p.suspectRestart(w, toldByEntry)
@@ -124,11 +125,14 @@
 	p.applyRegistration(w, entry.registration, entry.revision)
 }
 
-// queryUnverified asks for a worker at the address that an unverified entry tells, while it does not answer where it last did. The query
-// grants no lease and acknowledges no ends.
+// unverifiedQueryInterval is the pause between queries to the address of an unverified entry, where nobody or another server may be.
+const unverifiedQueryInterval = time.Second
+
+// queryUnverified asks for a worker at the address that an unverified entry tells, while it does not tell its incarnation where it last
+// did. The query grants no lease and acknowledges no ends.
 func (p *Planner) queryUnverified(w *workerState, now time.Time) {
 	entry := w.unverified
-	if entry == nil || entry.registration.Address == w.registration.Address || w.failingSince.IsZero() || entry.querying || now.Before(entry.nextQuery) {
+	if entry == nil || entry.registration.Address == w.registration.Address || entry.querying || now.Before(entry.nextQuery) {
 		return
 	}
 	entry.querying = true
@@ -142,7 +146,7 @@
 			return err
 		})
 		return func() {
-			entry.querying, entry.nextQuery = false, p.Clock.Now().Add(pollRetryDelay)
+			entry.querying, entry.nextQuery = false, p.Clock.Now().Add(unverifiedQueryInterval)
 			if w.unverified != entry || err != nil || response.Incarnation != entry.registration.Incarnation {
 				return
 			}
