--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -706,7 +706,6 @@
 		r.Set("r1-w0", func(w *site.Worker) { w.Silent = true })
 		r.writeForeignEntry("r1-w0", func(e *engine.Registration) { e.Address, e.Incarnation = "other", e.Incarnation+500 })
 		time.Sleep(20 * time.Second)
-		t.Log("calls in 20 s:", calls.Load())
 		r.True(calls.Load() <= 30)
 	})
 }
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -104,7 +104,8 @@
 }
 
 // resolveUnverified decides on an entry that contradicts the worker's own word by the result of a poll, sent at the given time to the address
-// at which the worker last answered. Only an incarnation that the worker tells there decides: it may be cut off, or refuse the poll.
+// at which the worker last answered. Only an incarnation that the worker tells there decides: it may be cut off, or refuse the poll. Besides,
+// an answer at the entry's address, another worker at the earlier one, or a newer entry ends the verification.
 func (p *Planner) resolveUnverified(w *workerState, sent time.Time, told int64, err error) {
 	entry := w.unverified
 	if entry == nil || sent.Before(entry.arrivedAt) {
--- a/engine/state.go
+++ b/engine/state.go
@@ -176,7 +176,7 @@
 	// of the registration; empty once another worker has it. Entries in the store may be of other writers.
 	toldIncarnation int64
 	answersAt       string
-	// unverified is the newest entry if it contradicts that, until the worker itself has told its incarnation again. It is not registered
+	// unverified is the newest entry if it contradicts that, until that is settled; see resolveUnverified. It is not registered
 	// meanwhile.
 	unverified *unverifiedEntry
 	// clock is a reading of the clock of the worker's incarnation, which arrived at clockAt.
