standin/site: judge steps, occurrences, attempts, checkpoints and bounds

The site played one kind of tasks per job, and its oracle did not judge the order of steps, due times, attempts, checkpoints, labels, the tasks of a step on one worker, or starts after a cancel. Gangs were told apart by job only.

- SetJobProfile sets a job with its steps, the work of each, and how many runs fail; gangs are told apart by occurrence and step; runs resume from checkpoints; tasks of lasting steps may start again beside others that may not.
- Workers may lose or delay the answers to calls that take effect, and take time to stop a run.
- Bounds for draining, evacuation and cancels; they are 0 unless a test sets them, so the tests so far are judged as strictly as before.

--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -38,22 +38,37 @@
 	EncodeRegistration func(a engine.Registration) []byte
 	// Evacuated reports whether a failure domain is evacuated; nil means that none is.
 	Evacuated func(domain string) bool
-	// LongRunning allows a task to start again after it ended as done; the oracle then skips its checks for that.
+	// LongRunning allows every task to start again after it ended as done; the oracle then skips its checks for that. Tasks of
+	// long-running steps that SetJobProfile has set may do so without it.
 	LongRunning bool
+	// DrainBound and EvacuateBound are how long after a worker has begun to drain, or its domain was evacuated, the worker may still
+	// receive orders to start.
+	DrainBound, EvacuateBound time.Duration
+	// CancelBound is how long after RecordCancelled workers may still receive orders to start tasks of the job.
+	CancelBound time.Duration
+	// EvacuatedSince returns since when a failure domain has been evacuated; Evacuated is used for a domain that is evacuated at all.
+	EvacuatedSince func(domain string) time.Time
 
 	mu      sync.Mutex
 	workers map[string]*Worker
-	// work and need hold the duration and the resource needs of a task, by its payload (the job ID).
-	work map[string]time.Duration
-	need map[string]workload.Resources
-	// gangs holds the gang size by job.
-	gangs map[string]int
+	// profiles holds what the tasks of a job do, by job.
+	profiles map[string]JobProfile
+	// tasks caches what tasks do, from profiles.
+	tasks map[string]*taskProfile
 	// appliedAt is the time up to which elapsed time was applied.
 	appliedAt time.Time
 	// faults lists the rule violations that the oracle has found.
 	faults []string
 	// done has the units of which an end as done was acknowledged; completed has the jobs that a caller was told are completed.
 	done, completed map[string]bool
+	// everDone has the units of which a run has ended as done.
+	everDone map[string]bool
+	// cancelled holds when a caller was told that a job is cancelled.
+	cancelled map[string]time.Time
+	// failures and notedFailures hold by unit the runs that have ended as failed, and those of them whose end was acknowledged.
+	failures, notedFailures map[string]map[int]time.Time
+	// checkpoints holds the progress that each checkpoint of a unit stands for.
+	checkpoints map[string]map[string]time.Duration
 	// started holds the time of the last start of each unit.
 	started map[string]time.Time
 }
@@ -61,8 +76,10 @@
 // New returns a site without workers.
 func New() *Site {
 	return &Site{
-		Store: NewStore(), workers: map[string]*Worker{}, work: map[string]time.Duration{}, need: map[string]workload.Resources{},
-		gangs: map[string]int{}, done: map[string]bool{}, completed: map[string]bool{}, started: map[string]time.Time{},
+		Store: NewStore(), workers: map[string]*Worker{}, profiles: map[string]JobProfile{}, tasks: map[string]*taskProfile{},
+		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{},
+		cancelled: map[string]time.Time{}, failures: map[string]map[int]time.Time{}, notedFailures: map[string]map[int]time.Time{},
+		checkpoints:   map[string]map[string]time.Duration{},
 		MaxListedEnds: DefaultMaxListedEnds, Prefix: RegistrationPrefix, EncodeRegistration: func(a engine.Registration) []byte { return []byte(a.ID) },
 	}
 }
@@ -135,14 +152,21 @@
 	s.Store.Remove(s.Prefix + w.Registration.ID)
 }
 
-// SetTaskProfile sets the duration and the resource needs of a job's tasks. Set them before the tasks start.
+// SetTaskProfile sets the duration and the resource needs of a job's tasks, the same for all steps. Set them before the tasks start.
 func (s *Site) SetTaskProfile(id string, step workload.Step, work time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.work[id], s.need[id] = work, step.Need
-	if step.Gang {
-		s.gangs[id] = step.Tasks
-	}
+	step.After = nil
+	clear(s.tasks)
+	s.profiles[id] = JobProfile{Job: workload.Job{ID: id, Steps: []workload.Step{step}}, Work: []time.Duration{work}}
+}
+
+// SetJobProfile sets what the tasks of a job do, by which the oracle judges their starts. Set it before the tasks start.
+func (s *Site) SetJobProfile(p JobProfile) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.tasks)
+	s.profiles[p.Job.ID] = p
 }
 
 // lockWorker waits for the latency of a call and returns the worker at the address with s.mu held, after
@@ -166,22 +190,17 @@
 
 // gangRun identifies one run of a gang.
 type gangRun struct {
-	job    string
+	unit   string
 	number int
 }
 
 // gangOf returns the gang run that a run of a task belongs to, and the number of its members; the number is 0 for a single task.
 func (s *Site) gangOf(task string, run *run) (gangRun, int) {
-	key := gangRun{job: jobOf(task), number: run.number}
-	return key, s.gangs[key.job]
-}
-
-// unitOf returns what an end of the task as done completes: the task, or all tasks of its gang.
-func (s *Site) unitOf(task string) string {
-	if s.gangs[jobOf(task)] == 0 {
-		return task
+	size := 0
+	if step := s.stepOf(task); step.Gang {
+		size = step.Tasks
 	}
-	return task[:strings.LastIndexByte(task, '.')]
+	return gangRun{unit: s.unitOf(task), number: run.number}, size
 }
 
 // jobOf returns the job of a task or a unit.
@@ -195,7 +214,7 @@
 	found := map[string]*member{}
 	for _, w := range s.workers {
 		for task, run := range w.runs {
-			if run.number == key.number && jobOf(task) == key.job {
+			if run.number == key.number && s.unitOf(task) == key.unit {
 				found[task] = &member{worker: w, run: run}
 			}
 		}
@@ -281,6 +300,9 @@
 			}
 		}
 	}
+	if first != nil && first.reason == engine.EndDone && s.failsByItself(first.task) {
+		first.reason = engine.EndFailed
+	}
 	return first
 }
 
@@ -291,9 +313,12 @@
 		if alone := run.started.Add(w.realTime(s.GangTimeout)); !alone.After(e.at) {
 			e.at, e.reason = alone, engine.EndIsolated
 		}
+		if stop := run.stopsAt; !stop.IsZero() && stop.Before(e.at) {
+			e.at, e.reason = stop, engine.EndStopped
+		}
 		return e
 	}
-	done := run.workingSince.Add(run.work)
+	done := run.workingSince.Add(max(0, run.work-run.restored))
 	if done.Before(s.appliedAt) {
 		// The work was stalled at that time.
 		done = s.appliedAt
@@ -301,6 +326,9 @@
 	if !stalled && !run.broken && !done.After(e.at) {
 		e.at, e.reason = done, engine.EndDone
 	}
+	if stop := run.stopsAt; !stop.IsZero() && stop.Before(e.at) {
+		e.at, e.reason = stop, engine.EndStopped
+	}
 	return e
 }
 
@@ -310,7 +338,8 @@
 	delete(w.runs, task)
 	w.endCount++
 	w.lastEnded[task] = max(w.lastEnded[task], run.number)
-	w.ends = append(w.ends, engine.RunEnd{Number: w.endCount, Task: task, Run: run.number, Reason: reason})
+	w.ends = append(w.ends, engine.RunEnd{Number: w.endCount, Task: task, Run: run.number, Reason: reason, Checkpoint: s.saved(task, run, at, reason)})
+	s.recordEnd(task, run, reason, at)
 	w.endTimes = append(w.endTimes, at)
 	key, size := s.gangOf(task, run)
 	if size == 0 || reason == engine.EndDone {
@@ -379,10 +408,17 @@
 	for len(w.ends) > 0 && w.ends[0].Number <= acknowledged {
 		e, ended := w.ends[0], w.endTimes[0]
 		w.ends, w.endTimes = w.ends[1:], w.endTimes[1:]
-		if e.Reason != engine.EndDone || w.lapsedAt.After(ended) || s.LongRunning {
+		unit := s.unitOf(e.Task)
+		if w.lapsedAt.After(ended) || s.lasts(e.Task) {
+			continue
+		}
+		if e.Reason == engine.EndFailed {
+			record(s.notedFailures, unit, e.Run, ended)
+			s.checkAttempts(e.Task, s.started[unit])
+		}
+		if e.Reason != engine.EndDone {
 			continue
 		}
-		unit := s.unitOf(e.Task)
 		s.done[unit] = true
 		if s.started[unit].After(ended) {
 			s.faults = append(s.faults, "TWICE: "+unit+" was started after an end as done of "+e.Task+" that was taken note of")
@@ -419,16 +455,37 @@
 	if err != nil {
 		return engine.WorkerStatus{}, err
 	}
-	defer s.mu.Unlock()
 	if delay := w.startDelay(); delay > 0 {
-		s.carryOutLater(w, delay, func() { _, _ = s.applyStart(w, o) })
+		received := time.Now()
+		s.carryOutLater(w, delay, func() { _, _ = s.applyStart(w, o, received) })
+		s.mu.Unlock()
 		return engine.WorkerStatus{}, errNoAnswer
 	}
-	status, err := s.applyStart(w, o)
+	status, err := s.applyStart(w, o, time.Now())
 	if err == nil && w.LoseStarts {
+		s.mu.Unlock()
 		return engine.WorkerStatus{}, errNoAnswer
 	}
-	return status, err
+	return status, s.answer(ctx, w, err)
+}
+
+// answer sends the answer to a call whose error is err, and returns the caller's error. It releases s.mu, which the caller holds.
+func (s *Site) answer(ctx context.Context, w *Worker, err error) error {
+	lost, delay := w.LoseAnswers, w.answerDelay()
+	s.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if delay == 0 {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(delay):
+		return err
+	}
 }
 
 // carryOutLater carries out a call to a worker after a delay. The caller of the worker gets no answer. A restart drops the calls that
@@ -446,8 +503,8 @@
 	})
 }
 
-// applyStart is the worker's handling of a start order. The caller holds s.mu.
-func (s *Site) applyStart(w *Worker, o engine.StartOrder) (engine.WorkerStatus, error) {
+// applyStart is the worker's handling of a start order that it received at a time. The caller holds s.mu.
+func (s *Site) applyStart(w *Worker, o engine.StartOrder, received time.Time) (engine.WorkerStatus, error) {
 	if w.Unhealthy {
 		return engine.WorkerStatus{}, &engine.ErrRefused{Reason: engine.RefusedUnhealthy}
 	}
@@ -465,41 +522,45 @@
 	if o.Run <= w.lastEnded[o.Task] {
 		return engine.WorkerStatus{}, w.refusal(engine.RefusedStaleRun)
 	}
-	s.checkStart(w, o)
+	s.checkStart(w, o, received)
 	w.Starts++
 	s.started[s.unitOf(o.Task)] = time.Now()
-	r := &run{number: o.Run, started: time.Now(), work: s.work[o.Payload]}
+	r := &run{number: o.Run, started: time.Now(), work: s.taskOf(o.Task).work, checkpoint: o.Checkpoint}
+	r.restored = s.checkpoints[s.unitOf(o.Task)][o.Checkpoint]
 	w.runs[o.Task] = r
 	s.beginWork(o.Task, r)
 	return w.orderStatus(), nil
 }
 
-// checkStart is the oracle: it records a fault for each rule that a start violates.
-func (s *Site) checkStart(w *Worker, o engine.StartOrder) {
+// checkStart is the oracle: it records a fault for each rule that a start violates. Rules with a time bound apply to when the order
+// was received.
+func (s *Site) checkStart(w *Worker, o engine.StartOrder, received time.Time) {
 	for _, other := range s.workers {
 		if _, ok := other.runs[o.Task]; ok && !other.Dead && !other.Replaced {
 			s.faults = append(s.faults, fmt.Sprintf("TWICE: %s starts on %s and runs on %s", o.Task, w.Registration.ID, other.Registration.ID))
 		}
 	}
-	if s.done[s.unitOf(o.Task)] && !s.LongRunning {
+	if s.done[s.unitOf(o.Task)] && !s.lasts(o.Task) {
 		s.faults = append(s.faults, "TWICE: "+o.Task+" starts again after it was done")
 	}
 	if s.completed[jobOf(o.Task)] {
 		s.faults = append(s.faults, "TWICE: "+o.Task+" starts after its job was shown as completed")
 	}
-	used := s.need[o.Payload]
+	used := s.stepOf(o.Task).Need
 	for task := range w.runs {
-		used = used.Add(s.need[jobOf(task)])
+		used = used.Add(s.stepOf(task).Need)
 	}
 	if !used.Fits(w.Registration.Capacity) {
 		s.faults = append(s.faults, fmt.Sprintf("LIMIT: %s brings %s to %+v", o.Task, w.Registration.ID, used))
 	}
-	if w.Registration.Draining {
+	if w.Registration.Draining && !received.Before(w.drainingSince.Add(s.DrainBound)) {
 		s.faults = append(s.faults, "DRAIN: "+o.Task+" starts on a draining worker")
 	}
-	if s.Evacuated != nil && s.Evacuated(w.Registration.FailureDomain) {
+	if s.Evacuated != nil && s.Evacuated(w.Registration.FailureDomain) &&
+		(s.EvacuatedSince == nil || received.After(s.EvacuatedSince(w.Registration.FailureDomain).Add(s.EvacuateBound))) {
 		s.faults = append(s.faults, "EVAC: "+o.Task+" starts in a failure domain that is out")
 	}
+	s.checkTask(w, o, received)
 }
 
 // Stop carries out an order to stop a run.
@@ -508,15 +569,17 @@
 	if err != nil {
 		return engine.WorkerStatus{}, err
 	}
-	defer s.mu.Unlock()
 	switch {
 	case w.DropStops:
+		s.mu.Unlock()
 		return engine.WorkerStatus{}, errNoAnswer
 	case w.StopDelay > 0:
 		s.carryOutLater(w, w.StopDelay, func() { _, _ = s.applyStop(w, o) })
+		s.mu.Unlock()
 		return engine.WorkerStatus{}, errNoAnswer
 	}
-	return s.applyStop(w, o)
+	status, err := s.applyStop(w, o)
+	return status, s.answer(ctx, w, err)
 }
 
 // applyStop is the worker's handling of a stop order. The caller holds s.mu.
@@ -529,7 +592,11 @@
 	}
 	w.fence = o.Fence
 	if run, ok := w.runs[o.Task]; ok && run.number <= o.Run {
-		s.end(w, o.Task, run, engine.EndStopped, time.Now())
+		if w.StopTime == 0 {
+			s.end(w, o.Task, run, engine.EndStopped, time.Now())
+		} else if run.stopsAt.IsZero() {
+			run.stopsAt = time.Now().Add(w.StopTime)
+		}
 	}
 	w.lastEnded[o.Task] = max(w.lastEnded[o.Task], o.Run)
 	return w.orderStatus(), nil
@@ -565,14 +632,13 @@
 				return engine.PollResponse{}, errNoAnswer
 			}
 			if err := s.applyPoll(w, o); err != nil {
-				s.mu.Unlock()
-				return engine.PollResponse{}, err
+				return engine.PollResponse{}, s.answer(ctx, w, err)
 			}
 			incarnation = w.Registration.Incarnation
 		}
 		if len(w.ends) > 0 || !time.Now().Before(end) {
-			defer s.mu.Unlock()
-			return w.pollResponse(), nil
+			response := w.pollResponse()
+			return response, s.answer(ctx, w, nil)
 		}
 		s.mu.Unlock()
 		if ctx.Err() != nil {
@@ -600,7 +666,7 @@
 	response := engine.PollResponse{WorkerStatus: w.status(), Ends: slices.Clone(page), MoreEnds: len(page) == w.site.MaxListedEnds}
 	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
 		r := w.runs[task]
-		response.Running = append(response.Running, engine.RunStatus{Task: task, Run: r.number, Percent: w.percent(r)})
+		response.Running = append(response.Running, engine.RunStatus{Task: task, Run: r.number, Percent: w.percent(r), Checkpoint: w.site.saved(task, r, time.Now(), "")})
 	}
 	return response
 }
@@ -610,7 +676,7 @@
 	if w.Stalled || r.workingSince.IsZero() {
 		return 0
 	}
-	return min(99, int(100*time.Since(r.workingSince)/max(r.work, time.Millisecond)))
+	return min(99, int(100*(r.restored+time.Since(r.workingSince))/max(r.work, time.Millisecond)))
 }
 
 // Restart gives the worker a new incarnation, without runs, lease, fencing token or unacknowledged ends.
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -15,6 +15,11 @@
 	workingSince time.Time
 	// broken is set when another member of the gang has ended, not as done, while this one was present.
 	broken bool
+	// restored is the work that the run's checkpoint saved it. checkpoint is the one with which the run was started.
+	restored   time.Duration
+	checkpoint string
+	// stopsAt is when the run ends by a stop; zero if it is not being stopped.
+	stopsAt time.Time
 }
 
 // Worker simulates a worker with a fencing token, a lease and a list of ended runs that are not yet acknowledged.
@@ -51,6 +56,16 @@
 	// StartDelay, StopDelay and PollDelay, unless 0, make starts, stops and polls take effect after that time, without an answer.
 	// Newer calls may take effect before.
 	StartDelay, StopDelay, PollDelay time.Duration
+	// LoseAnswers makes all calls take effect without an answer.
+	LoseAnswers bool
+	// AnswerDelays has how long the answers to calls take, in turn; newer answers overtake older ones.
+	AnswerDelays []time.Duration
+	// StopTime is how long a run takes to end after a stop.
+	StopTime time.Duration
+	// answers counts the answers.
+	answers int
+	// drainingSince is when the worker began to drain by StartDraining.
+	drainingSince time.Time
 	// DropStops makes stops have no effect and get no answer.
 	DropStops bool
 	// Unhealthy makes the worker refuse starts and stops, without effect.
@@ -117,3 +132,17 @@
 		}
 	}
 }
+
+// StartDraining makes the worker drain; it exits no sooner than after the time given.
+func (w *Worker) StartDraining(remaining time.Duration) {
+	w.Registration.Draining, w.Registration.DrainRemaining, w.drainingSince = true, remaining, time.Now()
+}
+
+// answerDelay returns how long the next answer takes.
+func (w *Worker) answerDelay() time.Duration {
+	if len(w.AnswerDelays) == 0 {
+		return 0
+	}
+	w.answers++
+	return w.AnswerDelays[w.answers%len(w.AnswerDelays)]
+}
