engine: random tests of all kinds of jobs and faults together

TestRandomMixedFaults plays these, gangs, checkpoints, failing and cancelled jobs next to all faults of workers that the other random tests have, and to answers that are lost or overtake each other, slow stops, silent restarts and restarts behind a cut, missing, late and foreign entries, draining, a slow store, late commits of several delays, planners that stand still, and evacuations. Foreign entries do not meet faults that keep their worker from being polled, and restarts drop late orders, since both are known faults (KNOWN-RED.txt).

--- a/engine/random_entries_test.go
+++ b/engine/random_entries_test.go
@@ -23,7 +23,7 @@
 // being used: next to cut off workers, restarts of workers and changes of the planner, with single tasks, gangs and tasks that last. With
 // -faults-first and -faults-seeds it plays other seeds.
 func TestRandomForeignEntries(t *testing.T) {
-	for seed := *faultsFirst; seed < *faultsFirst+uint64(max(0, *faultsSeeds)); seed++ {
+	for seed := range faultSeeds(randomSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			runInVirtualTime(t, func(r *rig) { playForeignEntries(r, rand.New(rand.NewPCG(seed, 3))) })
--- a/engine/random_faults_test.go
+++ b/engine/random_faults_test.go
@@ -1,10 +1,12 @@
 package engine_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"iter"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -22,7 +24,7 @@
 
 var (
 	faultsFirst     = flag.Uint64("faults-first", 1, "first seed of the random faults")
-	faultsSeeds     = flag.Int("faults-seeds", randomSeeds, "number of seeds of the random faults")
+	faultsSeeds     = flag.Int("faults-seeds", 0, "number of seeds of the random faults; 0 means that of the test")
 	keepsLateOrders = flag.Bool("keeps-late-orders", false, "let restarted workers carry out late orders in the random faults; see KNOWN-RED.txt")
 )
 
@@ -47,7 +49,7 @@
 // With -faults-first and -faults-seeds it plays other seeds. The planner's decisions depend on the order of its maps, so a seed that
 // failed may have to be played several times.
 func TestRandomLateAndLostCalls(t *testing.T) {
-	for seed := *faultsFirst; seed < *faultsFirst+uint64(max(0, *faultsSeeds)); seed++ {
+	for seed := range faultSeeds(randomSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			runInVirtualTime(t, func(r *rig) { newFaultScenario(r, seed).run() })
@@ -55,6 +57,17 @@
 	}
 }
 
+// faultSeeds returns the seeds of a test of random faults, which plays n seeds unless flags tell otherwise.
+func faultSeeds(n int) iter.Seq[uint64] {
+	return func(yield func(uint64) bool) {
+		for i := range uint64(max(0, cmp.Or(*faultsSeeds, n))) {
+			if !yield(*faultsFirst + i) {
+				return
+			}
+		}
+	}
+}
+
 // faultScenario plays random faults at random times. Everything but the callers and the planners runs on one goroutine. What it plays
 // and when does not depend on their results, except for which node is the planner that a fault hits.
 type faultScenario struct {
@@ -91,10 +104,13 @@
 // submittedJob is a job of a caller. The caller's goroutine writes its fields until it has ended.
 type submittedJob struct {
 	id string
-	// step, cancels and givesUp are what the caller wants: to cancel the job later, or to submit it no further after the first
-	// answer that it was not accepted.
-	step             workload.Step
-	cancels, givesUp bool
+	// job is what the caller submits.
+	job workload.Job
+	// cancels and givesUp are what the caller wants: to cancel the job later, or to submit it no further after the first answer that it
+	// was not accepted. repeats is set if it submits the job again after it was accepted.
+	cancels, givesUp, repeats bool
+	// cancelWithin is the latest time of a cancel after the job was accepted.
+	cancelWithin time.Duration
 	// accepted is set once the caller knows that the job is stored; maybeStored once it may be.
 	accepted, maybeStored bool
 	final                 workload.State
@@ -264,12 +280,12 @@
 
 // planJob plans the submission of a job.
 func (s *faultScenario) planJob(after time.Duration) {
-	j := &submittedJob{id: fmt.Sprintf("j%d", len(s.jobs)), cancels: s.chance(8), givesUp: s.chance(4)}
+	j := &submittedJob{id: fmt.Sprintf("j%d", len(s.jobs)), cancels: s.chance(8), givesUp: s.chance(4), cancelWithin: 8 * time.Second}
 	accelerators := []int64{0, 1, 2, 4, 8}[s.random.IntN(5)]
-	j.step = singleTaskStep(accelerators)
-	j.step.Tasks = 1 + s.random.IntN(3)
+	step := singleTaskStep(accelerators)
+	step.Tasks = 1 + s.random.IntN(3)
 	if s.chance(2) {
-		j.step = gangStep(1+s.random.IntN(3), accelerators)
+		step = gangStep(1+s.random.IntN(3), accelerators)
 	}
 	s.jobs = append(s.jobs, j)
 	work := s.between(200*time.Millisecond, 9*time.Second)
@@ -277,13 +293,22 @@
 		// Longer than a lease.
 		work = s.between(9*time.Second, 30*time.Second)
 	}
-	s.SetTaskProfile(j.id, j.step, work)
-	priority, number := s.random.IntN(3), uint64(len(s.jobs))
+	s.SetTaskProfile(j.id, step, work)
+	j.job = newJob(j.id, s.random.IntN(3), step)
+	j.job.MaxAttempts = 0
+	s.planSubmission(j, after)
+}
+
+// planSubmission plans the submission of the last of the jobs by a caller.
+func (s *faultScenario) planSubmission(j *submittedJob, after time.Duration) {
+	number := uint64(len(s.jobs))
 	s.plan(event{at: time.Now().Add(after), submits: true, do: func() {
-		s.logf("submit %s: %d tasks of %d, gang %t", j.id, j.step.Tasks, accelerators, j.step.Gang)
+		for i, step := range j.job.Steps {
+			s.logf("submit %s step %d: %d tasks of %d, gang %t", j.id, i, step.Tasks, step.Need.Accelerators, step.Gang)
+		}
 		s.callers.Go(func() {
 			c := &caller{submittedJob: j, scenario: s, random: rand.New(rand.NewPCG(s.seed, 1000+number))}
-			c.run(priority)
+			c.run()
 		})
 	}})
 }
@@ -475,6 +500,7 @@
 			return
 		}
 		w.Restart()
+		w.Registration.Draining, w.Registration.DrainRemaining = false, 0
 		if s.slowClocks && s.chance(3) {
 			w.ClockRate = slowClock
 		}
@@ -618,8 +644,13 @@
 	// cutFromStore and cutFromWorkers make calls end without effect and without an answer. lateCommits makes the planner's commits
 	// take effect later, without an answer.
 	cutFromStore, cutFromWorkers, lateCommits atomic.Bool
-	cancel                                    context.CancelFunc
-	ended                                     chan struct{}
+	// commitDelay, unless 0, is how much later late commits take effect, instead of 1 s. storeDelay is how much longer calls to the
+	// store take.
+	commitDelay, storeDelay atomic.Int64
+	// pausedUntil is until when the process stands still, in Unix nanoseconds.
+	pausedUntil atomic.Int64
+	cancel      context.CancelFunc
+	ended       chan struct{}
 }
 
 func (n *node) start() {
@@ -662,7 +693,11 @@
 		return
 	}
 	ctx, cancel = context.WithCancel(ctx)
-	p := n.newPlanner(boot, term, n.store(), n.workers())
+	workers := n.workers()
+	if n.wrapWorkers != nil {
+		workers = n.wrapWorkers(workers)
+	}
+	p := n.newPlanner(boot, term, n.store(), workers)
 	renewed := term.Run(ctx, p.Log, p.Stalled)
 	planned, err := p.Run(ctx)
 	if err != nil {
@@ -696,6 +731,10 @@
 func (n *node) store() engine.Store {
 	direct := n.Store.Engine()
 	reach := func(ctx context.Context) error {
+		time.Sleep(time.Duration(n.storeDelay.Load()))
+		if err := n.waitWhilePaused(ctx); err != nil {
+			return &engine.ErrUnanswered{Cause: err}
+		}
 		if !n.cutFromStore.Load() {
 			return nil
 		}
@@ -708,7 +747,7 @@
 			return 0, err
 		}
 		if n.lateCommits.Load() && len(t.Preconditions) > 0 {
-			time.AfterFunc(time.Second, func() {
+			time.AfterFunc(cmp.Or(time.Duration(n.commitDelay.Load()), time.Second), func() {
 				lateCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
 				_, _ = direct.Commit(lateCtx, t)
@@ -760,6 +799,9 @@
 // workers returns the calls to workers as the node reaches them.
 func (n *node) workers() engine.Workers {
 	reach := func(ctx context.Context) error {
+		if err := n.waitWhilePaused(ctx); err != nil {
+			return err
+		}
 		if !n.cutFromWorkers.Load() {
 			return nil
 		}
@@ -771,23 +813,38 @@
 			if err := reach(ctx); err != nil {
 				return engine.WorkerStatus{}, err
 			}
-			return n.Start(ctx, t, o)
+			answer, err := n.Start(ctx, t, o)
+			n.sleepWhilePaused()
+			return answer, err
 		},
 		Stop: func(ctx context.Context, t engine.Target, o engine.StopOrder) (engine.WorkerStatus, error) {
 			if err := reach(ctx); err != nil {
 				return engine.WorkerStatus{}, err
 			}
-			return n.Stop(ctx, t, o)
+			answer, err := n.Stop(ctx, t, o)
+			n.sleepWhilePaused()
+			return answer, err
 		},
 		Poll: func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
 			if err := reach(ctx); err != nil {
 				return engine.PollResponse{}, err
 			}
-			return n.Poll(ctx, t, o)
+			answer, err := n.Poll(ctx, t, o)
+			n.sleepWhilePaused()
+			return answer, err
 		},
 	}
 }
 
+// sleepWhilePaused returns once the process no longer stands still.
+func (n *node) sleepWhilePaused() { time.Sleep(time.Until(time.Unix(0, n.pausedUntil.Load()))) }
+
+// waitWhilePaused returns once the process no longer stands still, with an error if ctx is done by then.
+func (n *node) waitWhilePaused(ctx context.Context) error {
+	n.sleepWhilePaused()
+	return ctx.Err()
+}
+
 // caller submits a job until it is accepted and asks for its state until it has ended.
 type caller struct {
 	*submittedJob
@@ -795,8 +852,8 @@
 	random   *rand.Rand
 }
 
-func (c *caller) run(priority int) {
-	for !c.submit(priority) {
+func (c *caller) run() {
+	for !c.submit() {
 		if c.givesUp && !c.maybeStored {
 			return
 		}
@@ -804,11 +861,14 @@
 			return
 		}
 	}
-	cancelAt := time.Now().Add(time.Duration(c.random.Int64N(int64(8 * time.Second))))
+	cancelAt := time.Now().Add(time.Duration(c.random.Int64N(int64(c.cancelWithin))))
 	for c.final == "" && c.pause() {
-		if c.cancels && time.Now().After(cancelAt) {
+		switch {
+		case c.cancels && time.Now().After(cancelAt):
 			c.ask((*engine.Planner).Cancel)
-		} else {
+		case c.repeats && c.random.IntN(4) == 0:
+			c.submit()
+		default:
 			c.ask((*engine.Planner).State)
 		}
 	}
@@ -837,11 +897,11 @@
 }
 
 // submit submits the job once, at times to the store directly, and reports whether it is accepted.
-func (c *caller) submit(priority int) bool {
+func (c *caller) submit() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	job := newJob(c.id, priority, c.step)
-	job.MaxAttempts = 0
+	job := c.job
+	job.Accepted = time.Now()
 	if c.random.IntN(6) == 0 {
 		direct := &engine.DirectClient{Store: c.scenario.Store.Engine()}
 		c.last = direct.Submit(ctx, job)
@@ -852,7 +912,7 @@
 		}
 		c.last = p.Submit(ctx, job)
 	}
-	c.accepted = c.last.Verdict == engine.VerdictAccepted
+	c.accepted = c.accepted || c.last.Verdict == engine.VerdictAccepted
 	c.maybeStored = c.maybeStored || c.accepted || c.last.Verdict == engine.VerdictUnknown
 	return c.accepted
 }
@@ -880,7 +940,10 @@
 		if c.final == workload.StateCompleted {
 			s.RecordCompleted(c.id)
 		}
-		if c.final == workload.StateFailed || c.final == workload.StateCancelled && !c.cancels {
+		if c.final == workload.StateCancelled {
+			s.RecordCancelled(c.id)
+		}
+		if c.final == workload.StateFailed && !s.OutOfAttempts(c.id) || c.final == workload.StateCancelled && !c.cancels {
 			s.t.Errorf("LOST: job %s is shown as %s", c.id, c.final)
 		}
 	}
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,6 +35,8 @@
 	*site.Site
 	t    *testing.T
 	conf *engine.Configuration
+	// changedConf, if set, is the configuration instead of conf, for tests that change it while planners run.
+	changedConf atomic.Pointer[engine.Configuration]
 	// registrations overrides workers' registrations in the store by worker ID, to simulate outdated ones.
 	registrations map[string]engine.Registration
 	// decodeRegistration, if set, decodes workers' registrations; otherwise a registration is read as what it would be now.
@@ -149,6 +152,9 @@
 	if r.onConfiguration != nil {
 		r.onConfiguration(name)
 	}
+	if conf := r.changedConf.Load(); conf != nil {
+		return conf
+	}
 	return r.conf
 }
 
