--- a/Makefile
+++ b/Makefile
@@ -57,11 +57,13 @@
 isolation:
 	go run ./bench --isolation
 
-# soak plays random faults on real processes; SOAK_FIRST and SOAK_SEEDS choose the seeds. A seed takes half a minute.
+# soak plays random faults on real processes; SOAK_FIRST and SOAK_SEEDS choose the seeds. A seed takes 30 to 45 seconds.
+# SOAK_FLAGS may have "-soak-vms 40 -soak-workers 200" or "-soak-binary FILE".
 SOAK_FIRST := 1
 SOAK_SEEDS := 50
+SOAK_FLAGS :=
 soak:
-	go test ./platform -run Soak -v -count=1 -timeout 120m -soak-first $(SOAK_FIRST) -soak-seeds $(SOAK_SEEDS)
+	go test ./platform -run Soak -v -count=1 -timeout 120m -soak-first $(SOAK_FIRST) -soak-seeds $(SOAK_SEEDS) $(SOAK_FLAGS)
 
 capacity: build
 	go run ./bench -capacity
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -127,19 +127,28 @@
 // AddWorkers adds workers of 32 cores, 64 GB and 8 accelerators to a rack.
 func (s *Site) AddWorkers(rack string, n int) {
 	for i := range n {
-		id := fmt.Sprintf("%s-w%d", rack, i)
-		w := &Worker{
-			Registration: engine.Registration{
-				ID: id, Address: id, Service: "s", FailureDomain: "fd-" + rack, Rack: rack, Labels: []string{"a", rack},
-				Capacity: workload.Resources{MilliCPU: 32000, MemoryMB: 64 << 10, Accelerators: 8}, Incarnation: time.Now().UnixMilli(),
-			},
-			site: s, start: time.Now(), maxLease: s.MaxLease, runs: map[string]*run{}, lastEnded: map[string]int{},
-		}
-		s.mu.Lock()
-		s.workers[id] = w
-		s.mu.Unlock()
-		s.Register(w)
+		s.Register(s.addWorker(fmt.Sprintf("%s-w%d", rack, i), rack))
+	}
+}
+
+func (s *Site) addWorker(id, rack string) *Worker {
+	w := &Worker{
+		Registration: engine.Registration{
+			ID: id, Address: id, Service: "s", FailureDomain: "fd-" + rack, Rack: rack, Labels: []string{"a", rack},
+			Capacity: workload.Resources{MilliCPU: 32000, MemoryMB: 64 << 10, Accelerators: 8}, Incarnation: time.Now().UnixMilli(),
+		},
+		site: s, start: time.Now(), maxLease: s.MaxLease, runs: map[string]*run{}, lastEnded: map[string]int{},
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers[id] = w
+	return w
+}
+
+// Replace marks a worker as replaced and adds another one in its rack, whose registration has to be written.
+func (s *Site) Replace(id, by string) {
+	s.Set(id, func(w *Worker) { w.Replaced = true })
+	s.addWorker(by, s.Worker(id).Registration.Rack)
 }
 
 // Register writes the worker's registration to the store.
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -391,3 +391,18 @@
 		b.mustStart("r-w1", "j.0.0.0", 2)
 	})
 }
+
+// Guards against runs of a replaced worker that still count, and against a new worker that takes calls for the earlier one.
+func TestReplacedWorkerRunsNothing(t *testing.T) {
+	inVirtualTime(t, nil, func(b *bed) {
+		b.addJob("a", 0, time.Minute)
+		b.mustStart("r-w0", "a.0.0.0", 1)
+		b.Replace("r-w0", "r-n0")
+		b.Equal(b.WorkersRunning("a"), nil)
+		var refused *engine.ErrRefused
+		b.True(errors.As(b.start("r-w0", "a.0.0.0", 2, longLease), &refused))
+		b.Equal(refused.Reason, engine.RefusedIncarnation)
+		b.mustStart("r-n0", "a.0.0.0", 2)
+		b.Equal(b.Worker("r-n0").Registration.Rack, "r")
+	})
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -225,8 +226,10 @@
 			return nil, 0, err
 		}
 		var events []engine.Item
-		for _, i := range s.history {
-			if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
+		// The history is in the order of revisions, of which several entries may have the same.
+		next := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+		for _, i := range s.history[next:] {
+			if strings.HasPrefix(i.Key, prefix) {
 				events = append(events, i)
 			}
 		}
