engine: acknowledge an end that is listed again only once it is stored

Cause: the planner can forget which ends of a worker it has applied while the worker goes on, because an entry tells a later incarnation before the worker has told its own. The worker then lists its ends again. Their runs are no longer tracked, and such an end was acknowledged at once if its task was done in memory already, although the store did not have that yet. If the planner ends then, nobody knows of the end.

The acknowledgement of every end that is not of a tracked run now waits until all changes of its job are stored, whatever made the planner forget. That also covers a run whose later run was done.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -389,20 +389,32 @@
 	})
 }
 
-// handleStrayEnd applies the end of a run that is no longer tracked. If it was done, the task is done, and a later run of it is stopped.
+// handleStrayEnd applies the end of a run that is no longer tracked. It may be listed again because the planner no longer knows which ends it
+// has applied.
 func (p *Planner) handleStrayEnd(w *workerState, e RunEnd) {
 	p.Log.Event("stray-end", "task", e.Task, "run", e.Run, "worker", w.id(), "how", e.Reason)
-	if e.Reason != EndDone {
-		return
+	if e.Reason == EndDone {
+		p.checkInferredEnd(w, e.Task, e.Run, string(e.Reason))
 	}
-	p.checkInferredEnd(w, e.Task, e.Run, string(e.Reason))
 	id, err := workload.ParseTaskID(e.Task)
 	if err != nil {
 		p.Log.Event("end-unreadable", "task", e.Task, "worker", w.id(), "error", err)
 		return
 	}
 	j, ok := p.jobs[id.Job]
-	if !ok || !j.hasTask(id) || j.state().Ended() {
+	if !ok || !j.hasTask(id) {
+		return
+	}
+	if e.Reason == EndDone {
+		p.recordStrayDone(j, id)
+	}
+	// The end may have been applied before, and what it changed may not be stored yet.
+	p.acknowledgeOnceStored(w, j)
+}
+
+// recordStrayDone records that a run that is no longer tracked was done: the task is done, and a later run of it is stopped.
+func (p *Planner) recordStrayDone(j *jobState, id workload.TaskID) {
+	if j.state().Ended() {
 		return
 	}
 	step := &j.record.Job.Steps[id.Step]
@@ -419,7 +431,6 @@
 		p.stopGroup(g, "an earlier run is done")
 	}
 	p.recordFinalState(j)
-	p.acknowledgeOnceStored(w, j)
 	p.planNeeded = true
 }
 
