--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -27,13 +27,19 @@
 	exited                     chan struct{}
 }
 
-// freeAddress returns an address with a free port.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// freeAddresses returns n addresses with different free ports.
+func freeAddresses(ip string, n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range n {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		// A port that is free again may be given for the next listener.
+		defer func() { _ = listener.Close() }()
+		addresses[i] = listener.Addr().String()
 	}
-	return listener.Addr().String(), listener.Close()
+	return addresses, nil
 }
 
 // newVM writes the settings file of an entry VM, as the platform renders the template, and starts its process.
@@ -41,15 +47,12 @@
 	v := &vm{name: fmt.Sprintf("front-%d", number), site: s}
 	v.settings = filepath.Join(s.dir, v.name+".toml")
 	ip := fmt.Sprintf("%s%d", s.prefix, firstVMNumber+number)
-	var peersAddress string
-	for _, into := range []*string{&v.frontAddress, &v.readyAddress, &peersAddress} {
-		address, err := freeAddress(ip)
-		if err != nil {
-			return nil, err
-		}
-		*into = address
+	addresses, err := freeAddresses(ip, 3)
+	if err != nil {
+		return nil, err
 	}
-	_, peersPort, err := net.SplitHostPort(peersAddress)
+	v.frontAddress, v.readyAddress = addresses[0], addresses[1]
+	_, peersPort, err := net.SplitHostPort(addresses[2])
 	if err != nil {
 		return nil, err
 	}
