engine: end no runs because another server refuses calls at a worker's address

Cause: a 421 at the address at which the worker had answered was taken for the proof that the worker has ended. By the protocol it is, but it does not tell who has answered. Besides, the worker's address was forgotten, so the planner did not see the runs again until the next entry.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -23,6 +23,8 @@
 	stopMargin = 150 * time.Millisecond
 	// immediatePollInterval is the pause between polls without a wait.
 	immediatePollInterval = 100 * time.Millisecond
+	// misdirectedPollDelay is the pause after a poll that another server has refused.
+	misdirectedPollDelay = time.Second
 	// recentIdentification is how long ago a worker may have told its incarnation when ends are acknowledged to it, if it may still
 	// carry out a start: it may have restarted since, and its first ends may be of that run.
 	recentIdentification = 20 * time.Millisecond
@@ -41,7 +43,7 @@
 	}
 	if !w.failingSince.IsZero() {
 		p.Log.Event("worker-regained", "worker", w.id(), "after", now.Sub(w.failingSince))
-		w.failingSince = time.Time{}
+		w.failingSince, w.misdirected = time.Time{}, false
 		p.planNeeded = true
 	}
 	w.lastAnswer = now
@@ -70,20 +72,52 @@
 	}
 }
 
-// handleReplaced ends the runs of a worker whose address another worker now uses. If it has answered there, the earlier worker no longer
-// exists, and orders to it that are still in flight are refused.
-func (p *Planner) handleReplaced(w *workerState) {
-	if w.registration.Address == "" {
-		return
-	}
-	verified := w.answersAt == w.registration.Address
-	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "verified", verified)
-	w.markUnregistered(p.Clock.Now())
-	w.fenced, w.registration.Address, w.answersAt = false, "", ""
-	if !verified {
+// handleMisdirected applies that another server has refused a call at the worker's address. If the worker has answered there, the other one may
+// be there by mistake, so that its refusal alone ends no run: the leases are not renewed while it lasts.
+func (p *Planner) handleMisdirected(w *workerState, sent time.Time) {
+	switch {
+	case w.registration.Address == "":
+	case w.answersAt != w.registration.Address:
 		// The worker may be elsewhere: an entry of another writer may have told the address.
-		return
+		p.Log.Event("worker-elsewhere", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
+		w.forgetAddress(p.Clock.Now())
+	case p.addressTaken(w):
+		p.handleReplaced(w)
+	default:
+		if !w.misdirected {
+			w.misdirected = true
+			p.Log.Event("worker-address-refused", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "answered", w.lastAnswer)
+		}
+		p.recordNoAnswer(w, sent)
+		w.nextPoll = p.Clock.Now().Add(misdirectedPollDelay)
 	}
+}
+
+// addressTaken reports whether another worker has told its incarnation at the worker's address since the worker last answered there.
+func (p *Planner) addressTaken(w *workerState) bool {
+	for _, other := range p.workers {
+		if other != w && other.answersAt == w.answersAt && other.identifiedSentAt.After(w.lastAnswer) {
+			return true
+		}
+	}
+	return false
+}
+
+// handleAddressTaken ends the runs of the workers at whose address, where calls to them were refused, the given worker has told its
+// incarnation since.
+func (p *Planner) handleAddressTaken(by *workerState) {
+	for _, w := range p.workers {
+		if w.misdirected && w.answersAt == by.answersAt && p.addressTaken(w) {
+			p.handleReplaced(w)
+		}
+	}
+}
+
+// handleReplaced ends the runs of a worker whose address another worker has: calls to it are refused there, and the other one has told its
+// incarnation there. The earlier worker no longer exists, and orders to it that are still in flight are refused.
+func (p *Planner) handleReplaced(w *workerState) {
+	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
+	w.forgetAddress(p.Clock.Now())
 	p.setOrphans(w, nil)
 	for _, r := range w.runs {
 		p.endRun(r, EndLapsed, r.checkpoint, basisReplaced)
@@ -324,11 +358,15 @@
 			p.recordNoAnswer(w, sent)
 			return
 		}
+		p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
+		if refused.Reason == RefusedIncarnation {
+			p.handleMisdirected(w, sent)
+			return
+		}
 		p.correctIncarnation(w, refused.Status.Incarnation, sent)
 		if !p.recordContact(w, refused.Status) {
 			return
 		}
-		p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
 		if refused.Reason == RefusedUnhealthy {
 			// Starts that wait for the worker's clock go to other workers.
 			w.unhealthyUntil = now.Add(unhealthyWorkerPause)
@@ -341,7 +379,9 @@
 	if !p.recordContact(w, response.WorkerStatus) {
 		return
 	}
-	w.recordIdentified(response.Incarnation, target.Address, sent)
+	if w.recordIdentified(response.Incarnation, target.Address, sent) {
+		p.handleAddressTaken(w)
+	}
 	if !w.fenced && request.Fence == w.fence && !sent.Before(w.restartSignAt) {
 		p.recordFenced(w)
 	}
@@ -440,14 +480,10 @@
 	return t.Occurrence < len(tasks) && t.Step < len(tasks[t.Occurrence]) && t.Index < len(tasks[t.Occurrence][t.Step])
 }
 
-// handleRefusal applies the refusals that concern the state of the worker or of this planner's term.
+// handleRefusal applies the refusal that concerns this planner's term.
 func (p *Planner) handleRefusal(w *workerState, reason Refusal) {
-	switch reason {
-	case RefusedFence:
+	if reason == RefusedFence {
 		p.lostTerm = &ErrLostTerm{Reason: "worker " + w.id() + " has seen a higher fencing token"}
-	case RefusedIncarnation:
-		p.handleReplaced(w)
-	default:
 	}
 }
 
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -427,31 +427,40 @@
 	})
 }
 
-// Guards against taking a run whose start got no response for ended because another worker has the address: the next incarnation of
-// its worker may carry the start out.
+// Guards against taking a run whose start got no response for ended because another worker, or another server, has the address: the next
+// incarnation of its worker may carry the start out.
 func TestUnconfirmedRunOfReplacedWorkerIsNotRestarted(t *testing.T) {
-	runInVirtualTime(t, func(r *rig) {
-		p, stop := r.startWithWorkers(1)
-		defer stop()
-		time.Sleep(time.Second)
-		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 2500*time.Millisecond, true })
-		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
-		time.Sleep(200 * time.Millisecond)
-		r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
-		r.Deregister(r.Worker("r1-w0"))
-		time.Sleep(800 * time.Millisecond)
-		r.AddWorkers("r2", 1)
-		// The worker starts again elsewhere, and does not reach the planner or the store yet.
-		r.Set("r1-w0", func(w *site.Worker) {
-			w.Replaced = false
-			w.Restart()
-			w.StartDelay, w.LosePolls = 0, true
+	for name, told := range map[string]bool{"another worker": true, "another server": false} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.wrapWorkers = func(w engine.Workers) engine.Workers { return r.sharedAddress(w, "r1-w0", "r2-w0") }
+				p, stop := r.startWithWorkers(1)
+				defer stop()
+				time.Sleep(time.Second)
+				r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 2500*time.Millisecond, true })
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+				time.Sleep(200 * time.Millisecond)
+				r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
+				r.Deregister(r.Worker("r1-w0"))
+				time.Sleep(800 * time.Millisecond)
+				if told {
+					r.addWorkerAt("r2", "r1-w0")
+				} else {
+					r.AddWorkers("r2", 1)
+				}
+				// The worker starts again elsewhere, and does not reach the planner or the store yet.
+				r.Set("r1-w0", func(w *site.Worker) {
+					w.Replaced = false
+					w.Restart()
+					w.StartDelay, w.LosePolls = 0, true
+				})
+				time.Sleep(6 * time.Second)
+				r.Set("r1-w0", func(w *site.Worker) { w.LosePolls = false })
+				r.Register(r.Worker("r1-w0"))
+				r.waitForState(p, "j1", workload.StateCompleted, 90*time.Second)
+			})
 		})
-		time.Sleep(6 * time.Second)
-		r.Set("r1-w0", func(w *site.Worker) { w.LosePolls = false })
-		r.Register(r.Worker("r1-w0"))
-		r.waitForState(p, "j1", workload.StateCompleted, 90*time.Second)
-	})
+	}
 }
 
 // plannerChange is when a test changes the planner.
@@ -594,6 +603,7 @@
 // may still carry out the start.
 func TestLaterRunIsWithdrawnWhenReplacedWorkerReturns(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
+		r.wrapWorkers = func(w engine.Workers) engine.Workers { return r.sharedAddress(w, "r1-w0", "r2-w0") }
 		p, stop := r.startWithWorkers(1)
 		defer stop()
 		time.Sleep(time.Second)
@@ -603,7 +613,7 @@
 		r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
 		r.Deregister(r.Worker("r1-w0"))
 		time.Sleep(800 * time.Millisecond)
-		r.AddWorkers("r2", 1)
+		r.addWorkerAt("r2", "r1-w0")
 		time.Sleep(500 * time.Millisecond)
 		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
 		r.Set("r1-w0", func(w *site.Worker) {
--- /dev/null
+++ b/engine/misdirected_test.go
@@ -0,0 +1,100 @@
+package engine_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"clementinepier/engine"
+	"clementinepier/standin/site"
+	"clementinepier/workload"
+)
+
+// Guards against ending the runs of workers that live because another server refuses the calls at their addresses, as by a mistake in the
+// network.
+func TestRefusalByAnotherServerEndsNoRun(t *testing.T) {
+	for name, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8), "task that lasts": lastingStep(1)} {
+		for duration, refused := range map[string]time.Duration{"one poll": 400 * time.Millisecond, "some seconds": 4 * time.Second} {
+			t.Run(name+", "+duration, func(t *testing.T) {
+				runInVirtualTime(t, func(r *rig) {
+					var other atomic.Bool
+					r.wrapWorkers = func(w engine.Workers) engine.Workers {
+						return otherServers(w, func(t engine.Target) bool { return other.Load() && t.Address[:2] == "r1" })
+					}
+					p, stop := r.startWithWorkers(2)
+					defer stop()
+					work := 20 * time.Second
+					if step.LongRunning {
+						work = time.Hour
+					}
+					r.mustSubmit(p, "j1", 1, step, work)
+					time.Sleep(1500 * time.Millisecond)
+					r.AddWorkers("r2", 2)
+					time.Sleep(500 * time.Millisecond)
+					other.Store(true)
+					time.Sleep(refused)
+					other.Store(false)
+					time.Sleep(3 * time.Second)
+					r.Equal(r.starts(), step.Tasks)
+					// The workers are used again without a new entry.
+					r.mustSubmit(p, "j2", 0, gangStep(4-step.Tasks, 8), time.Second)
+					r.waitForState(p, "j2", workload.StateCompleted, 4*time.Second)
+					if step.LongRunning {
+						r.Equal(p.Cancel(context.Background(), "j1").Verdict, engine.VerdictAccepted)
+						return
+					}
+					r.waitForState(p, "j1", workload.StateCompleted, 20*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a task that stays with a worker that has ended although another worker has told that it has the address, before or after
+// the refusal of a call.
+func TestRunsEndSoonWhenAnotherWorkerHasTheAddress(t *testing.T) {
+	for name, listedAfter := range map[string]time.Duration{"listed at once": 0, "listed later": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.wrapWorkers = func(w engine.Workers) engine.Workers { return r.sharedAddress(w, "r1-w0", "r2-w0") }
+				p, stop := r.startWithWorkers(1)
+				defer stop()
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 3*time.Second)
+				time.Sleep(time.Second)
+				r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
+				time.Sleep(listedAfter)
+				r.addWorkerAt("r2", "r1-w0")
+				r.waitForState(p, "j1", workload.StateCompleted, 4500*time.Millisecond)
+			})
+		})
+	}
+}
+
+// addWorkerAt adds a rack with a worker that has the address of another one.
+func (r *rig) addWorkerAt(rack, address string) {
+	r.AddWorkers(rack, 1)
+	r.Set(rack+"-w0", func(w *site.Worker) { w.Registration.Address = address })
+	r.Register(r.Worker(rack + "-w0"))
+}
+
+// sharedAddress sends calls to the address of a worker, which are meant for another worker there, to that one.
+func (r *rig) sharedAddress(w engine.Workers, address, id string) engine.Workers {
+	resolve := func(t engine.Target) engine.Target {
+		if t.ID == id && t.Address == address {
+			t.Address = id
+		}
+		return t
+	}
+	return engine.Workers{
+		Start: func(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
+			return w.Start(ctx, resolve(t), o)
+		},
+		Stop: func(ctx context.Context, t engine.Target, o engine.StopOrder) (engine.WorkerStatus, error) {
+			return w.Stop(ctx, resolve(t), o)
+		},
+		Poll: func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
+			return w.Poll(ctx, resolve(t), o)
+		},
+	}
+}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -144,6 +144,9 @@
 			// The run has ended with the incarnation that confirmed it.
 			p.endRun(r, EndLapsed, "", basisRestarted)
 		}
+	case errors.As(err, &refused) && refused.Reason == RefusedIncarnation:
+		p.handleMisdirected(w, sent)
+		p.handleStartRefusal(r, refused.Reason)
 	case errors.As(err, &refused):
 		if p.recordContact(w, refused.Status) || !r.unconfirmed {
 			p.handleStartRefusal(r, refused.Reason)
@@ -209,9 +212,14 @@
 	p.Log.Event("start-refused", "task", r.name, "run", r.number, "worker", w.id(), "reason", reason, "doubtful", r.unconfirmed)
 	p.Metrics.Add(metrics.Name("starts-refused-"+string(reason)), 1)
 	switch reason {
-	case RefusedFence, RefusedIncarnation:
+	case RefusedFence:
 		p.handleRefusal(w, reason)
 		return
+	case RefusedIncarnation:
+		// The order did not reach the worker.
+		if r.ended {
+			return
+		}
 	case RefusedLeaseEnded:
 		w.nextPoll = p.Clock.Now()
 		if r.startAttempts < maxStartAttempts {
@@ -289,6 +297,9 @@
 		if w.pollOverdueAt.IsZero() && !r.ended {
 			w.pollOverdueAt = p.Clock.Now().Add(p.Bounds.StopGrace + stopMargin)
 		}
+	case errors.As(err, &refused) && refused.Reason == RefusedIncarnation:
+		p.Log.Event("stop-refused", "task", r.name, "run", r.number, "worker", w.id(), "reason", refused.Reason)
+		p.handleMisdirected(w, r.stopSentAt)
 	case errors.As(err, &refused):
 		if !p.recordContact(w, refused.Status) {
 			r.stopSentAt = time.Time{}
--- a/engine/state.go
+++ b/engine/state.go
@@ -199,6 +199,8 @@
 	contactScheduled, contactTimerSet bool
 	// lastAnswer is when the worker last responded; failingSince is when calls began to fail, zero while they succeed.
 	lastAnswer, failingSince time.Time
+	// misdirected is set once another server has refused a call at the worker's address, until the worker answers.
+	misdirected bool
 	// identifiedAt is when the response arrived in which the worker last told its incarnation, and identifiedSentAt is when the call
 	// was sent.
 	identifiedAt, identifiedSentAt time.Time
@@ -263,11 +265,17 @@
 	return w.clock != 0 && now.Sub(w.clockAt) <= maxClockAge
 }
 
+// forgetAddress records that the worker is not at its address.
+func (w *workerState) forgetAddress(now time.Time) {
+	w.markUnregistered(now)
+	w.fenced, w.registration.Address, w.answersAt = false, "", ""
+}
+
 // recordIdentified records that the worker told its incarnation, unless it is 0, in the response to a call to an address that was sent at the
-// given time.
-func (w *workerState) recordIdentified(incarnation int64, address string, sent time.Time) {
+// given time. It reports whether the worker had not answered there before.
+func (w *workerState) recordIdentified(incarnation int64, address string, sent time.Time) bool {
 	if incarnation == 0 {
-		return
+		return false
 	}
 	if sent.After(w.identifiedSentAt) {
 		w.identifiedSentAt = sent
@@ -276,9 +284,12 @@
 		// An entry may have told another address since the call was sent.
 		w.registration.Address = address
 	}
-	if address == w.registration.Address {
-		w.toldIncarnation, w.answersAt = incarnation, address
+	if address != w.registration.Address {
+		return false
 	}
+	first := w.answersAt != address
+	w.toldIncarnation, w.answersAt = incarnation, address
+	return first
 }
 
 // identifiedSince reports whether the worker has told its incarnation in the response to a call that was sent at the given time or later.
