engine: do not take a run for stalled whose end may be on the next page of ends

While the store refuses writes, a worker that has more unacknowledged ends than it lists at a time gets no new runs for 6 s after the store is back, and its jobs avoid it for 30 s.

Cause: a run that is done, but whose end is beyond the page, is in neither list. Its progress stays as it was last listed, and after 4.5 s the run counts as standing still.

Evidence: TestDoneRunBeyondPageOfEndsIsNotTakenForStalled. Before: run-stands-still for two runs that were done, and the next job waits for longer than 3 s. While a list cannot show that a run has ended, the time without progress begins anew for the runs that it leaves out.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -523,6 +523,12 @@
 	if w.moreEnds || !w.fenced {
 		// The end of a run in neither list may be on the next page, which the worker lists once this one is acknowledged; or an
 		// earlier order to start the run may still be executed.
+		for _, r := range w.runs {
+			if !listed[r.name] {
+				// Nothing shows that it makes no progress.
+				r.progressedAt = now
+			}
+		}
 		return
 	}
 	for _, r := range w.runs {
--- a/engine/inference_test.go
+++ b/engine/inference_test.go
@@ -594,3 +594,27 @@
 		r.waitForState(p, "j1", workload.StateCompleted, 2*maxLease)
 	})
 }
+
+// Guards against a run that is done and counts as standing still, so that its worker gets no new runs for a while: its end is beyond the page
+// of ends that the worker lists again while they cannot be stored.
+func TestDoneRunBeyondPageOfEndsIsNotTakenForStalled(t *testing.T) {
+	const tasks = 4
+	runInVirtualTime(t, func(r *rig) {
+		r.MaxListedEnds = 2
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		for i := range tasks {
+			r.mustSubmit(p, fmt.Sprintf("j%d", i), 1, singleTaskStep(1), 2*time.Second)
+		}
+		time.Sleep(time.Second)
+		r.Store.SetRefusing(true)
+		time.Sleep(8 * time.Second)
+		r.Store.SetRefusing(false)
+		for i := range tasks {
+			r.waitForState(p, fmt.Sprintf("j%d", i), workload.StateCompleted, 2*time.Second)
+		}
+		r.mustSubmit(p, "next", 1, singleTaskStep(8), time.Second)
+		r.waitForState(p, "next", workload.StateCompleted, 3*time.Second)
+		r.Equal(r.starts(), tasks+1)
+	})
+}
