engine: use a worker again whose time of day went back before it restarted

A worker that restarts with a lower start time gets no work until its start time has passed the earlier one or the planner changes, its runs are held until their leases end, and it is polled ten times a second.

Cause: a lower incarnation counts as the response of an earlier one that arrives late, whenever the call was sent, and its entry as outdated.

Evidence: TestWorkerWithEarlierStartTimeIsUsedAgain. Before: answer-outdated for each poll, and no run of the job one second after the restart.

A response to a call that was sent after the higher incarnation had answered cannot be of one that ended before the higher one began, so it shows a restart. It is applied like any restart: the fencing token is raised and late leases are bounded. The incarnation before is outdated from then on although its number is higher, and the entry that was passed over is applied, since a restart may change the kind of worker.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -34,9 +34,9 @@
 // an earlier incarnation of the worker: responses can arrive out of order, above all after this process was paused.
 func (p *Planner) recordContact(w *workerState, status WorkerStatus) bool {
 	now := p.Clock.Now()
-	if status.Incarnation != 0 && status.Incarnation < w.incarnation {
+	if status.Incarnation != 0 && status.Incarnation < w.incarnation || w.hasEnded(status.Incarnation) {
 		p.Log.Event("answer-outdated", "worker", w.id(), "born", status.Incarnation, "known", w.incarnation)
-		// A worker whose time of day went back before it restarted responds like this to every call.
+		// The response to a later call shows whether the worker's time of day went back before it restarted.
 		w.nextPoll = now.Add(immediatePollInterval)
 		p.scheduleContact(w)
 		return false
@@ -363,6 +363,7 @@
 			p.handleMisdirected(w, sent)
 			return
 		}
+		p.applyEarlierStartTime(w, refused.Status.Incarnation, sent)
 		p.correctIncarnation(w, refused.Status.Incarnation, sent)
 		if !p.recordContact(w, refused.Status) {
 			return
@@ -375,6 +376,7 @@
 		p.handleRefusal(w, refused.Reason)
 		return
 	}
+	p.applyEarlierStartTime(w, response.Incarnation, sent)
 	p.correctIncarnation(w, response.Incarnation, sent)
 	if !p.recordContact(w, response.WorkerStatus) {
 		return
--- a/engine/outdated_test.go
+++ b/engine/outdated_test.go
@@ -7,6 +7,7 @@
 
 	"clementinepier/engine"
 	"clementinepier/standin/site"
+	"clementinepier/workload"
 )
 
 // Guards against polls without a pause of a worker that has restarted after its time of day went back: all its responses look like
@@ -37,3 +38,30 @@
 		r.True(polls <= 60)
 	})
 }
+
+// Guards against a worker that is not used any more after it has restarted with a time of day that went back, also as another kind of worker.
+func TestWorkerWithEarlierStartTimeIsUsedAgain(t *testing.T) {
+	for name, entryDelay := range map[string]time.Duration{"entry at once": 0, "entry later": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				p, stop := r.startWithWorkers(1)
+				defer stop()
+				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 10*time.Second)
+				time.Sleep(3 * time.Second)
+				r.Set("r1-w0", func(w *site.Worker) {
+					born := w.Registration.Incarnation
+					w.Restart()
+					w.Registration.Incarnation = born - 2000
+					w.Registration.Capacity.Accelerators = 16
+				})
+				time.Sleep(entryDelay)
+				r.Register(r.Worker("r1-w0"))
+				time.Sleep(time.Second)
+				r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
+				r.mustSubmit(p, "j2", 1, singleTaskStep(8), time.Second)
+				r.waitForState(p, "j2", workload.StateCompleted, 3*time.Second)
+				r.waitForState(p, "j1", workload.StateCompleted, 15*time.Second)
+			})
+		})
+	}
+}
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -26,7 +26,7 @@
 	id := strings.TrimPrefix(item.Key, p.RegistrationPrefix)
 	if w, ok := p.workers[id]; ok {
 		// Only the newest entry counts.
-		w.unverified = nil
+		w.unverified, w.outdated = nil, nil
 	}
 	if item.Deleted {
 		if w, ok := p.workers[id]; ok && w.registered {
@@ -50,9 +50,10 @@
 		return
 	}
 	switch {
-	case registration.Incarnation != 0 && registration.Incarnation < w.toldIncarnation:
+	case w.hasEnded(registration.Incarnation):
 		// The worker has responded as a newer incarnation, which the store does not have yet, so this registration is out of
-		// date.
+		// date; or the worker's time of day went back before it restarted, which its next response shows.
+		w.outdated = &unverifiedEntry{registration: registration, revision: item.Revision}
 		p.Log.Event("advert-outdated", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "revision", item.Revision)
 	case w.contradictedBy(registration):
 		w.markUnregistered(p.Clock.Now())
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -23,11 +23,17 @@
 		// The registration in the store may be older than the worker's latest response.
 		return
 	}
-	earlier := w.incarnation
-	w.incarnation, w.incarnationSince = incarnation, p.Clock.Now()
-	if earlier == 0 {
+	if w.incarnation == 0 {
+		w.incarnation, w.incarnationSince = incarnation, p.Clock.Now()
 		return
 	}
+	p.replaceIncarnation(w, incarnation, source)
+}
+
+// replaceIncarnation replaces the incarnation of a worker by the next one.
+func (p *Planner) replaceIncarnation(w *workerState, incarnation int64, source incarnationSource) {
+	earlier := w.incarnation
+	w.incarnation, w.incarnationSince = incarnation, p.Clock.Now()
 	p.boundLeasesAfterRestart(w, source)
 	p.raiseFence(w)
 	p.Log.Event("worker-reborn", "worker", w.id(), "source", source, "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
@@ -79,6 +85,27 @@
 	}
 }
 
+// applyEarlierStartTime applies that a worker has restarted after its time of day went back: it tells a lower incarnation in the response to
+// a call that was sent after the higher one had answered.
+func (p *Planner) applyEarlierStartTime(w *workerState, told int64, sent time.Time) {
+	if told == 0 || told >= w.toldIncarnation || w.incarnation != w.toldIncarnation || !sent.After(w.identifiedAt) {
+		return
+	}
+	p.Log.Event("worker-born-earlier", "worker", w.id(), "runs", len(w.runs), "born", told, "before", w.toldIncarnation)
+	w.supersededIncarnation, w.toldIncarnation = w.toldIncarnation, told
+	p.replaceIncarnation(w, told, toldByWorker)
+	if entry := w.outdated; entry != nil && entry.registration.Incarnation == told {
+		w.outdated = nil
+		p.applyRegistration(w, entry.registration, entry.revision)
+	}
+}
+
+// hasEnded reports whether an incarnation is one that has ended: an earlier one than the worker has told, or, after its time of day went
+// back, the one before.
+func (w *workerState) hasEnded(incarnation int64) bool {
+	return incarnation != 0 && (incarnation < w.toldIncarnation || incarnation == w.supersededIncarnation)
+}
+
 // mayHaveLateStart reports whether an order that was sent to the run's worker, to start the run or an earlier one of its task or gang, may
 // still be executed: one that got no response, or one of an earlier planner, which may have got none.
 func (p *Planner) mayHaveLateStart(r *run) bool {
--- a/engine/state.go
+++ b/engine/state.go
@@ -176,6 +176,11 @@
 	// of the registration; empty once another worker has it. Entries in the store may be of other writers.
 	toldIncarnation int64
 	answersAt       string
+	// supersededIncarnation is the last one before the time of day of the worker went back, 0 if it never did. It is higher than the
+	// next one.
+	supersededIncarnation int64
+	// outdated is the newest entry if it tells an incarnation that has ended.
+	outdated *unverifiedEntry
 	// unverified is the newest entry if it contradicts that, until that is settled; see resolveUnverified. It is not registered
 	// meanwhile.
 	unverified *unverifiedEntry
