engine: keep the orphan runs of a worker of which only an entry tells a restart

An entry that tells a later incarnation of a worker before the worker has told its own made the planner forget the runs that the worker lists and nobody requested, so that their tasks could be placed again. No course that reaches this with a run was found on the present code; the unit test TestEntryAloneClearsNoOrphanRuns shows the reset before. An entry ends no run, so it clears none of these either: the worker's next list, its own word on a restart, or the end of its leases does.

--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -332,3 +332,20 @@
 		})
 	}
 }
+
+// Guards against placing a task while a worker lists a run of it that nobody requested, because an entry alone tells a later incarnation.
+func TestEntryAloneClearsNoOrphanRuns(t *testing.T) {
+	for source, cleared := range map[incarnationSource]bool{toldByEntry: false, toldByWorker: true} {
+		t.Run(string(source), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p, _ := newCallPlanner(t)
+				p.orphanTasks = map[string]int{}
+				w := &workerState{registration: Registration{ID: "w", Address: "w"}, incarnation: 1, runs: map[string]*run{}}
+				p.setOrphans(w, map[string]time.Time{"j.0.0.0": p.Clock.Now()})
+				p.applyIncarnation(w, 2, source)
+				is.Equal(p.orphanTasks["j.0.0.0"] == 0, cleared)
+			})
+		})
+	}
+}
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -38,6 +38,9 @@
 	p.raiseFence(w)
 	p.Log.Event("worker-reborn", "worker", w.id(), "source", source, "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
 	p.resetIncarnation(w)
+	if source == toldByWorker {
+		p.setOrphans(w, nil)
+	}
 	for _, r := range w.runs {
 		switch {
 		case r.unconfirmed && p.Clock.Since(r.startSentAt) < maxOrderDelay:
@@ -57,11 +60,10 @@
 	}
 }
 
-// resetIncarnation forgets what an incarnation of a worker has told.
+// resetIncarnation forgets what an incarnation of a worker has told, but for its orphan runs.
 func (p *Planner) resetIncarnation(w *workerState) {
 	w.incarnationChanges++
 	w.lastEnd, w.acknowledgedEnd, w.unstoredEnds = 0, 0, 0
-	p.setOrphans(w, nil)
 	w.fenced, w.draining, w.toldDraining, w.drainEnd, w.pollOverdueAt = false, false, false, time.Time{}, time.Time{}
 	w.moreEnds = false
 	w.clock, w.clockAt = 0, time.Time{}
