--- a/engine/contact.go
+++ b/engine/contact.go
@@ -43,7 +43,8 @@
 	}
 	if !w.failingSince.IsZero() {
 		p.Log.Event("worker-regained", "worker", w.id(), "after", now.Sub(w.failingSince))
-		w.failingSince, w.misdirected = time.Time{}, false
+		w.failingSince = time.Time{}
+		delete(p.misdirected, w)
 		p.planNeeded = true
 	}
 	w.lastAnswer = now
@@ -84,8 +85,8 @@
 	case p.addressTaken(w):
 		p.handleReplaced(w)
 	default:
-		if !w.misdirected {
-			w.misdirected = true
+		if !p.misdirected[w] {
+			p.misdirected[w] = true
 			p.Log.Event("worker-address-refused", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "answered", w.lastAnswer)
 		}
 		p.recordNoAnswer(w, sent)
@@ -106,8 +107,8 @@
 // handleAddressTaken ends the runs of the workers at whose address, where calls to them were refused, the given worker has told its
 // incarnation since.
 func (p *Planner) handleAddressTaken(by *workerState) {
-	for _, w := range p.workers {
-		if w.misdirected && w.answersAt == by.answersAt && p.addressTaken(w) {
+	for w := range p.misdirected {
+		if w.answersAt == by.answersAt && p.addressTaken(w) {
 			p.handleReplaced(w)
 		}
 	}
@@ -117,6 +118,7 @@
 // incarnation there. The earlier worker no longer exists, and orders to it that are still in flight are refused.
 func (p *Planner) handleReplaced(w *workerState) {
 	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
+	delete(p.misdirected, w)
 	w.forgetAddress(p.Clock.Now())
 	p.setOrphans(w, nil)
 	for _, r := range w.runs {
@@ -558,6 +560,7 @@
 		if len(w.runs) == 0 {
 			if w.forgettable(now) {
 				p.forgottenFence = max(p.forgottenFence, w.fence)
+				delete(p.misdirected, w)
 				delete(p.workers, id)
 				p.invalidateFleets()
 			}
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -93,6 +93,8 @@
 	// active has the jobs that have not ended.
 	active  map[string]*jobState
 	workers map[string]*workerState
+	// misdirected has the workers at whose address another server has refused a call since they last answered.
+	misdirected map[*workerState]bool
 	// orphanTasks counts, by task, the workers that have an orphan run of it.
 	orphanTasks map[string]int
 	breaker     *breaker.Breaker
@@ -163,6 +165,7 @@
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker, p.fleets, p.orphanTasks = breaker.New(), map[string]*fleet{}, map[string]int{}
+	p.misdirected = map[*workerState]bool{}
 	// A job may fail by its own fault, so any success shows that the worker does not fail everything it starts.
 	p.breaker.FailureThreshold, p.breaker.InitialQuarantine, p.breaker.AnySuccessEndsQuarantine = failuresToQuarantine, firstQuarantine, true
 	done := make(chan error, 1)
--- a/engine/state.go
+++ b/engine/state.go
@@ -204,8 +204,6 @@
 	contactScheduled, contactTimerSet bool
 	// lastAnswer is when the worker last responded; failingSince is when calls began to fail, zero while they succeed.
 	lastAnswer, failingSince time.Time
-	// misdirected is set once another server has refused a call at the worker's address, until the worker answers.
-	misdirected bool
 	// identifiedAt is when the response arrived in which the worker last told its incarnation, and identifiedSentAt is when the call
 	// was sent.
 	identifiedAt, identifiedSentAt time.Time
