--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -89,11 +89,10 @@
 
 // addWorker adds a worker and starts its first life.
 func (s *site) addWorker(number int, kind workerKind) error {
-	addresses, err := freeAddresses(s.prefix+"2", 1)
+	address, err := freeAddress(s.prefix + "2")
 	if err != nil {
 		return err
 	}
-	address := addresses[0]
 	w := &worker{
 		id: fmt.Sprintf("i-%04d", number), address: address, public: address, service: service, zone: "zone-a", rack: fmt.Sprintf("r%d", number/4), site: s,
 	}
--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -42,6 +42,15 @@
 	return addresses, nil
 }
 
+// freeAddress returns an address with a free port.
+func freeAddress(ip string) (string, error) {
+	addresses, err := freeAddresses(ip, 1)
+	if err != nil {
+		return "", err
+	}
+	return addresses[0], nil
+}
+
 // newVM writes the settings file of an entry VM, as the platform renders the template, and starts its process.
 func (s *site) newVM(number int, storeAddress, template string) (*vm, error) {
 	v := &vm{name: fmt.Sprintf("front-%d", number), site: s}
