engine: ask workers again whose first call by a planner another server has refused

If another server refuses the first calls of a new planner at the addresses of workers that live, the planner does not use them until their entries change, and their runs lapse.

Cause: a refusal at an address at which the worker has not answered yet made the planner forget the address. It may be of another writer, but the worker's own entry does not change again.

Evidence: TestWorkersRefusedByAnotherServerAreUsedByNextPlanner. Such a worker is now asked once a second while it is listed or has runs, like one that had answered there.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -73,16 +73,13 @@
 	}
 }
 
-// handleMisdirected applies that another server has refused a call at the worker's address. If the worker has answered there, the other one may
-// be there by mistake, so that its refusal alone ends no run: the leases are not renewed while it lasts.
+// handleMisdirected applies that another server has refused a call at the worker's address. It may be there by mistake, or the worker may be
+// elsewhere because an entry of another writer has told the address, so the refusal alone ends no run: the leases are not renewed while it
+// lasts.
 func (p *Planner) handleMisdirected(w *workerState, sent time.Time) {
 	switch {
 	case w.registration.Address == "":
-	case w.answersAt != w.registration.Address:
-		// The worker may be elsewhere: an entry of another writer may have told the address.
-		p.Log.Event("worker-elsewhere", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
-		w.forgetAddress(p.Clock.Now())
-	case p.addressTaken(w):
+	case w.answersAt == w.registration.Address && p.addressTaken(w):
 		p.handleReplaced(w)
 	default:
 		if !p.misdirected[w] {
@@ -119,7 +116,8 @@
 func (p *Planner) handleReplaced(w *workerState) {
 	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
 	delete(p.misdirected, w)
-	w.forgetAddress(p.Clock.Now())
+	w.markUnregistered(p.Clock.Now())
+	w.fenced, w.registration.Address, w.answersAt = false, "", ""
 	p.setOrphans(w, nil)
 	for _, r := range w.runs {
 		p.endRun(r, EndLapsed, r.checkpoint, basisReplaced)
--- a/engine/misdirected_test.go
+++ b/engine/misdirected_test.go
@@ -51,6 +51,31 @@
 	}
 }
 
+// Guards against workers that the next planner does not use, and whose runs lapse, because another server refused the first calls at their
+// addresses.
+func TestWorkersRefusedByAnotherServerAreUsedByNextPlanner(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		var other atomic.Bool
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			return otherServers(w, func(engine.Target) bool { return other.Load() })
+		}
+		p, stop := r.startWithWorkers(2)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 15*time.Second)
+		time.Sleep(2 * time.Second)
+		other.Store(true)
+		stop()
+		p, stop = r.startPlanner("b")
+		defer stop()
+		time.Sleep(1500 * time.Millisecond)
+		other.Store(false)
+		time.Sleep(1500 * time.Millisecond)
+		r.mustSubmit(p, "j2", 1, singleTaskStep(8), time.Second)
+		r.waitForState(p, "j2", workload.StateCompleted, 3*time.Second)
+		r.waitForState(p, "j1", workload.StateCompleted, 12*time.Second)
+		r.Equal(r.starts(), 2)
+	})
+}
+
 // Guards against a task that stays with a worker that has ended although another worker has told that it has the address, before or after
 // the refusal of a call.
 func TestRunsEndSoonWhenAnotherWorkerHasTheAddress(t *testing.T) {
--- a/engine/state.go
+++ b/engine/state.go
@@ -268,12 +268,6 @@
 	return w.clock != 0 && now.Sub(w.clockAt) <= maxClockAge
 }
 
-// forgetAddress records that the worker is not at its address.
-func (w *workerState) forgetAddress(now time.Time) {
-	w.markUnregistered(now)
-	w.fenced, w.registration.Address, w.answersAt = false, "", ""
-}
-
 // recordIdentified records that the worker told its incarnation, unless it is 0, in the response to a call to an address that was sent at the
 // given time. It reports whether the worker had not answered there before.
 func (w *workerState) recordIdentified(incarnation int64, address string, sent time.Time) bool {
