--- a/engine/contact.go
+++ b/engine/contact.go
@@ -23,6 +23,8 @@
 	stopMargin = 150 * time.Millisecond
 	// immediatePollInterval is the pause between polls without a wait.
 	immediatePollInterval = 100 * time.Millisecond
+	// misdirectedPollDelay is the pause after a poll that another server has refused.
+	misdirectedPollDelay = time.Second
 	// recentIdentification is how long ago a worker may have told its incarnation when ends are acknowledged to it, if it may still
 	// carry out a start: it may have restarted since, and its first ends may be of that run.
 	recentIdentification = 20 * time.Millisecond
@@ -32,9 +34,9 @@
 // an earlier incarnation of the worker: responses can arrive out of order, above all after this process was paused.
 func (p *Planner) recordContact(w *workerState, status WorkerStatus) bool {
 	now := p.Clock.Now()
-	if status.Incarnation != 0 && status.Incarnation < w.incarnation {
+	if status.Incarnation != 0 && status.Incarnation < w.incarnation || w.hasEnded(status.Incarnation) {
 		p.Log.Event("answer-outdated", "worker", w.id(), "born", status.Incarnation, "known", w.incarnation)
-		// A worker whose time of day went back before it restarted responds like this to every call.
+		// The response to a later call shows whether the worker's time of day went back before it restarted.
 		w.nextPoll = now.Add(immediatePollInterval)
 		p.scheduleContact(w)
 		return false
@@ -42,6 +44,7 @@
 	if !w.failingSince.IsZero() {
 		p.Log.Event("worker-regained", "worker", w.id(), "after", now.Sub(w.failingSince))
 		w.failingSince = time.Time{}
+		delete(p.misdirected, w)
 		p.planNeeded = true
 	}
 	w.lastAnswer = now
@@ -70,20 +73,51 @@
 	}
 }
 
-// handleReplaced ends the runs of a worker whose address another worker now uses. If it has answered there, the earlier worker no longer
-// exists, and orders to it that are still in flight are refused.
-func (p *Planner) handleReplaced(w *workerState) {
-	if w.registration.Address == "" {
-		return
+// handleMisdirected applies that another server has refused a call at the worker's address. It may be there by mistake, or the worker may be
+// elsewhere because an entry of another writer has told the address, so the refusal alone ends no run: the leases are not renewed while it
+// lasts.
+func (p *Planner) handleMisdirected(w *workerState, sent time.Time) {
+	switch {
+	case w.registration.Address == "":
+	case w.answersAt == w.registration.Address && p.addressTaken(w):
+		p.handleReplaced(w)
+	default:
+		if !p.misdirected[w] {
+			p.misdirected[w] = true
+			p.Log.Event("worker-address-refused", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "answered", w.lastAnswer)
+		}
+		p.recordNoAnswer(w, sent)
+		w.nextPoll = p.Clock.Now().Add(misdirectedPollDelay)
+	}
+}
+
+// addressTaken reports whether another worker has told its incarnation at the worker's address since the worker last answered there.
+func (p *Planner) addressTaken(w *workerState) bool {
+	for _, other := range p.workers {
+		if other != w && other.answersAt == w.answersAt && other.identifiedSentAt.After(w.lastAnswer) {
+			return true
+		}
+	}
+	return false
+}
+
+// handleAddressTaken ends the runs of the workers at whose address, where calls to them were refused, the given worker has told its
+// incarnation since.
+func (p *Planner) handleAddressTaken(by *workerState) {
+	for w := range p.misdirected {
+		if w.answersAt == by.answersAt && p.addressTaken(w) {
+			p.handleReplaced(w)
+		}
 	}
-	verified := w.answersAt == w.registration.Address
-	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "verified", verified)
+}
+
+// handleReplaced ends the runs of a worker whose address another worker has: calls to it are refused there, and the other one has told its
+// incarnation there. The earlier worker no longer exists, and orders to it that are still in flight are refused.
+func (p *Planner) handleReplaced(w *workerState) {
+	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
+	delete(p.misdirected, w)
 	w.markUnregistered(p.Clock.Now())
 	w.fenced, w.registration.Address, w.answersAt = false, "", ""
-	if !verified {
-		// The worker may be elsewhere: an entry of another writer may have told the address.
-		return
-	}
 	p.setOrphans(w, nil)
 	for _, r := range w.runs {
 		p.endRun(r, EndLapsed, r.checkpoint, basisReplaced)
@@ -324,11 +358,16 @@
 			p.recordNoAnswer(w, sent)
 			return
 		}
+		p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
+		if refused.Reason == RefusedIncarnation {
+			p.handleMisdirected(w, sent)
+			return
+		}
+		p.applyEarlierStartTime(w, refused.Status.Incarnation, sent)
 		p.correctIncarnation(w, refused.Status.Incarnation, sent)
 		if !p.recordContact(w, refused.Status) {
 			return
 		}
-		p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
 		if refused.Reason == RefusedUnhealthy {
 			// Starts that wait for the worker's clock go to other workers.
 			w.unhealthyUntil = now.Add(unhealthyWorkerPause)
@@ -337,11 +376,14 @@
 		p.handleRefusal(w, refused.Reason)
 		return
 	}
+	p.applyEarlierStartTime(w, response.Incarnation, sent)
 	p.correctIncarnation(w, response.Incarnation, sent)
 	if !p.recordContact(w, response.WorkerStatus) {
 		return
 	}
-	w.recordIdentified(response.Incarnation, target.Address, sent)
+	if w.recordIdentified(response.Incarnation, target.Address, sent) {
+		p.handleAddressTaken(w)
+	}
 	if !w.fenced && request.Fence == w.fence && !sent.Before(w.restartSignAt) {
 		p.recordFenced(w)
 	}
@@ -389,20 +431,32 @@
 	})
 }
 
-// handleStrayEnd applies the end of a run that is no longer tracked. If it was done, the task is done, and a later run of it is stopped.
+// handleStrayEnd applies the end of a run that is no longer tracked. It may be listed again because the planner no longer knows which ends it
+// has applied.
 func (p *Planner) handleStrayEnd(w *workerState, e RunEnd) {
 	p.Log.Event("stray-end", "task", e.Task, "run", e.Run, "worker", w.id(), "how", e.Reason)
-	if e.Reason != EndDone {
-		return
+	if e.Reason == EndDone {
+		p.checkInferredEnd(w, e.Task, e.Run, string(e.Reason))
 	}
-	p.checkInferredEnd(w, e.Task, e.Run, string(e.Reason))
 	id, err := workload.ParseTaskID(e.Task)
 	if err != nil {
 		p.Log.Event("end-unreadable", "task", e.Task, "worker", w.id(), "error", err)
 		return
 	}
 	j, ok := p.jobs[id.Job]
-	if !ok || !j.hasTask(id) || j.state().Ended() {
+	if !ok || !j.hasTask(id) {
+		return
+	}
+	if e.Reason == EndDone {
+		p.recordStrayDone(j, id)
+	}
+	// The end may have been applied before, and what it changed may not be stored yet.
+	p.acknowledgeOnceStored(w, j)
+}
+
+// recordStrayDone records that a run that is no longer tracked was done: the task is done, and a later run of it is stopped.
+func (p *Planner) recordStrayDone(j *jobState, id workload.TaskID) {
+	if j.state().Ended() {
 		return
 	}
 	step := &j.record.Job.Steps[id.Step]
@@ -419,7 +473,6 @@
 		p.stopGroup(g, "an earlier run is done")
 	}
 	p.recordFinalState(j)
-	p.acknowledgeOnceStored(w, j)
 	p.planNeeded = true
 }
 
@@ -429,14 +482,10 @@
 	return t.Occurrence < len(tasks) && t.Step < len(tasks[t.Occurrence]) && t.Index < len(tasks[t.Occurrence][t.Step])
 }
 
-// handleRefusal applies the refusals that concern the state of the worker or of this planner's term.
+// handleRefusal applies the refusal that concerns this planner's term.
 func (p *Planner) handleRefusal(w *workerState, reason Refusal) {
-	switch reason {
-	case RefusedFence:
+	if reason == RefusedFence {
 		p.lostTerm = &ErrLostTerm{Reason: "worker " + w.id() + " has seen a higher fencing token"}
-	case RefusedIncarnation:
-		p.handleReplaced(w)
-	default:
 	}
 }
 
@@ -476,6 +525,12 @@
 	if w.moreEnds || !w.fenced {
 		// The end of a run in neither list may be on the next page, which the worker lists once this one is acknowledged; or an
 		// earlier order to start the run may still be executed.
+		for _, r := range w.runs {
+			if !listed[r.name] {
+				// Nothing shows that it makes no progress.
+				r.progressedAt = now
+			}
+		}
 		return
 	}
 	for _, r := range w.runs {
@@ -503,6 +558,7 @@
 		if len(w.runs) == 0 {
 			if w.forgettable(now) {
 				p.forgottenFence = max(p.forgottenFence, w.fence)
+				delete(p.misdirected, w)
 				delete(p.workers, id)
 				p.invalidateFleets()
 			}
--- a/engine/state.go
+++ b/engine/state.go
@@ -176,6 +176,11 @@
 	// of the registration; empty once another worker has it. Entries in the store may be of other writers.
 	toldIncarnation int64
 	answersAt       string
+	// supersededIncarnation is the last one before the time of day of the worker went back, 0 if it never did. It is higher than the
+	// next one.
+	supersededIncarnation int64
+	// outdated is the newest entry if it tells an incarnation that has ended.
+	outdated *unverifiedEntry
 	// unverified is the newest entry if it contradicts that, until that is settled; see resolveUnverified. It is not registered
 	// meanwhile.
 	unverified *unverifiedEntry
@@ -264,10 +269,10 @@
 }
 
 // recordIdentified records that the worker told its incarnation, unless it is 0, in the response to a call to an address that was sent at the
-// given time.
-func (w *workerState) recordIdentified(incarnation int64, address string, sent time.Time) {
+// given time. It reports whether the worker had not answered there before.
+func (w *workerState) recordIdentified(incarnation int64, address string, sent time.Time) bool {
 	if incarnation == 0 {
-		return
+		return false
 	}
 	if sent.After(w.identifiedSentAt) {
 		w.identifiedSentAt = sent
@@ -276,9 +281,12 @@
 		// An entry may have told another address since the call was sent.
 		w.registration.Address = address
 	}
-	if address == w.registration.Address {
-		w.toldIncarnation, w.answersAt = incarnation, address
+	if address != w.registration.Address {
+		return false
 	}
+	first := w.answersAt != address
+	w.toldIncarnation, w.answersAt = incarnation, address
+	return first
 }
 
 // identifiedSince reports whether the worker has told its incarnation in the response to a call that was sent at the given time or later.
