--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -24,7 +24,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &Planner{Clock: clock, Term: &Term{clock: clock, until: time.Now().Add(time.Second)}, calls: calls, inbox: newInbox(), ctx: context.Background(),
+	p := &Planner{
+		Clock: clock, Term: &Term{clock: clock, until: time.Now().Add(time.Second)}, calls: calls, inbox: newInbox(), ctx: context.Background(),
 		misdirected: map[*workerState]bool{},
 	}
 	t.Cleanup(p.releasePool)
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -353,27 +353,7 @@
 	}
 	if err != nil {
 		w.nextPoll = now.Add(pollRetryDelay)
-		var refused *ErrRefused
-		if !errors.As(err, &refused) {
-			p.recordNoAnswer(w, sent)
-			return
-		}
-		p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
-		if refused.Reason == RefusedIncarnation {
-			p.handleMisdirected(w, sent)
-			return
-		}
-		p.applyEarlierStartTime(w, refused.Status.Incarnation, sent)
-		p.correctIncarnation(w, refused.Status.Incarnation, sent)
-		if !p.recordContact(w, refused.Status) {
-			return
-		}
-		if refused.Reason == RefusedUnhealthy {
-			// Starts that wait for the worker's clock go to other workers.
-			w.unhealthyUntil = now.Add(unhealthyWorkerPause)
-			p.sendDueStartsTo(w, now)
-		}
-		p.handleRefusal(w, refused.Reason)
+		p.handlePollError(w, sent, err)
 		return
 	}
 	p.applyEarlierStartTime(w, response.Incarnation, sent)
@@ -404,6 +384,32 @@
 	}
 }
 
+// handlePollError applies that a poll got no response, or was refused.
+func (p *Planner) handlePollError(w *workerState, sent time.Time, err error) {
+	var refused *ErrRefused
+	if !errors.As(err, &refused) {
+		p.recordNoAnswer(w, sent)
+		return
+	}
+	p.Log.Event("look-refused", "worker", w.id(), "reason", refused.Reason)
+	if refused.Reason == RefusedIncarnation {
+		p.handleMisdirected(w, sent)
+		return
+	}
+	p.applyEarlierStartTime(w, refused.Status.Incarnation, sent)
+	p.correctIncarnation(w, refused.Status.Incarnation, sent)
+	if !p.recordContact(w, refused.Status) {
+		return
+	}
+	if refused.Reason == RefusedUnhealthy {
+		// Starts that wait for the worker's clock go to other workers.
+		now := p.Clock.Now()
+		w.unhealthyUntil = now.Add(unhealthyWorkerPause)
+		p.sendDueStartsTo(w, now)
+	}
+	p.handleRefusal(w, refused.Reason)
+}
+
 // handleReportedEnd applies the end of a run that a worker lists, unless it was applied before.
 func (p *Planner) handleReportedEnd(w *workerState, e RunEnd) {
 	if e.Number <= w.lastEnd {
@@ -525,12 +531,7 @@
 	if w.moreEnds || !w.fenced {
 		// The end of a run in neither list may be on the next page, which the worker lists once this one is acknowledged; or an
 		// earlier order to start the run may still be executed.
-		for _, r := range w.runs {
-			if !listed[r.name] {
-				// Nothing shows that it makes no progress.
-				r.progressedAt = now
-			}
-		}
+		w.restartProgress(now, listed)
 		return
 	}
 	for _, r := range w.runs {
@@ -548,6 +549,15 @@
 	clear(w.inferredEnds)
 }
 
+// restartProgress lets the time without progress begin anew for the runs that the worker does not list, since nothing shows that they make none.
+func (w *workerState) restartProgress(now time.Time, listed map[string]bool) {
+	for _, r := range w.runs {
+		if !listed[r.name] {
+			r.progressedAt = now
+		}
+	}
+}
+
 // expireLeases ends the runs of workers whose leases have certainly ended. Nothing else bounds a run on a worker that does not
 // respond: a gang member there may be at work, done, or yet to start, whatever the other members report.
 func (p *Planner) expireLeases(now time.Time) {
