--- a/engine/random_mixed_test.go
+++ b/engine/random_mixed_test.go
@@ -244,7 +244,7 @@
 	for _, id := range s.aliveWorkers() {
 		s.Set(id, func(w *site.Worker) {
 			w.Replaced = w.Registration.Draining
-			w.LoseAnswers, w.AnswerDelays = false, nil
+			w.LoseAnswers, w.AnswerDelays, w.Misdirected = false, nil, false
 		})
 	}
 	for _, n := range s.nodes {
@@ -301,6 +301,7 @@
 				}
 			},
 			func(w *site.Worker) { w.AnswerDelays = nil }),
+		misdirect,
 	}, true),
 	faultsOf([]faultKind{
 		restart, restart, restartSilently, failRuns, removeEntry, lateEntry,
@@ -310,6 +311,18 @@
 	[]mixedFault{{begin: drain}, {begin: drain}, {begin: replaceEntry}, {begin: replaceEntry}},
 )
 
+// misdirect lets another server refuse the calls to a worker, or to all of its failure domain.
+func misdirect(s *faultScenario, id string) {
+	d, whole, domain := s.between(50*time.Millisecond, 6*time.Second), s.chance(2), s.Worker(id).Registration.FailureDomain
+	s.logf("%s: another server refuses its calls for %s, those of its domain %t", id, d, whole)
+	for _, other := range s.IDs() {
+		if other == id || whole && s.Worker(other).Registration.FailureDomain == domain {
+			s.Set(other, func(w *site.Worker) { w.Misdirected = true })
+			s.after(d, func() { s.Set(other, func(w *site.Worker) { w.Misdirected = false }) })
+		}
+	}
+}
+
 // restartBehindCut restarts a worker that cannot be reached; its registration may reach the store.
 func restartBehindCut(s *faultScenario, id string) {
 	cutOff(s, id)
@@ -403,7 +416,7 @@
 // replaceEntry writes an entry of another writer over that of a worker that can be polled until planners have dealt with it.
 func replaceEntry(s *mixedScenario, id string) {
 	w := s.Worker(id)
-	blocked := w.Silent || w.Dead || w.Replaced || w.LosePolls || w.PollDelay > 0 || w.LoseAnswers || len(w.AnswerDelays) > 0
+	blocked := w.Silent || w.Dead || w.Replaced || w.Misdirected || w.LosePolls || w.PollDelay > 0 || w.LoseAnswers || len(w.AnswerDelays) > 0
 	for _, n := range s.nodes {
 		blocked = blocked || n.cutFromStore.Load() || n.cutFromWorkers.Load() || time.Now().UnixNano() < n.pausedUntil.Load()
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -175,7 +175,7 @@
 	time.Sleep(workerLatency)
 	s.mu.Lock()
 	w := s.workers[address]
-	if w != nil && w.Replaced {
+	if w != nil && (w.Replaced || w.Misdirected) {
 		s.mu.Unlock()
 		return nil, &engine.ErrRefused{Reason: engine.RefusedIncarnation}
 	}
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -47,6 +47,8 @@
 	Dead bool
 	// Replaced means that another worker now has this address; calls are refused with RefusedIncarnation.
 	Replaced bool
+	// Misdirected makes another server refuse calls at this address with RefusedIncarnation. The worker's runs continue.
+	Misdirected bool
 	// LoseStarts makes starts take effect without an answer.
 	LoseStarts bool
 	// LosePolls makes polls end without an answer.
