engine: ask a worker that returns with an earlier start time while it is not listed

A worker that was not listed, because its entry had expired or contradicted its word, and comes back after its time of day went back is not used until the planner changes or forgets it.

Cause: its entry counts as outdated until the worker itself tells the earlier start time, so it is not listed, and a worker without runs that is not listed is not asked.

Evidence: TestWorkerThatReturnsWithEarlierStartTimeIsUsed. Before: no run is started there, in all three cases.

An outdated entry of a worker that is not listed makes the planner ask, at the address of the entry if no run depends on the earlier one, until the worker has answered since. TestWorkerWithOutdatedEntryIsNotPolledForEver holds before and after.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -189,7 +189,7 @@
 
 // needsPoll reports whether there is something to learn from a worker or to report to it.
 func (p *Planner) needsPoll(w *workerState) bool {
-	if w.unverified != nil {
+	if w.unverified != nil || w.outdated != nil && !w.registered {
 		return true
 	}
 	if p.suspended {
@@ -384,6 +384,10 @@
 	if w.recordIdentified(response.Incarnation, target.Address, sent) {
 		p.handleAddressTaken(w)
 	}
+	if w.outdated != nil && sent.After(w.outdated.arrivedAt) {
+		// The entry is of an earlier incarnation or of another writer.
+		w.outdated = nil
+	}
 	if !w.fenced && request.Fence == w.fence && !sent.Before(w.restartSignAt) {
 		p.recordFenced(w)
 	}
@@ -573,6 +577,6 @@
 
 // forgettable reports whether nothing that the planner knows of a worker without runs is needed any more.
 func (w *workerState) forgettable(now time.Time) bool {
-	return !w.registered && w.unverified == nil && !w.polling && !w.mayStartAny(now) && now.After(w.leasesEndBy) &&
+	return !w.registered && w.unverified == nil && w.outdated == nil && !w.polling && !w.mayStartAny(now) && now.After(w.leasesEndBy) &&
 		now.Sub(w.unregisteredAt) > impossibleRetryAfter
 }
--- a/engine/load.go
+++ b/engine/load.go
@@ -311,7 +311,7 @@
 	}
 	err = p.do(ctx, func() {
 		for id, w := range p.workers {
-			if (w.registered || w.unverified != nil) && !present[prefix+id] {
+			if (w.registered || w.unverified != nil || w.outdated != nil) && !present[prefix+id] {
 				l.items = append(l.items, Item{Key: prefix + id, Deleted: true, Revision: l.revision})
 			}
 		}
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -53,7 +53,11 @@
 	case w.hasEnded(registration.Incarnation):
 		// The worker has responded as a newer incarnation, which the store does not have yet, so this registration is out of
 		// date; or the worker's time of day went back before it restarted, which its next response shows.
-		w.outdated = &unverifiedEntry{registration: registration, revision: item.Revision}
+		w.outdated = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: p.Clock.Now()}
+		if !w.registered && len(w.runs) == 0 && len(w.orphans) == 0 && w.registration.Address != registration.Address {
+			w.registration.Address, w.fenced = registration.Address, false
+		}
+		p.scheduleContact(w)
 		p.Log.Event("advert-outdated", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "revision", item.Revision)
 	case w.contradictedBy(registration):
 		w.markUnregistered(p.Clock.Now())
--- a/engine/state.go
+++ b/engine/state.go
@@ -179,7 +179,7 @@
 	// supersededIncarnation is the last one before the time of day of the worker went back, 0 if it never did. It is higher than the
 	// next one.
 	supersededIncarnation int64
-	// outdated is the newest entry if it tells an incarnation that has ended.
+	// outdated is the newest entry if it tells an incarnation that has ended, until the worker has told its own since.
 	outdated *unverifiedEntry
 	// unverified is the newest entry if it contradicts that, until that is settled; see resolveUnverified. It is not registered
 	// meanwhile.
