--- a/engine/misdirected_test.go
+++ b/engine/misdirected_test.go
@@ -80,21 +80,37 @@
 
 // sharedAddress sends calls to the address of a worker, which are meant for another worker there, to that one.
 func (r *rig) sharedAddress(w engine.Workers, address, id string) engine.Workers {
-	resolve := func(t engine.Target) engine.Target {
+	return resolveTargets(w, func(t engine.Target) (engine.Target, error) {
 		if t.ID == id && t.Address == address {
 			t.Address = id
 		}
-		return t
-	}
+		return t, nil
+	})
+}
+
+// resolveTargets sends calls to the targets that resolve returns instead of theirs, or fails them.
+func resolveTargets(w engine.Workers, resolve func(engine.Target) (engine.Target, error)) engine.Workers {
 	return engine.Workers{
 		Start: func(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
-			return w.Start(ctx, resolve(t), o)
+			t, err := resolve(t)
+			if err != nil {
+				return engine.WorkerStatus{}, err
+			}
+			return w.Start(ctx, t, o)
 		},
 		Stop: func(ctx context.Context, t engine.Target, o engine.StopOrder) (engine.WorkerStatus, error) {
-			return w.Stop(ctx, resolve(t), o)
+			t, err := resolve(t)
+			if err != nil {
+				return engine.WorkerStatus{}, err
+			}
+			return w.Stop(ctx, t, o)
 		},
 		Poll: func(ctx context.Context, t engine.Target, o engine.PollRequest) (engine.PollResponse, error) {
-			return w.Poll(ctx, resolve(t), o)
+			t, err := resolve(t)
+			if err != nil {
+				return engine.PollResponse{}, err
+			}
+			return w.Poll(ctx, t, o)
 		},
 	}
 }
