--- a/engine/contact.go
+++ b/engine/contact.go
@@ -91,8 +91,12 @@
 	}
 }
 
-// addressTaken reports whether another worker has told its incarnation at the worker's address since the worker last answered there.
+// addressTaken reports whether another worker has told its incarnation at the worker's address since the worker last answered there, and
+// the worker may not have moved.
 func (p *Planner) addressTaken(w *workerState) bool {
+	if e := w.unverified; e != nil && e.registration.Incarnation == w.toldIncarnation && e.registration.Address != w.answersAt {
+		return false
+	}
 	for _, other := range p.workers {
 		if other != w && other.answersAt == w.answersAt && other.identifiedSentAt.After(w.lastAnswer) {
 			return true
@@ -189,7 +193,7 @@
 
 // needsPoll reports whether there is something to learn from a worker or to report to it.
 func (p *Planner) needsPoll(w *workerState) bool {
-	if w.unverified != nil {
+	if w.unverified != nil || w.outdated != nil && !w.registered {
 		return true
 	}
 	if p.suspended {
@@ -364,6 +368,10 @@
 	if w.recordIdentified(response.Incarnation, target.Address, sent) {
 		p.handleAddressTaken(w)
 	}
+	if w.outdated != nil && sent.After(w.outdated.arrivedAt) {
+		// The entry is of an earlier incarnation or of another writer.
+		w.outdated = nil
+	}
 	if !w.fenced && request.Fence == w.fence && !sent.Before(w.restartSignAt) {
 		p.recordFenced(w)
 	}
@@ -584,6 +592,6 @@
 
 // forgettable reports whether nothing that the planner knows of a worker without runs is needed any more.
 func (w *workerState) forgettable(now time.Time) bool {
-	return !w.registered && w.unverified == nil && !w.polling && !w.mayStartAny(now) && now.After(w.leasesEndBy) &&
+	return !w.registered && w.unverified == nil && w.outdated == nil && !w.polling && !w.mayStartAny(now) && now.After(w.leasesEndBy) &&
 		now.Sub(w.unregisteredAt) > impossibleRetryAfter
 }
