engine: test that runs of a domain that has restarted are not repeated

Guards against the form of the record of runs in two domains: the workers of one failure domain restart, the new incarnations carry out and confirm starts before a planner knows of them, the entries of the restart are read, and all these runs are taken for those of the earlier incarnations at one moment. Their tasks start in another domain while the first runs go on. If the first domain cannot be polled by then, nothing stops them until they are done.

The tests of a worker that restarts play one worker. This one plays two workers of a domain that can be reached, cannot be polled or is cut off, with a change of the planner before the restart, after the starts and after the entries were read.

--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -219,6 +220,76 @@
 	}
 }
 
+// Guards against ending the runs of a whole failure domain at once, and starting their tasks in another one, because its workers have restarted:
+// the runs were confirmed by the new incarnations before a planner knew of them, and go on where no planner can see or stop them.
+func TestRunsConfirmedByRestartedDomainAreNotRepeated(t *testing.T) {
+	const entryRead = 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		fault func(w *site.Worker)
+		// change, if set, changes the planner "before" the restart, "after" the starts or after the "entry" of the restart was read.
+		change string
+	}{
+		"reachable":                      {fault: func(*site.Worker) {}},
+		"polls lost":                     {fault: func(w *site.Worker) { w.LosePolls = true }},
+		"cut off":                        {fault: func(w *site.Worker) { w.Silent = true }},
+		"cut off, planner changed":       {fault: func(w *site.Worker) { w.Silent = true }, change: "before"},
+		"cut off, planner ends":          {fault: func(w *site.Worker) { w.Silent = true }, change: "after"},
+		"cut off, planner ends later":    {fault: func(w *site.Worker) { w.Silent = true }, change: "entry"},
+		"polls lost, planner ends later": {fault: func(w *site.Worker) { w.LosePolls = true }, change: "entry"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.storeEntries()
+				domain := []string{"r1-w0", "r1-w1"}
+				var once sync.Once
+				r.wrapWorkers = func(w engine.Workers) engine.Workers {
+					start := w.Start
+					w.Start = func(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
+						once.Do(func() { r.setAll((*site.Worker).Restart) })
+						return start(ctx, t, o)
+					}
+					return w
+				}
+				p, stop := r.startWithWorkers(len(domain))
+				defer func() { stop() }()
+				changePlanner := func(at string) {
+					if c.change == at {
+						stop()
+						p, stop = r.startPlanner("b")
+					}
+				}
+				r.rest(30 * time.Second)
+				changePlanner("before")
+				jobs := []string{"j0", "j1"}
+				for _, id := range jobs {
+					r.mustSubmit(p, id, 1, singleTaskStep(8), 6*time.Second)
+				}
+				time.Sleep(20 * time.Millisecond)
+				for _, id := range jobs {
+					r.Equal(len(r.WorkersRunning(id)), 1) // the new incarnations have the runs
+				}
+				r.AddWorkers("r2", 2)
+				for _, id := range domain {
+					r.Set(id, c.fault)
+				}
+				changePlanner("after")
+				time.Sleep(entryRead)
+				for _, id := range domain {
+					r.Register(r.Worker(id))
+				}
+				time.Sleep(entryRead)
+				changePlanner("entry")
+				time.Sleep(8 * time.Second)
+				r.setAll(func(w *site.Worker) { w.Silent, w.LosePolls = false, false })
+				for _, id := range jobs {
+					r.waitForState(p, id, workload.StateCompleted, 10*time.Second)
+				}
+				r.Equal(r.starts(), len(jobs))
+			})
+		})
+	}
+}
+
 // Guards against taking a stop that the earlier incarnation has confirmed for one of the next, because its answer arrives after the
 // restart is known and does not tell the incarnation: the run has ended, and is started late.
 func TestLateStopAnswerOfEarlierIncarnationDoesNotCoverLateStart(t *testing.T) {
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"strings"
 	"sync"
@@ -69,6 +70,20 @@
 	})
 }
 
+// storeEntries makes planners read the registrations that workers have written to the store, instead of what these would be now. Call it
+// before workers are added.
+func (r *rig) storeEntries() {
+	r.EncodeRegistration = func(a engine.Registration) []byte {
+		value, err := json.Marshal(a)
+		r.NoErr(err)
+		return value
+	}
+	r.decodeRegistration = func(value []byte) (a engine.Registration, err error) {
+		err = json.Unmarshal(value, &a)
+		return a, err
+	}
+}
+
 // startPlanner starts a planner and returns it with a function that stops it.
 func (r *rig) startPlanner(name string) (*engine.Planner, func()) {
 	clock := clockwork.NewRealClock()
