--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -481,16 +481,18 @@
 		"successor finds restarted worker": changeAfterRestart,
 	} {
 		for size, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
-			t.Run(name+", "+size, func(t *testing.T) {
-				runInVirtualTime(t, func(r *rig) { r.restartBeforeLateStart(step, change) })
-			})
+			for startTime, back := range map[string]int64{"": 0, ", time of day went back": 40000} {
+				t.Run(name+", "+size+startTime, func(t *testing.T) {
+					runInVirtualTime(t, func(r *rig) { r.restartBeforeLateStart(step, change, back) })
+				})
+			}
 		}
 	}
 }
 
 // restartBeforeLateStart plays a worker that does not answer a start, restarts while the next run is at work elsewhere, registers and cannot
-// be reached, and carries the start out.
-func (r *rig) restartBeforeLateStart(step workload.Step, change plannerChange) {
+// be reached, and carries the start out. Its time of day goes back by some milliseconds.
+func (r *rig) restartBeforeLateStart(step workload.Step, change plannerChange, back int64) {
 	p, stop := r.startWithWorkers(step.Tasks)
 	defer func() { stop() }()
 	changeAt := func(at plannerChange) {
@@ -520,6 +522,7 @@
 	}
 	r.Set(late, func(w *site.Worker) {
 		w.Restart()
+		w.Registration.Incarnation -= back
 		w.StartDelay, w.Registration.Draining, w.Silent = 0, false, true
 	})
 	r.Register(r.Worker(late))
@@ -669,6 +672,42 @@
 	}
 }
 
+// Guards against a task that is not placed again for as long as its worker, which has restarted, writes entries and cannot be reached: each
+// entry looks like another restart.
+func TestEntriesOfUnreachableWorkerDoNotKeepRunForEver(t *testing.T) {
+	for name, fault := range map[string]func(w *site.Worker){
+		"start is answered": func(*site.Worker) {}, "start gets no answer": func(w *site.Worker) { w.LoseStarts = true },
+		"start is late": func(w *site.Worker) { w.StartDelay = 10 * time.Second },
+	} {
+		for change, changes := range map[string]bool{"same planner": false, "successor": true} {
+			t.Run(name+", "+change, func(t *testing.T) {
+				runInVirtualTime(t, func(r *rig) {
+					p, stop := r.startWithWorkers(1)
+					defer func() { stop() }()
+					time.Sleep(time.Second)
+					r.Set("r1-w0", fault)
+					r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+					time.Sleep(100 * time.Millisecond)
+					if changes {
+						stop()
+						p, stop = r.startPlanner("b")
+					}
+					r.Set("r1-w0", func(w *site.Worker) {
+						w.Restart()
+						w.LoseStarts, w.StartDelay, w.Silent = false, 0, true
+					})
+					r.AddWorkers("r2", 1)
+					for range 30 {
+						r.Register(r.Worker("r1-w0"))
+						time.Sleep(1500 * time.Millisecond)
+					}
+					r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+				})
+			})
+		}
+	}
+}
+
 // Guards against stopping a task that lasts, for a start that may be late, while another task of its step is away.
 func TestLastingTaskIsNotWithdrawnWhileAnotherIsAway(t *testing.T) {
 	for name, away := range map[string]bool{"others at work": false, "another away": true} {
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -33,7 +33,7 @@
 // replaceIncarnation replaces the incarnation of a worker by the next one.
 func (p *Planner) replaceIncarnation(w *workerState, incarnation int64, source incarnationSource) {
 	earlier := w.incarnation
-	w.incarnation, w.incarnationSince = incarnation, p.Clock.Now()
+	w.incarnation, w.incarnationSince, w.previousIncarnation = incarnation, p.Clock.Now(), earlier
 	p.boundLeasesAfterRestart(w, source)
 	p.raiseFence(w)
 	p.Log.Event("worker-reborn", "worker", w.id(), "source", source, "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
@@ -129,13 +129,20 @@
 
 // boundLeasesAfterRestart records a sign of a restart, and bounds the leases that a new incarnation of a worker may have, or get, from orders
 // that were sent before it was known. Their ends were meant for the clock of the earlier one and may be far ahead on the new one, so only the
-// longest lease bounds them, from the latest time at which they may be executed.
+// longest lease bounds them, from the latest time at which they may be executed. Since the first sign no lease was extended, and starts were
+// repeated at most, so that further signs, as with each entry of a worker that cannot be reached, do not move the bound.
 func (p *Planner) boundLeasesAfterRestart(w *workerState, source incarnationSource) {
 	w.restartSignAt = p.Clock.Now()
 	if w.restartSuspectedAt.IsZero() {
 		w.restartSuspectedAt = w.restartSignAt
 	}
-	until := p.Clock.Now().Add(p.lateRunBound())
+	lastOrder := w.restartSuspectedAt
+	for _, r := range w.runs {
+		if r.startSentAt.After(lastOrder) {
+			lastOrder = r.startSentAt
+		}
+	}
+	until := lastOrder.Add(p.lateRunBound())
 	if source == toldByEntry {
 		w.boundAnyLeases(until)
 		return
