--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -690,7 +690,7 @@
 					time.Sleep(100 * time.Millisecond)
 					if changes {
 						stop()
-						p, stop = r.startPlanner("b")
+						_, stop = r.startPlanner("b")
 					}
 					r.Set("r1-w0", func(w *site.Worker) {
 						w.Restart()
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -51,17 +51,7 @@
 	}
 	switch {
 	case w.hasEnded(registration.Incarnation):
-		// The worker has responded as a newer incarnation, which the store does not have yet, so this registration is out of
-		// date; or the worker's time of day went back before it restarted, which its next response shows.
-		w.outdated = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: p.Clock.Now()}
-		if !w.registered && len(w.runs) == 0 && len(w.orphans) == 0 && w.registration.Address != registration.Address {
-			w.registration.Address, w.fenced = registration.Address, false
-		}
-		p.scheduleContact(w)
-		if registration.Incarnation != w.previousIncarnation {
-			p.suspectRestart(w, toldByEntry)
-		}
-		p.Log.Event("advert-outdated", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "revision", item.Revision)
+		p.recordOutdatedEntry(w, registration, item.Revision)
 	case w.contradictedBy(registration):
 		w.markUnregistered(p.Clock.Now())
 		now := p.Clock.Now()
@@ -74,6 +64,20 @@
 	}
 }
 
+// recordOutdatedEntry records an entry that tells an incarnation that has ended. Mostly the worker has responded as a newer incarnation, which the
+// store does not have yet. Or its time of day went back before it restarted, which its next response shows.
+func (p *Planner) recordOutdatedEntry(w *workerState, r Registration, revision int64) {
+	w.outdated = &unverifiedEntry{registration: r, revision: revision, arrivedAt: p.Clock.Now()}
+	if !w.registered && len(w.runs) == 0 && len(w.orphans) == 0 && w.registration.Address != r.Address {
+		w.registration.Address, w.fenced = r.Address, false
+	}
+	p.scheduleContact(w)
+	if r.Incarnation != w.previousIncarnation {
+		p.suspectRestart(w, toldByEntry)
+	}
+	p.Log.Event("advert-outdated", "worker", w.id(), "born", r.Incarnation, "known", w.incarnation, "revision", revision)
+}
+
 // contradictedBy reports whether a registration tells another address or a later incarnation than the worker itself, which may still be
 // there.
 func (w *workerState) contradictedBy(r Registration) bool {
