engine: do not show a withdrawn job as cancelled

Cause: a planner that cannot store a new job withdraws it and runs whatever waits until the job is stored, without a difference between stored and withdrawn. A cancel that waited was answered with the state of the withdrawn copy: cancelled. The planner knows only that its own writes were not executed. The caller may have submitted the job again through another entry VM, and the store has it then.

A cancel, and a question for the state, that waited for a withdrawn job are now answered as unavailable, as the submission is, and the caller asks again. Nothing is claimed that only the store can tell.

TestWithdrawnJobIsNotShownAsCancelled failed before (accepted instead of unavailable).

--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -169,11 +169,20 @@
 			return
 		}
 		change := p.cancel(j)
-		p.whenStored(j, change, func() { result <- Result{Verdict: VerdictAccepted, State: j.state()} })
+		p.whenStored(j, change, func() { result <- j.storedResult(j.state()) })
 	})
 	return awaitResult(ctx, p.ctx, result, err)
 }
 
+// storedResult returns the result for a caller that waited until a state of the job was stored. A job that was withdrawn instead may still be
+// in the store, by another entry VM.
+func (j *jobState) storedResult(state workload.State) Result {
+	if j.withdrawn {
+		return Result{Verdict: VerdictUnavailable, Reason: "the job could not be stored"}
+	}
+	return Result{Verdict: VerdictAccepted, State: state}
+}
+
 // cancel stops the job's runs and returns the change that has to be stored. A job that has ended stays unchanged.
 func (p *Planner) cancel(j *jobState) uint64 {
 	if j.state().Ended() {
@@ -207,7 +216,7 @@
 			change = j.lastChange
 		}
 		state := j.state()
-		p.whenStored(j, change, func() { result <- Result{Verdict: VerdictAccepted, State: state} })
+		p.whenStored(j, change, func() { result <- j.storedResult(state) })
 	})
 	return awaitResult(ctx, p.ctx, result, err)
 }
--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -185,6 +185,31 @@
 	})
 }
 
+// Guards against telling a caller that a job is cancelled, when it asks for that or for the state, because the planner withdraws its own
+// submission of it: another entry VM may have stored the same job.
+func TestWithdrawnJobIsNotShownAsCancelled(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		job := newJob("j1", 0, singleTaskStep(1))
+		r.SetTaskProfile("j1", job.Steps[0], time.Second)
+		r.Store.SetRefusing(true)
+		submitted, cancelled, shown := make(chan engine.Result, 1), make(chan engine.Result, 1), make(chan engine.Result, 1)
+		go func() { submitted <- p.Submit(context.Background(), job) }()
+		time.Sleep(50 * time.Millisecond)
+		go func() { cancelled <- p.Cancel(context.Background(), "j1") }()
+		time.Sleep(50 * time.Millisecond)
+		go func() { shown <- p.State(context.Background(), "j1") }()
+		r.Equal((<-submitted).Verdict, engine.VerdictUnavailable)
+		r.Equal((<-cancelled).Verdict, engine.VerdictUnavailable)
+		r.Equal((<-shown).Verdict, engine.VerdictUnavailable)
+		r.Store.SetRefusing(false)
+		direct := &engine.DirectClient{Store: r.Store.Engine()}
+		r.Equal(direct.Submit(context.Background(), job).Verdict, engine.VerdictAccepted)
+		r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+	})
+}
+
 // Guards against reporting a job as rejected although its write may have been executed.
 func TestJobWithUnconfirmedWriteIsNotRejected(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
