--- a/engine/random_mixed_test.go
+++ b/engine/random_mixed_test.go
@@ -171,10 +171,12 @@
 // heartbeat lets the workers write their registrations from time to time.
 func (s *mixedScenario) heartbeat() {
 	alive := s.aliveWorkers()
-	if id := alive[s.random.IntN(len(alive))]; !s.Worker(id).Silent {
-		s.registerNow(id)
+	if len(alive) > 0 {
+		if id := alive[s.random.IntN(len(alive))]; !s.Worker(id).Silent {
+			s.registerNow(id)
+		}
 	}
-	s.plan(event{at: time.Now().Add(heartbeat / time.Duration(len(alive))), submits: true, do: s.heartbeat})
+	s.plan(event{at: time.Now().Add(heartbeat / time.Duration(max(1, len(alive)))), submits: true, do: s.heartbeat})
 }
 
 // planJob plans the submission of a job.
