engine: do not ask at the address of an outdated entry while a start may be late

Cause: since an outdated entry may change the address of a worker without runs that is not listed, and with it the worker counts as not fenced. If a start there may be late, the run elsewhere is withdrawn as after a restart.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -388,10 +388,6 @@
 	if w.recordIdentified(response.Incarnation, target.Address, sent) {
 		p.handleAddressTaken(w)
 	}
-	if w.outdated != nil && sent.After(w.outdated.arrivedAt) {
-		// The entry is of an earlier incarnation or of another writer.
-		w.outdated = nil
-	}
 	if !w.fenced && request.Fence == w.fence && !sent.Before(w.restartSignAt) {
 		p.recordFenced(w)
 	}
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -51,17 +51,7 @@
 	}
 	switch {
 	case w.hasEnded(registration.Incarnation):
-		// The worker has responded as a newer incarnation, which the store does not have yet, so this registration is out of
-		// date; or the worker's time of day went back before it restarted, which its next response shows.
-		w.outdated = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: p.Clock.Now()}
-		if !w.registered && len(w.runs) == 0 && len(w.orphans) == 0 && w.registration.Address != registration.Address {
-			w.registration.Address, w.fenced = registration.Address, false
-		}
-		p.scheduleContact(w)
-		if registration.Incarnation != w.previousIncarnation {
-			p.suspectRestart(w, toldByEntry)
-		}
-		p.Log.Event("advert-outdated", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "revision", item.Revision)
+		p.handleOutdated(w, registration, item.Revision)
 	case w.contradictedBy(registration):
 		w.markUnregistered(p.Clock.Now())
 		now := p.Clock.Now()
@@ -74,6 +64,20 @@
 	}
 }
 
+// handleOutdated applies an entry that tells an incarnation that has ended. The worker has responded as a newer incarnation, which the store
+// does not have yet, so this registration is out of date; or the worker's time of day went back before it restarted, which its next
+// response shows.
+func (p *Planner) handleOutdated(w *workerState, registration Registration, revision int64) {
+	now := p.Clock.Now()
+	w.outdated = &unverifiedEntry{registration: registration, revision: revision, arrivedAt: now}
+	idle := !w.registered && len(w.runs) == 0 && len(w.orphans) == 0
+	if idle && w.registration.Address != registration.Address && (w.registration.Address == "" || !w.mayStartAny(now)) {
+		w.registration.Address, w.fenced = registration.Address, false
+	}
+	p.scheduleContact(w)
+	p.Log.Event("advert-outdated", "worker", w.id(), "born", registration.Incarnation, "known", w.incarnation, "revision", revision)
+}
+
 // contradictedBy reports whether a registration tells another address or a later incarnation than the worker itself, which may still be
 // there.
 func (w *workerState) contradictedBy(r Registration) bool {
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -33,7 +33,7 @@
 // replaceIncarnation replaces the incarnation of a worker by the next one.
 func (p *Planner) replaceIncarnation(w *workerState, incarnation int64, source incarnationSource) {
 	earlier := w.incarnation
-	w.incarnation, w.incarnationSince, w.previousIncarnation = incarnation, p.Clock.Now(), earlier
+	w.incarnation, w.incarnationSince = incarnation, p.Clock.Now()
 	p.boundLeasesAfterRestart(w, source)
 	p.raiseFence(w)
 	p.Log.Event("worker-reborn", "worker", w.id(), "source", source, "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
--- a/engine/state.go
+++ b/engine/state.go
@@ -179,8 +179,6 @@
 	// supersededIncarnation is the last one before the time of day of the worker went back, 0 if it never did. It is higher than the
 	// next one.
 	supersededIncarnation int64
-	// previousIncarnation is the last known one before the present one, 0 if there was none.
-	previousIncarnation int64
 	// outdated is the newest entry if it tells an incarnation that has ended, until the worker has told its own since.
 	outdated *unverifiedEntry
 	// unverified is the newest entry if it contradicts that, until that is settled; see resolveUnverified. It is not registered
@@ -287,6 +285,10 @@
 	if sent.After(w.identifiedSentAt) {
 		w.identifiedSentAt = sent
 	}
+	if w.outdated != nil && sent.After(w.outdated.arrivedAt) {
+		// The entry is of an earlier incarnation or of another writer.
+		w.outdated = nil
+	}
 	if w.toldIncarnation == 0 && w.registration.Address != "" {
 		// An entry may have told another address since the call was sent.
 		w.registration.Address = address
@@ -338,8 +340,7 @@
 // restartSuspected reports whether there is a sign that the worker has restarted since a start was sent, and it has not been fenced
 // since. An earlier planner's start may have been meant for an incarnation that this planner has not met.
 func (w *workerState) restartSuspected(s lateStart) bool {
-	restarted := s.incarnation != 0 && w.incarnation != 0 && s.incarnation != w.incarnation
-	return !w.fenced && w.registration.Address != "" && (restarted || !w.restartSuspectedAt.IsZero())
+	return !w.fenced && w.registration.Address != "" && (!w.restartSuspectedAt.IsZero() || s.incarnation != 0 && s.incarnation < w.incarnation)
 }
 
 // mayStartLate reports whether a start order for a run of the group that got no response may still be executed.
