engine: random faults of whole failure domains

The random test of all kinds of faults played faults of one worker at a time. In the record of runs in two domains, one event ended the runs of several workers of a domain.

New kinds, for all workers of a failure domain within milliseconds to seconds: quick restarts, twice in a row too; power cuts, after which calls in flight get no answer; calls that take effect without an answer; polls without an answer; stops without effect; silence; cuts; answers that overtake each other; entries that are late or gone, or that tell a restart at once or seconds later. Up to three follow each other, with jobs placed meanwhile, and most often the planner is killed, ends its term or stands still right after, or the store is away. Clocks are 2% slow as before.

--- a/engine/random_faults_test.go
+++ b/engine/random_faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"iter"
@@ -119,15 +118,7 @@
 
 func newFaultScenario(r *rig, seed uint64) *faultScenario {
 	s := &faultScenario{rig: r, seed: seed, random: rand.New(rand.NewPCG(seed, 2)), slowClocks: seed%4 != 2, over: make(chan struct{})}
-	r.EncodeRegistration = func(a engine.Registration) []byte {
-		value, err := json.Marshal(a)
-		r.NoErr(err)
-		return value
-	}
-	r.decodeRegistration = func(value []byte) (a engine.Registration, err error) {
-		err = json.Unmarshal(value, &a)
-		return a, err
-	}
+	r.storeEntries()
 	if seed%4 == 0 {
 		r.MaxListedEnds = 1 + s.random.IntN(3)
 	}
@@ -649,8 +640,10 @@
 	commitDelay, storeDelay atomic.Int64
 	// pausedUntil is until when the process stands still, in Unix nanoseconds.
 	pausedUntil atomic.Int64
-	cancel      context.CancelFunc
-	ended       chan struct{}
+	// endsTerm makes the process end its term when it stops.
+	endsTerm atomic.Bool
+	cancel   context.CancelFunc
+	ended    chan struct{}
 }
 
 func (n *node) start() {
@@ -713,7 +706,7 @@
 	case err = <-planned:
 	}
 	n.t.Logf("%s %s is no longer the planner: %v", time.Now().Format("05.000"), boot, err)
-	killed := ctx.Err() != nil
+	killed := ctx.Err() != nil && !n.endsTerm.Load()
 	cancel()
 	if err := <-renewed; err != nil {
 		n.t.Logf("%s term: %v", boot, err)
--- a/engine/random_mixed_test.go
+++ b/engine/random_mixed_test.go
@@ -27,7 +27,7 @@
 
 // Guards against faults that only show when kinds of jobs and of faults meet that other tests play one by one: several steps, repeated,
 // lasting and failing jobs and checkpoints, next to late and lost calls, draining, foreign and missing entries, changes of the planner,
-// outages of the store and evacuations. With -faults-first and -faults-seeds it plays other seeds.
+// outages of the store and evacuations, and faults of whole failure domains. With -faults-first and -faults-seeds it plays other seeds.
 func TestRandomMixedFaults(t *testing.T) {
 	for seed := range faultSeeds(mixedSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
@@ -43,6 +43,8 @@
 	// faults are the kinds of faults of workers that this seed plays, systemFaults those of the store, the planners and the operator.
 	faults       []mixedFault
 	systemFaults []func(s *mixedScenario)
+	// domainFaults are the kinds of faults of all workers of a failure domain at once that this seed plays; none if it plays none.
+	domainFaults []domainFault
 	// dense is set if this seed plays more faults and jobs at once, and large if it has more workers and larger gangs.
 	dense, large bool
 	// foreign has the workers whose entries may be of another writer.
@@ -78,6 +80,9 @@
 	s.dense, s.large = s.chance(3), s.chance(4)
 	s.faults = choose(s.random, mixedFaults, 3+s.random.IntN(5))
 	s.systemFaults = choose(s.random, mixedSystemFaults, 2+s.random.IntN(4))
+	if !s.chance(4) {
+		s.domainFaults = choose(s.random, domainFaults, 2+s.random.IntN(3))
+	}
 	s.addRack(2)
 	if s.large {
 		s.addRack(10)
@@ -126,6 +131,11 @@
 		// There are twice as many rounds.
 		jobs = (jobs + 1) / 2
 	}
+	if len(s.domainFaults) > 0 && !s.chance(3) {
+		// These come with jobs.
+		jobs = (jobs + 1) / 2
+		s.after(s.between(0, spread), s.playDomainFaults)
+	}
 	for range jobs {
 		s.planJob(s.between(0, spread))
 	}
@@ -451,12 +461,7 @@
 		s.after(d, func() { n.lateCommits.Store(false) })
 	},
 	func(s *mixedScenario) {
-		delay, d := s.between(20*time.Millisecond, 500*time.Millisecond), s.between(500*time.Millisecond, 6*time.Second)
-		s.logf("store is slow by %s for %s", delay, d)
-		for _, n := range s.nodes {
-			n.storeDelay.Store(int64(delay))
-			s.after(d, func() { n.storeDelay.Store(0) })
-		}
+		s.slowStore(s.between(20*time.Millisecond, 500*time.Millisecond), s.between(500*time.Millisecond, 6*time.Second))
 	},
 	unlessForeign(pausePlanner), unlessForeign(pausePlanner),
 	func(s *mixedScenario) {
@@ -468,6 +473,15 @@
 	},
 }
 
+// slowStore makes calls to the store take longer for a while.
+func (s *mixedScenario) slowStore(delay, d time.Duration) {
+	s.logf("store is slow by %s for %s", delay, d)
+	for _, n := range s.nodes {
+		n.storeDelay.Store(int64(delay))
+		s.after(d, func() { n.storeDelay.Store(0) })
+	}
+}
+
 // pausePlanner lets a planner's process stand still.
 func pausePlanner(s *mixedScenario) {
 	n, d := s.planner(), s.between(100*time.Millisecond, 9*time.Second)
