--- a/engine/random_domain_test.go
+++ b/engine/random_domain_test.go
@@ -40,11 +40,11 @@
 // playDomainFaults lets faults of a failure domain follow each other, while jobs are placed there. Most often the planner ends or stands
 // still right after them, or the store is away.
 func (s *mixedScenario) playDomainFaults() {
-	if len(s.foreign) > 0 {
+	alive := s.aliveWorkers()
+	if len(alive) == 0 || len(s.foreign) > 0 {
 		// An entry of another writer does not meet faults that keep planners from asking the worker.
 		return
 	}
-	alive := s.aliveWorkers()
 	domain := s.Worker(alive[s.random.IntN(len(alive))]).Registration.FailureDomain
 	ids := slices.DeleteFunc(alive, func(id string) bool { return s.Worker(id).Registration.FailureDomain != domain })
 	s.logf("%s: faults of %d workers at once", domain, len(ids))
--- a/engine/random_mixed_test.go
+++ b/engine/random_mixed_test.go
@@ -181,6 +181,11 @@
 // heartbeat lets the workers write their registrations from time to time.
 func (s *mixedScenario) heartbeat() {
 	alive := s.aliveWorkers()
+	if len(alive) == 0 {
+		// All have left; the next round adds some.
+		s.plan(event{at: time.Now().Add(heartbeat), submits: true, do: s.heartbeat})
+		return
+	}
 	if id := alive[s.random.IntN(len(alive))]; !s.Worker(id).Silent {
 		s.registerNow(id)
 	}
