--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -27,28 +27,13 @@
 	exited                     chan struct{}
 }
 
-// freeAddresses returns n addresses with different free ports.
-func freeAddresses(ip string, n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range n {
-		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-		if err != nil {
-			return nil, err
-		}
-		// A port that is free again may be given for the next listener.
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
-	}
-	return addresses, nil
-}
-
 // freeAddress returns an address with a free port.
 func freeAddress(ip string) (string, error) {
-	addresses, err := freeAddresses(ip, 1)
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", err
 	}
-	return addresses[0], nil
+	return listener.Addr().String(), listener.Close()
 }
 
 // newVM writes the settings file of an entry VM, as the platform renders the template, and starts its process.
@@ -56,12 +41,15 @@
 	v := &vm{name: fmt.Sprintf("front-%d", number), site: s}
 	v.settings = filepath.Join(s.dir, v.name+".toml")
 	ip := fmt.Sprintf("%s%d", s.prefix, firstVMNumber+number)
-	addresses, err := freeAddresses(ip, 3)
-	if err != nil {
-		return nil, err
+	var peersAddress string
+	for _, into := range []*string{&v.frontAddress, &v.readyAddress, &peersAddress} {
+		address, err := freeAddress(ip)
+		if err != nil {
+			return nil, err
+		}
+		*into = address
 	}
-	v.frontAddress, v.readyAddress = addresses[0], addresses[1]
-	_, peersPort, err := net.SplitHostPort(addresses[2])
+	_, peersPort, err := net.SplitHostPort(peersAddress)
 	if err != nil {
 		return nil, err
 	}
