--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -165,19 +165,18 @@
 	})
 }
 
-// Guards against ending the runs of a worker that has moved to another address, or is back at its own, because a call that was sent
-// before was refused by the worker that had the address meanwhile, or of one that has not moved, because a server refused the call that
-// no worker has told to be: only another worker that has told its incarnation there since the last answer shows that the worker has ended.
+// Guards against ending the runs of a worker because a call at its address was refused: the worker has moved, or is back, since the call was
+// sent, or no other worker has reported its incarnation there since the last answer.
 func TestRefusalAtEarlierAddressEndsNoRun(t *testing.T) {
 	for name, c := range map[string]struct {
 		move  func(p *Planner, w *workerState)
 		taken bool
 		ends  bool
 	}{
-		"moved":                              {move: func(_ *Planner, w *workerState) { w.registration.Address = "b" }, taken: true},
-		"back":                               {move: func(p *Planner, w *workerState) { w.lastAnswer = p.Clock.Now() }, taken: true},
-		"does not move":                      {},
-		"does not move, another has told it": {taken: true, ends: true},
+		"moved":                           {move: func(_ *Planner, w *workerState) { w.registration.Address = "b" }, taken: true},
+		"back":                            {move: func(p *Planner, w *workerState) { w.lastAnswer = p.Clock.Now() }, taken: true},
+		"does not move":                   {},
+		"does not move, another is there": {taken: true, ends: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -227,7 +226,7 @@
 				p.poll(w, p.Clock.Now())
 				if raised {
 					p.lastRevision = 6
-					p.applyIncarnation(w, 2, toldByWorker)
+					p.applyIncarnation(w, 2, reportedByWorker)
 				}
 				time.Sleep(200 * time.Millisecond)
 				settle()
@@ -268,13 +267,13 @@
 	})
 }
 
-// Guards against deciding on an entry that contradicts a worker by anything but the incarnation that the worker tells, or another worker that
-// has told to have its address: the poll that is to verify it may get no response, also while the worker responds to other calls, or be
-// refused by an unhealthy worker, which does not tell it, or by another server.
+// Guards against deciding on an entry that contradicts a worker by anything but the incarnation that the worker reports, or the report of
+// another worker at its address: the poll that is to verify it may get no response, also while the worker responds to other calls, or be
+// refused by an unhealthy worker, which does not report it, or by another server.
 func TestEntryIsDecidedByWorkerItself(t *testing.T) {
 	for name, c := range map[string]struct {
 		answered    bool
-		told        int64
+		reported    int64
 		err         error
 		taken       bool
 		decided     bool
@@ -285,8 +284,8 @@
 		"refused as unhealthy":      {err: &ErrRefused{Reason: RefusedUnhealthy}, incarnation: 1},
 		"refused by another server": {err: &ErrRefused{Reason: RefusedIncarnation}, incarnation: 1},
 		"refused by another worker": {err: &ErrRefused{Reason: RefusedIncarnation}, taken: true, decided: true, incarnation: 2},
-		"answer of the earlier":     {told: 1, decided: true, incarnation: 1},
-		"answer of the later":       {told: 2, decided: true, incarnation: 2},
+		"answer of the earlier":     {reported: 1, decided: true, incarnation: 1},
+		"answer of the later":       {reported: 2, decided: true, incarnation: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -294,7 +293,7 @@
 				p, _ := newCallPlanner(t)
 				p.Metrics, p.breaker = &metrics.Set{}, breaker.New()
 				w := &workerState{
-					registration: Registration{ID: "w", Address: "w"}, answersAt: "w", incarnation: 1, toldIncarnation: 1, runs: map[string]*run{},
+					registration: Registration{ID: "w", Address: "w"}, answersAt: "w", incarnation: 1, reportedIncarnation: 1, runs: map[string]*run{},
 					unverified: &unverifiedEntry{registration: Registration{ID: "w", Address: "w", Incarnation: 2}, arrivedAt: p.Clock.Now()},
 				}
 				p.workers = map[string]*workerState{"w": w}
@@ -306,7 +305,7 @@
 				if c.answered {
 					w.lastAnswer = p.Clock.Now()
 				}
-				response := PollResponse{WorkerStatus: WorkerStatus{Incarnation: c.told}}
+				response := PollResponse{WorkerStatus: WorkerStatus{Incarnation: c.reported}}
 				p.handlePollResult(w, Target{ID: "w", Address: "w"}, sent, PollRequest{}, response, c.err)
 				is.Equal(w.unverified == nil, c.decided)
 				is.Equal(w.incarnation, c.incarnation)
@@ -315,9 +314,9 @@
 	}
 }
 
-// Guards against ending a run that an incarnation of its worker has because an entry alone tells a later one.
+// Guards against ending a run that an incarnation of its worker has because an entry alone reports a later one.
 func TestEntryAloneEndsNoRun(t *testing.T) {
-	for source, ends := range map[incarnationSource]bool{toldByEntry: false, toldByWorker: true} {
+	for source, ends := range map[incarnationSource]bool{reportedByEntry: false, reportedByWorker: true} {
 		t.Run(string(source), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -336,9 +335,9 @@
 	}
 }
 
-// Guards against placing a task while a worker lists a run of it that nobody requested, because an entry alone tells a later incarnation.
+// Guards against placing a task while a worker lists a run of it that nobody requested, because an entry alone reports a later incarnation.
 func TestEntryAloneClearsNoOrphanRuns(t *testing.T) {
-	for source, cleared := range map[incarnationSource]bool{toldByEntry: false, toldByWorker: true} {
+	for source, cleared := range map[incarnationSource]bool{reportedByEntry: false, reportedByWorker: true} {
 		t.Run(string(source), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
--- a/engine/contact.go
+++ b/engine/contact.go
@@ -23,9 +23,9 @@
 	stopMargin = 150 * time.Millisecond
 	// immediatePollInterval is the pause between polls without a wait.
 	immediatePollInterval = 100 * time.Millisecond
-	// misdirectedPollDelay is the pause after a poll that another server has refused.
-	misdirectedPollDelay = time.Second
-	// recentIdentification is how long ago a worker may have told its incarnation when ends are acknowledged to it, if it may still
+	// otherServerPollDelay is the pause between polls at an address where another server may be.
+	otherServerPollDelay = time.Second
+	// recentIdentification is how long ago a worker may have reported its incarnation when ends are acknowledged to it, if it may still
 	// carry out a start: it may have restarted since, and its first ends may be of that run.
 	recentIdentification = 20 * time.Millisecond
 )
@@ -49,14 +49,14 @@
 	}
 	w.lastAnswer = now
 	p.scheduleContact(w)
-	p.applyIncarnation(w, status.Incarnation, toldByWorker)
+	p.applyIncarnation(w, status.Incarnation, reportedByWorker)
 	if status.Incarnation != 0 {
 		w.identifiedAt = now
 	}
 	if status.Clock != 0 {
 		w.clock, w.clockAt = status.Clock, now
 	}
-	w.toldDraining = w.toldDraining || status.Draining
+	w.reportedDraining = w.reportedDraining || status.Draining
 	p.recordDraining(w, status.Draining, status.DrainRemaining)
 	return true
 }
@@ -73,12 +73,14 @@
 	}
 }
 
-// handleMisdirected applies that another server has refused a call at the worker's address. It may be there by mistake, or the worker may be
-// elsewhere because an entry of another writer has told the address, so the refusal alone ends no run: the leases are not renewed while it
-// lasts.
+// handleMisdirected applies that another server has refused a call at the worker's address (421 Misdirected Request). It may be there by
+// mistake, or the address may be from an entry of another writer, so the refusal alone ends no run: the leases are not renewed while it lasts.
+// Load pattern: a worker crashes, and another one gets its address seconds later; or a wrong server has the addresses of a failure domain for
+// seconds.
 func (p *Planner) handleMisdirected(w *workerState, sent time.Time) {
 	switch {
 	case w.registration.Address == "":
+		// The worker is known to have ended.
 	case w.answersAt == w.registration.Address && p.addressTaken(w):
 		p.handleReplaced(w)
 	default:
@@ -87,14 +89,14 @@
 			p.Log.Event("worker-address-refused", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs), "answered", w.lastAnswer)
 		}
 		p.recordNoAnswer(w, sent)
-		w.nextPoll = p.Clock.Now().Add(misdirectedPollDelay)
+		w.nextPoll = p.Clock.Now().Add(otherServerPollDelay)
 	}
 }
 
-// addressTaken reports whether another worker has told its incarnation at the worker's address since the worker last answered there, and
+// addressTaken reports whether another worker has reported its incarnation at the worker's address since the worker last answered there, and
 // the worker may not have moved.
 func (p *Planner) addressTaken(w *workerState) bool {
-	if e := w.unverified; e != nil && e.registration.Incarnation == w.toldIncarnation && e.registration.Address != w.answersAt {
+	if e := w.unverified; e != nil && e.registration.Incarnation == w.reportedIncarnation && e.registration.Address != w.answersAt {
 		return false
 	}
 	for _, other := range p.workers {
@@ -105,7 +107,7 @@
 	return false
 }
 
-// handleAddressTaken ends the runs of the workers at whose address, where calls to them were refused, the given worker has told its
+// handleAddressTaken ends the runs of the workers at whose address, where calls to them were refused, the given worker has reported its
 // incarnation since.
 func (p *Planner) handleAddressTaken(by *workerState) {
 	for w := range p.misdirected {
@@ -115,7 +117,7 @@
 	}
 }
 
-// handleReplaced ends the runs of a worker whose address another worker has: calls to it are refused there, and the other one has told its
+// handleReplaced ends the runs of a worker whose address another worker has: calls to it are refused there, and the other one has reported its
 // incarnation there. The earlier worker no longer exists, and orders to it that are still in flight are refused.
 func (p *Planner) handleReplaced(w *workerState) {
 	p.Log.Event("worker-replaced", "worker", w.id(), "address", w.registration.Address, "runs", len(w.runs))
@@ -261,7 +263,7 @@
 	return !w.mayStartAny(now) || now.Sub(w.identifiedAt) < recentIdentification
 }
 
-// startedSinceIdentified reports whether a start was sent to the worker since the call to which it last told its incarnation. If it has
+// startedSinceIdentified reports whether a start was sent to the worker since the call to which it last reported its incarnation. If it has
 // restarted, its first ends may be of that run, and an acknowledgement of the earlier incarnation's ends would discard them.
 func (p *Planner) startedSinceIdentified(w *workerState) bool {
 	for _, r := range w.runs {
@@ -303,7 +305,7 @@
 	})
 }
 
-// startNeedsAnswer reports whether a run is to be started on a worker that has not told its incarnation since the run was placed, or
+// startNeedsAnswer reports whether a run is to be started on a worker that has not reported its incarnation since the run was placed, or
 // whose clock is not known any more.
 func (p *Planner) startNeedsAnswer(w *workerState, now time.Time) bool {
 	if p.suspended {
@@ -499,7 +501,7 @@
 	}
 }
 
-// reconcile compares the runs that a worker has, as its response to a poll with a fencing token tells, with those that it should have.
+// reconcile compares the runs that a worker has, as its response to a poll with a fencing token reports, with those that it should have.
 func (p *Planner) reconcile(w *workerState, sent time.Time, fence int64, response PollResponse) {
 	now := p.Clock.Now()
 	listed := map[string]bool{}
--- a/engine/fence_test.go
+++ b/engine/fence_test.go
@@ -71,7 +71,7 @@
 	})
 }
 
-// Guards against counting the time at which a worker told its incarnation from the arrival of the answer: a start that was sent before
+// Guards against counting the time at which a worker reported its incarnation from the arrival of the answer: a start that was sent before
 // may have been carried out by the next incarnation, and the end of that run has the same number.
 func TestOvertakenAnswerDoesNotIdentifyIncarnationOfStart(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
--- a/engine/foreign_entry_test.go
+++ b/engine/foreign_entry_test.go
@@ -13,7 +13,7 @@
 	"clementinepier/workload"
 )
 
-// Guards against ending the runs of a worker because an entry of another writer, which does not tell an incarnation, gives it the
+// Guards against ending the runs of a worker because an entry of another writer, which does not report an incarnation, gives it the
 // address of another worker, which refuses its calls.
 func TestEntryOfAnotherWriterEndsNoRun(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
@@ -195,7 +195,7 @@
 	}
 }
 
-// Guards against a worker that is not used any more because an entry of another writer told that it drains.
+// Guards against a worker that is not used any more because an entry of another writer reported that it drains.
 func TestWorkerIsUsedAgainAfterForeignDrainingEntry(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(1)
@@ -210,7 +210,7 @@
 	})
 }
 
-// Guards against starting the task of a worker elsewhere because an entry of another writer tells a restart while the worker is cut off.
+// Guards against starting the task of a worker elsewhere because an entry of another writer reports a restart while the worker is cut off.
 func TestForeignEntryOfCutOffWorkerEndsNoRun(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(2)
@@ -248,7 +248,7 @@
 	return &lose
 }
 
-// Guards against starting the task of a worker elsewhere because an entry of another writer tells a restart and one response of the worker
+// Guards against starting the task of a worker elsewhere because an entry of another writer reports a restart and one response of the worker
 // is lost, by a reset or a pause of the planner, although the worker can be reached.
 func TestForeignEntryAndOneLostResponseEndNoRun(t *testing.T) {
 	for name, atOnce := range map[string]bool{"connection reset": true, "not read in time": false} {
@@ -272,7 +272,7 @@
 	}
 }
 
-// Guards against taking an entry of another writer for a restart without asking the worker, because an earlier one told another address
+// Guards against taking an entry of another writer for a restart without asking the worker, because an earlier one reported another address
 // while the worker could not be reached.
 func TestForeignEntryAfterUnverifiedAddressIsVerified(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
@@ -356,8 +356,8 @@
 	}
 }
 
-// Guards against ending the runs of a worker that refuses polls, as an unhealthy one does, because an entry of another writer tells a later
-// incarnation: such a refusal does not tell the incarnation.
+// Guards against ending the runs of a worker that refuses polls, as an unhealthy one does, because an entry of another writer reports a later
+// incarnation: such a refusal does not report the incarnation.
 func TestForeignEntryOfUnhealthyWorkerEndsNoRun(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(2)
@@ -377,7 +377,7 @@
 }
 
 // Guards against ending the runs of a worker that is cut off because several entries of another writer follow each other: the first, which
-// tells another address, must not keep the second from being verified.
+// reports another address, must not keep the second from being verified.
 func TestForeignEntriesDuringCutEndNoRun(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(2)
@@ -401,7 +401,7 @@
 	})
 }
 
-// Guards against losing the runs of a worker that has given its first answer to a planner while an entry of another writer told another
+// Guards against losing the runs of a worker that has given its first answer to a planner while an entry of another writer reported another
 // address: the worker is asked where it has answered.
 func TestForeignEntryBeforeFirstAnswerKeepsRuns(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
--- a/engine/health.go
+++ b/engine/health.go
@@ -11,7 +11,7 @@
 	// stallTimeout is the least time without progress after which a run is stopped. A task that runs at a third of its speed for
 	// 33 s still gains one percent every 0.35 s, and polls arrive every 2 s.
 	stallTimeout = 4500 * time.Millisecond
-	// maxEstimateFactor is how many times its estimate a task may take and still count as making progress, which workers tell in whole
+	// maxEstimateFactor is how many times its estimate a task may take and still count as making progress, which workers report in whole
 	// percents.
 	maxEstimateFactor = 20
 	// maxStallDoublings bounds the doublings of the time without progress for a task that seems to stall wherever it runs.
--- a/engine/inference_test.go
+++ b/engine/inference_test.go
@@ -405,7 +405,7 @@
 				r.rest(30 * time.Second)
 				r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = after+2*time.Second, true })
 				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
-				// The start is sent once the worker has told its clock.
+				// The start is sent once the worker has reported its clock.
 				time.Sleep(20 * time.Millisecond)
 				// The drain keeps the next run away from the worker.
 				r.Set("r1-w0", func(w *site.Worker) { w.Registration.Draining = true })
--- a/engine/lapse_test.go
+++ b/engine/lapse_test.go
@@ -343,7 +343,7 @@
 	})
 }
 
-// Guards against runs that never end because another server responds at the address of their worker, which no worker has told to be.
+// Guards against runs that never end because a server that is no known worker responds at the address of their worker.
 func TestRunsEndWhenAnotherServerHasTheAddress(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(2)
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -76,7 +76,7 @@
 // leaseOver is the time after which every lease that an incarnation had when it ended is over, also on a clock that is 2% slow.
 const leaseOver = maxLease*100/98 + 500*time.Millisecond
 
-// silenceAfterRestart makes r1-w0 unreachable once it has told an incarnation other than its first in one response.
+// silenceAfterRestart makes r1-w0 unreachable once it has reported an incarnation other than its first in one response.
 func (r *rig) silenceAfterRestart() {
 	var first atomic.Int64
 	r.wrapWorkers = func(w engine.Workers) engine.Workers {
@@ -92,22 +92,22 @@
 	}
 }
 
-// restartOutOfReach restarts r1-w0, which runs j1, so that calls no longer reach it. The worker itself has told the restart in one response
-// before, with silenceAfterRestart, or only its entry tells it. The task goes on at the worker r2-w0 within 3 s in the first case, and once the
+// restartOutOfReach restarts r1-w0, which runs j1, so that calls no longer reach it. The worker itself has reported the restart in one response
+// before, with silenceAfterRestart, or only its entry reports it. The task goes on at the worker r2-w0 within 3 s in the first case, and once the
 // earlier incarnation's lease is over in the second, since the entry may be of another writer and the worker still at work.
-func (r *rig) restartOutOfReach(told bool) {
+func (r *rig) restartOutOfReach(reported bool) {
 	r.Set("r1-w0", func(w *site.Worker) {
 		w.Restart()
-		w.Silent = !told
+		w.Silent = !reported
 	})
 	restarted := time.Now()
-	if told {
+	if reported {
 		time.Sleep(500 * time.Millisecond)
 	}
 	r.Register(r.Worker("r1-w0"))
 	r.AddWorkers("r2", 1)
 	time.Sleep(3 * time.Second)
-	if !told {
+	if !reported {
 		r.Equal(r.Worker("r2-w0").Starts, 0)
 		time.Sleep(time.Until(restarted.Add(leaseOver)))
 	}
@@ -117,16 +117,16 @@
 // Guards against keeping a run on a restarted worker that cannot be reached until the longest lease of a late order is over, because the start
 // of another task there got no answer.
 func TestRunOnRestartedWorkerIsPlacedElsewhereSoon(t *testing.T) {
-	for name, c := range map[string]struct{ long, told bool }{
-		"task":                              {told: true},
-		"task that lasts":                   {long: true, told: true},
-		"task, told by an entry":            {},
-		"task that lasts, told by an entry": {long: true},
+	for name, c := range map[string]struct{ long, reported bool }{
+		"task":                                  {reported: true},
+		"task that lasts":                       {long: true, reported: true},
+		"task, reported by an entry":            {},
+		"task that lasts, reported by an entry": {long: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
 				r.LongRunning = c.long
-				if c.told {
+				if c.reported {
 					r.silenceAfterRestart()
 				}
 				p, stop := r.startWithWorkers(1)
@@ -141,7 +141,7 @@
 				time.Sleep(100 * time.Millisecond)
 				r.Set("r1-w0", func(w *site.Worker) { w.LoseStarts = false })
 				r.waitForState(p, "j0", workload.StateCompleted, 3*time.Second)
-				r.restartOutOfReach(c.told)
+				r.restartOutOfReach(c.reported)
 			})
 		})
 	}
@@ -150,16 +150,16 @@
 // Guards against keeping a run on a restarted worker that cannot be reached until the longest lease of a late order is over, because a start
 // got no answer, or another planner started it, so long ago that nothing can be late any more.
 func TestRunOnWorkerThatRestartsLongAfterItsStartIsPlacedElsewhereSoon(t *testing.T) {
-	for name, c := range map[string]struct{ inherited, told bool }{
-		"start unanswered":                   {told: true},
-		"inherited":                          {inherited: true, told: true},
-		"start unanswered, told by an entry": {},
-		"inherited, told by an entry":        {inherited: true},
+	for name, c := range map[string]struct{ inherited, reported bool }{
+		"start unanswered":                       {reported: true},
+		"inherited":                              {inherited: true, reported: true},
+		"start unanswered, reported by an entry": {},
+		"inherited, reported by an entry":        {inherited: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
 				r.LongRunning = true
-				if c.told {
+				if c.reported {
 					r.silenceAfterRestart()
 				}
 				p, stop := r.startWithWorkers(1)
@@ -177,7 +177,7 @@
 				defer func() { stop() }()
 				time.Sleep(5 * time.Minute)
 				r.Equal(r.WorkersRunning("j1"), []string{"r1-w0"})
-				r.restartOutOfReach(c.told)
+				r.restartOutOfReach(c.reported)
 			})
 		})
 	}
@@ -367,7 +367,7 @@
 	})
 }
 
-// Guards against acknowledging ends to a worker that has restarted since it last told its incarnation, while the new one has carried out
+// Guards against acknowledging ends to a worker that has restarted since it last reported its incarnation, while the new one has carried out
 // a late start of a run that has ended long ago: the done end of that run has the same number.
 func TestEndOfLateStartIsNotAcknowledgedToUnknownIncarnation(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
@@ -430,20 +430,14 @@
 // Guards against taking a run whose start got no response for ended because another worker, or another server, has the address: the next
 // incarnation of its worker may carry the start out.
 func TestUnconfirmedRunOfReplacedWorkerIsNotRestarted(t *testing.T) {
-	for name, told := range map[string]bool{"another worker": true, "another server": false} {
+	for name, registered := range map[string]bool{"another worker": true, "another server": false} {
 		t.Run(name, func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
 				r.wrapWorkers = func(w engine.Workers) engine.Workers { return r.sharedAddress(w, "r1-w0", "r2-w0") }
 				p, stop := r.startWithWorkers(1)
 				defer stop()
-				time.Sleep(time.Second)
-				r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 2500*time.Millisecond, true })
-				r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
-				time.Sleep(200 * time.Millisecond)
-				r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
-				r.Deregister(r.Worker("r1-w0"))
-				time.Sleep(800 * time.Millisecond)
-				if told {
+				r.replaceBeforeLateStart(p)
+				if registered {
 					r.addWorkerAt("r2", "r1-w0")
 				} else {
 					r.AddWorkers("r2", 1)
@@ -463,6 +457,18 @@
 	}
 }
 
+// replaceBeforeLateStart submits j1 and replaces its worker r1-w0, which does not answer the start and carries it out after a restart.
+func (r *rig) replaceBeforeLateStart(p *engine.Planner) {
+	r.t.Helper()
+	time.Sleep(time.Second)
+	r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 2500*time.Millisecond, true })
+	r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+	time.Sleep(200 * time.Millisecond)
+	r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
+	r.Deregister(r.Worker("r1-w0"))
+	time.Sleep(800 * time.Millisecond)
+}
+
 // plannerChange is when a test changes the planner.
 type plannerChange int
 
@@ -488,7 +494,7 @@
 	}
 }
 
-// Guards against the same if the worker's time of day went back before the restart: its entry tells an earlier start time.
+// Guards against the same if the worker's time of day went back before the restart: its entry reports an earlier start time.
 func TestLaterRunIsWithdrawnWhileWorkerWithEarlierStartTimeMayStartEarlierRun(t *testing.T) {
 	for size, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
 		t.Run(size, func(t *testing.T) {
@@ -616,13 +622,7 @@
 		r.wrapWorkers = func(w engine.Workers) engine.Workers { return r.sharedAddress(w, "r1-w0", "r2-w0") }
 		p, stop := r.startWithWorkers(1)
 		defer stop()
-		time.Sleep(time.Second)
-		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = 2500*time.Millisecond, true })
-		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
-		time.Sleep(200 * time.Millisecond)
-		r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
-		r.Deregister(r.Worker("r1-w0"))
-		time.Sleep(800 * time.Millisecond)
+		r.replaceBeforeLateStart(p)
 		r.addWorkerAt("r2", "r1-w0")
 		time.Sleep(500 * time.Millisecond)
 		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
@@ -652,7 +652,7 @@
 	r.Equal(r.Worker("r2-w0").Starts, 1)
 }
 
-// Guards against stopping a task again and again because entries of another writer tell restarts of a worker that cannot be reached, or
+// Guards against stopping a task again and again because entries of another writer report restarts of a worker that cannot be reached, or
 // only now and then.
 func TestEntriesOfUnreachableWorkerDoNotWithdrawRunsForEver(t *testing.T) {
 	for name, returns := range map[string]bool{"cut off": false, "cut off now and then": true} {
@@ -802,7 +802,7 @@
 	})
 }
 
-// Guards against taking such a response for that proof after the clock in the response to an order has told the restart.
+// Guards against taking such a response for that proof after the clock in the response to an order has reported the restart.
 func TestEarlierResponseAfterClockWentBackShowsNoFence(t *testing.T) {
 	const lateStart = 25 * time.Second
 	runInVirtualTime(t, func(r *rig) {
--- a/engine/misdirected_test.go
+++ b/engine/misdirected_test.go
@@ -76,8 +76,8 @@
 	})
 }
 
-// Guards against a task that stays with a worker that has ended although another worker has told that it has the address, before or after
-// the refusal of a call.
+// Guards against a task that stays with a worker that has ended although another worker answers at its address, before or after the refusal
+// of a call.
 func TestRunsEndSoonWhenAnotherWorkerHasTheAddress(t *testing.T) {
 	for name, listedAfter := range map[string]time.Duration{"listed at once": 0, "listed later": 2 * time.Second} {
 		t.Run(name, func(t *testing.T) {
@@ -140,8 +140,7 @@
 	}
 }
 
-// Guards against ending the runs of a worker that has moved, and says so in its entry, because another worker has told that it has the earlier
-// address.
+// Guards against ending the runs of a worker that has moved, as its entry shows, because another worker answers at its earlier address.
 func TestRunsOfWorkersThatSwapAddressesGoOn(t *testing.T) {
 	for name, step := range map[string]workload.Step{"tasks": singleTaskStep(8), "gangs": gangStep(2, 4), "tasks that last": lastingStep(1)} {
 		t.Run(name, func(t *testing.T) {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -181,7 +181,7 @@
 }
 
 // markRunning records that an incarnation of the worker has the run, as the response to a call of the given kind shows. Responses to
-// orders do not tell the incarnation.
+// orders do not report the incarnation.
 func (p *Planner) markRunning(r *run, call string, incarnation int64) {
 	r.incarnation = max(r.incarnation, incarnation)
 	if r.phase == runRunning {
--- a/engine/orphans.go
+++ b/engine/orphans.go
@@ -76,7 +76,7 @@
 
 // withdrawLaterRuns stops the runs elsewhere of a group that a worker may start late, because it seems to have restarted and cannot be
 // told to refuse the order. lateGroups keeps the group from being placed again. Load pattern: a worker leaves a start unanswered, is cut
-// off and restarts behind the cut, which only its registration tells.
+// off and restarts behind the cut, which only its registration reports.
 func (p *Planner) withdrawLaterRuns(now time.Time) {
 	for _, w := range p.workers {
 		for _, s := range w.lateStarts {
--- a/engine/random_addresses_test.go
+++ b/engine/random_addresses_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -42,11 +41,7 @@
 
 func newAddressScenario(r *rig, random *rand.Rand) *addressScenario {
 	s := &addressScenario{rig: r, random: random, refusing: map[string]time.Time{}}
-	r.EncodeRegistration = s.encode
-	r.decodeRegistration = func(value []byte) (entry engine.Registration, err error) {
-		err = json.Unmarshal(value, &entry)
-		return entry, err
-	}
+	r.storeEntries()
 	r.wrapWorkers = s.route
 	for i := range 4 {
 		s.occupants = append(s.occupants, "")
@@ -55,17 +50,11 @@
 	return s
 }
 
-func (s *addressScenario) encode(entry engine.Registration) []byte {
-	value, err := json.Marshal(entry)
-	s.NoErr(err)
-	return value
-}
-
 func (s *addressScenario) between(least, most time.Duration) time.Duration {
 	return least + time.Duration(s.random.Int64N(int64(most-least)))
 }
 
-// occupy lets a new life of a worker begin at an address.
+// occupy starts a new incarnation of a worker at an address.
 func (s *addressScenario) occupy(i int, rack string) {
 	id := rack + "-w0"
 	address := fmt.Sprintf("a%d", i)
@@ -172,10 +161,10 @@
 			entry := s.Worker(id).Registration
 			if s.random.IntN(2) == 0 {
 				entry.Address = fmt.Sprintf("a%d", s.random.IntN(len(s.occupants)))
-				s.Store.Write(site.RegistrationPrefix+id, s.encode(entry))
+				s.Store.Write(site.RegistrationPrefix+id, s.EncodeRegistration(entry))
 				break
 			}
-			s.Store.Write(site.RegistrationPrefix+id, foreignEntry(s.random, entry, s.encode))
+			s.Store.Write(site.RegistrationPrefix+id, foreignEntry(s.random, entry, s.EncodeRegistration))
 		case n < 30:
 			s.Store.SetRefusing(true)
 			time.AfterFunc(s.between(100*time.Millisecond, 3*time.Second), func() { s.Store.SetRefusing(false) })
@@ -189,7 +178,7 @@
 		s.waitForState(p, job, workload.StateCompleted, time.Minute)
 	}
 	if len(lasting) > 0 {
-		// A run of a worker that an entry alone tells to have restarted ends after the longest time in which an order may be executed.
+		// A run of a worker whose restart only an entry reports ends after the longest time in which an order may be executed.
 		time.Sleep(45 * time.Second)
 	}
 	for _, job := range lasting {
@@ -228,7 +217,7 @@
 		select {
 		case <-ended:
 			return
-		case <-time.After(1500 * time.Millisecond / 4):
+		case <-time.After(heartbeat / time.Duration(len(s.occupants))):
 		}
 		s.mu.Lock()
 		id := s.occupants[i%len(s.occupants)]
--- a/engine/regain_test.go
+++ b/engine/regain_test.go
@@ -24,7 +24,7 @@
 	})
 }
 
-// Guards against a task that is never started because its worker, which has to be asked for its clock first, refuses to tell it or
+// Guards against a task that is never started because its worker, which has to be asked for its clock first, refuses to report it or
 // does not answer.
 func TestTaskLeavesWorkerThatRefusesPolls(t *testing.T) {
 	for name, fault := range map[string]func(w *site.Worker){
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -58,13 +58,13 @@
 		w.unverified = &unverifiedEntry{registration: registration, revision: item.Revision, arrivedAt: now, nextQuery: now.Add(pollRetryDelay)}
 		p.Log.Event("advert-unverified", "worker", id, "born", registration.Incarnation, "known", w.incarnation, "address", registration.Address,
 			"answers-at", w.answersAt, "revision", item.Revision)
-		p.suspectRestart(w, toldByEntry)
+		p.suspectRestart(w, reportedByEntry)
 	default:
 		p.applyRegistration(w, registration, item.Revision)
 	}
 }
 
-// handleOutdated applies an entry that tells an incarnation that has ended. The worker has responded as a newer incarnation, which the store
+// handleOutdated applies an entry that reports an incarnation that has ended. The worker has responded as a newer incarnation, which the store
 // does not have yet, so this registration is out of date; or the worker's time of day went back before it restarted, which its next
 // response shows.
 func (p *Planner) handleOutdated(w *workerState, registration Registration, revision int64) {
@@ -78,7 +78,7 @@
 	p.Log.Event("advert-outdated", "worker", w.id(), "born", registration.Incarnation, "known", w.incarnation, "revision", revision)
 }
 
-// contradictedBy reports whether a registration tells another address or a later incarnation than the worker itself, which may still be
+// contradictedBy reports whether a registration reports another address or a later incarnation than the worker itself, which may still be
 // there.
 func (w *workerState) contradictedBy(r Registration) bool {
 	return w.answersAt != "" && (r.Incarnation > w.incarnation || r.Address != w.answersAt)
@@ -105,9 +105,9 @@
 	w.registration, w.registered = registration, true
 	p.invalidateFleets()
 	p.scheduleContact(w)
-	p.applyIncarnation(w, registration.Incarnation, toldByEntry)
-	if w.draining && !registration.Draining && !w.toldDraining {
-		// Only an earlier entry has told that the worker drains, and may be of another writer.
+	p.applyIncarnation(w, registration.Incarnation, reportedByEntry)
+	if w.draining && !registration.Draining && !w.reportedDraining {
+		// Only an earlier entry has reported that the worker drains, and may be of another writer.
 		w.draining, w.drainEnd = false, time.Time{}
 		p.Log.Event("worker-not-draining", "worker", w.id(), "revision", revision)
 	}
@@ -116,32 +116,29 @@
 }
 
 // resolveUnverified decides on an entry that contradicts the worker's own word by the result of a poll, sent at the given time to the address
-// at which the worker last answered. Only an incarnation that the worker tells there decides: it may be cut off, or refuse the poll. Besides,
+// at which the worker last answered. Only an incarnation that the worker reports there decides: it may be cut off, or refuse the poll. Besides,
 // an answer at the entry's address, another worker at the earlier one, or a newer entry ends the verification.
-func (p *Planner) resolveUnverified(w *workerState, sent time.Time, told int64, err error) {
+func (p *Planner) resolveUnverified(w *workerState, sent time.Time, reported int64, err error) {
 	entry := w.unverified
 	if entry == nil || sent.Before(entry.arrivedAt) {
 		return
 	}
 	var refused *ErrRefused
 	if errors.As(err, &refused) {
-		told = refused.Status.Incarnation
+		reported = refused.Status.Incarnation
 	}
-	if err != nil && told == 0 {
+	if err != nil && reported == 0 {
 		return
 	}
 	w.unverified = nil
-	if entry.registration.Address != w.registration.Address || told != entry.registration.Incarnation {
+	if entry.registration.Address != w.registration.Address || reported != entry.registration.Incarnation {
 		p.ignoreForeignEntry(w, entry.registration, entry.revision)
 		return
 	}
 	p.applyRegistration(w, entry.registration, entry.revision)
 }
 
-// unverifiedQueryInterval is the pause between queries to the address of an unverified entry, where nobody or another server may be.
-const unverifiedQueryInterval = time.Second
-
-// queryUnverified asks for a worker at the address that an unverified entry tells, while it does not tell its incarnation where it last
+// queryUnverified asks for a worker at the address that an unverified entry reports, while it does not report its incarnation where it last
 // did. The query grants no lease and acknowledges no ends.
 func (p *Planner) queryUnverified(w *workerState, now time.Time) {
 	entry := w.unverified
@@ -159,13 +156,13 @@
 			return err
 		})
 		return func() {
-			entry.querying, entry.nextQuery = false, p.Clock.Now().Add(unverifiedQueryInterval)
+			entry.querying, entry.nextQuery = false, p.Clock.Now().Add(otherServerPollDelay)
 			if w.unverified != entry || err != nil || response.Incarnation != entry.registration.Incarnation {
 				return
 			}
 			w.unverified = nil
 			p.Log.Event("worker-moved", "worker", w.id(), "from", w.answersAt, "to", target.Address, "born", response.Incarnation, "before", w.incarnation)
-			p.applyIncarnation(w, response.Incarnation, toldByWorker)
+			p.applyIncarnation(w, response.Incarnation, reportedByWorker)
 			p.applyRegistration(w, entry.registration, entry.revision)
 			p.handlePollResult(w, target, now, request, response, nil)
 		}
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -6,14 +6,14 @@
 	"github.com/pkg/errors"
 )
 
-// incarnationSource is what has told an incarnation of a worker.
+// incarnationSource is what has reported an incarnation of a worker.
 type incarnationSource string
 
 const (
-	// toldByWorker means that the worker has told it in a response.
-	toldByWorker incarnationSource = "worker"
-	// toldByEntry means that only an entry in the store tells it, which may be of another writer.
-	toldByEntry incarnationSource = "entry"
+	// reportedByWorker means that the worker has reported it in a response.
+	reportedByWorker incarnationSource = "worker"
+	// reportedByEntry means that only an entry in the store reports it, which may be of another writer.
+	reportedByEntry incarnationSource = "entry"
 )
 
 // applyIncarnation applies that a worker has restarted: none of its earlier runs exists any more, but calls that were meant for the
@@ -38,7 +38,7 @@
 	p.raiseFence(w)
 	p.Log.Event("worker-reborn", "worker", w.id(), "source", source, "runs", len(w.runs), "born", incarnation, "before", earlier, "leases-end", w.leasesEndBy, "fence", w.fence)
 	p.resetIncarnation(w)
-	if source == toldByWorker {
+	if source == reportedByWorker {
 		p.setOrphans(w, nil)
 	}
 	for _, r := range w.runs {
@@ -49,7 +49,7 @@
 			p.stopGroup(r.group, "its worker has restarted")
 		case r.phase != runRecorded && p.mayHaveLateStart(r):
 			r.phase, r.incarnation = runDoubtful, 0
-		case r.incarnation != 0 && source == toldByEntry:
+		case r.incarnation != 0 && source == reportedByEntry:
 			r.phase, r.incarnation = runDoubtful, 0
 		case r.incarnation != 0:
 			p.endRun(r, EndLapsed, "", basisRestarted)
@@ -60,11 +60,11 @@
 	}
 }
 
-// resetIncarnation forgets what an incarnation of a worker has told, but for its orphan runs.
+// resetIncarnation forgets what an incarnation of a worker has reported, but for its orphan runs.
 func (p *Planner) resetIncarnation(w *workerState) {
 	w.incarnationChanges++
 	w.lastEnd, w.acknowledgedEnd, w.unstoredEnds = 0, 0, 0
-	w.fenced, w.draining, w.toldDraining, w.drainEnd, w.pollOverdueAt = false, false, false, time.Time{}, time.Time{}
+	w.fenced, w.draining, w.reportedDraining, w.drainEnd, w.pollOverdueAt = false, false, false, time.Time{}, time.Time{}
 	w.moreEnds = false
 	w.clock, w.clockAt = 0, time.Time{}
 	clear(w.inferredEnds)
@@ -72,7 +72,7 @@
 	w.polling, w.nextPoll = false, p.Clock.Now()
 }
 
-// withdrawIncarnation records that a worker has not restarted, although an entry told a later incarnation: the entry was of another writer.
+// withdrawIncarnation records that a worker has not restarted, although an entry reported a later incarnation: the entry was of another writer.
 // No run was started for that incarnation, since a start needs the worker's own word.
 func (p *Planner) withdrawIncarnation(w *workerState, incarnation int64) {
 	p.Log.Event("worker-not-reborn", "worker", w.id(), "runs", len(w.runs), "born", incarnation, "withdrawn", w.incarnation)
@@ -80,32 +80,33 @@
 	p.resetIncarnation(w)
 }
 
-// correctIncarnation withdraws an incarnation that only an entry has told if an earlier one responds to a call that was sent since.
-func (p *Planner) correctIncarnation(w *workerState, told int64, sent time.Time) {
-	if told != 0 && told >= w.toldIncarnation && told < w.incarnation && sent.After(w.incarnationSince) {
-		p.withdrawIncarnation(w, told)
+// correctIncarnation withdraws an incarnation that only an entry has reported if an earlier one responds to a call that was sent since.
+func (p *Planner) correctIncarnation(w *workerState, reported int64, sent time.Time) {
+	if reported != 0 && reported >= w.reportedIncarnation && reported < w.incarnation && sent.After(w.incarnationSince) {
+		p.withdrawIncarnation(w, reported)
 	}
 }
 
-// applyEarlierStartTime applies that a worker has restarted after its time of day went back: it tells a lower incarnation in the response to
-// a call that was sent after the higher one had answered.
-func (p *Planner) applyEarlierStartTime(w *workerState, told int64, sent time.Time) {
-	if told == 0 || told >= w.toldIncarnation || w.incarnation != w.toldIncarnation || !sent.After(w.identifiedAt) {
+// applyEarlierStartTime applies that a worker has restarted after its time of day went back: it reports a lower incarnation in the response to
+// a call that was sent after the higher one had answered. Load pattern: the time of day of a machine is corrected by seconds, and its worker
+// restarts before that time has passed.
+func (p *Planner) applyEarlierStartTime(w *workerState, reported int64, sent time.Time) {
+	if reported == 0 || reported >= w.reportedIncarnation || w.incarnation != w.reportedIncarnation || !sent.After(w.identifiedAt) {
 		return
 	}
-	p.Log.Event("worker-born-earlier", "worker", w.id(), "runs", len(w.runs), "born", told, "before", w.toldIncarnation)
-	w.supersededIncarnation, w.toldIncarnation = w.toldIncarnation, told
-	p.replaceIncarnation(w, told, toldByWorker)
-	if entry := w.outdated; entry != nil && entry.registration.Incarnation == told {
+	p.Log.Event("worker-start-time-back", "worker", w.id(), "runs", len(w.runs), "born", reported, "before", w.reportedIncarnation)
+	w.supersededIncarnation, w.reportedIncarnation = w.reportedIncarnation, reported
+	p.replaceIncarnation(w, reported, reportedByWorker)
+	if entry := w.outdated; entry != nil && entry.registration.Incarnation == reported {
 		w.outdated = nil
 		p.applyRegistration(w, entry.registration, entry.revision)
 	}
 }
 
-// hasEnded reports whether an incarnation is one that has ended: an earlier one than the worker has told, or, after its time of day went
+// hasEnded reports whether an incarnation is one that has ended: an earlier one than the worker has reported, or, after its time of day went
 // back, the one before.
 func (w *workerState) hasEnded(incarnation int64) bool {
-	return incarnation != 0 && (incarnation < w.toldIncarnation || incarnation == w.supersededIncarnation)
+	return incarnation != 0 && (incarnation < w.reportedIncarnation || incarnation == w.supersededIncarnation)
 }
 
 // mayHaveLateStart reports whether an order that was sent to the run's worker, to start the run or an earlier one of its task or gang, may
@@ -129,8 +130,8 @@
 
 // boundLeasesAfterRestart records a sign of a restart, and bounds the leases that a new incarnation of a worker may have, or get, from orders
 // that were sent before it was known. Their ends were meant for the clock of the earlier one and may be far ahead on the new one, so only the
-// longest lease bounds them, from the latest time at which they may be executed. Since the first sign no lease was extended, and starts were
-// repeated at most, so that further signs, as with each entry of a worker that cannot be reached, do not move the bound.
+// longest lease bounds them, from the latest time at which they may be executed. Further signs do not move the bound: since the first one no
+// lease was extended, and starts were at most repeated. Load pattern: a worker that cannot be reached writes its entry again and again.
 func (p *Planner) boundLeasesAfterRestart(w *workerState, source incarnationSource) {
 	w.restartSignAt = p.Clock.Now()
 	if w.restartSuspectedAt.IsZero() {
@@ -143,7 +144,7 @@
 		}
 	}
 	until := lastOrder.Add(p.lateRunBound())
-	if source == toldByEntry {
+	if source == reportedByEntry {
 		w.boundAnyLeases(until)
 		return
 	}
@@ -157,7 +158,7 @@
 }
 
 // runEndsBy returns the time after which the run's lease has certainly ended. A run that the worker's own incarnation has, and that no
-// late order can start again, ends by the leases of that incarnation, whatever entries tell.
+// late order can start again, ends by the leases of that incarnation, whatever entries report.
 func (p *Planner) runEndsBy(r *run) time.Time {
 	w := r.worker
 	late, ok := w.lateStarts[r.group.name()]
@@ -166,17 +167,17 @@
 	if r.incarnation == 0 || ok && lateRun(late.sent) || (r.placementChange == 0 || r.number > 1) && lateRun(p.started) {
 		return w.leasesEndBy
 	}
-	return w.toldLeasesEndBy
+	return w.reportedLeasesEndBy
 }
 
 // noticeRestart records that a worker has restarted whose new incarnation is not known yet: its clock has gone back.
 func (p *Planner) noticeRestart(w *workerState, clock WorkerTime) {
 	before := w.clock
-	p.suspectRestart(w, toldByWorker)
+	p.suspectRestart(w, reportedByWorker)
 	p.Log.Event("worker-clock-back", "worker", w.id(), "clock", time.Duration(clock), "before", time.Duration(before), "leases-end", w.leasesEndBy)
 }
 
-// suspectRestart records that a worker may have restarted. The response to the next poll tells the incarnation, and applyIncarnation does
+// suspectRestart records that a worker may have restarted. The response to the next poll reports the incarnation, and applyIncarnation does
 // the rest.
 func (p *Planner) suspectRestart(w *workerState, source incarnationSource) {
 	p.boundLeasesAfterRestart(w, source)
@@ -192,13 +193,13 @@
 	if bound := p.Clock.Now().Add(p.leaseBound(p.Bounds.MaxLease)); bound.Before(w.leasesEndBy) {
 		w.leasesEndBy = bound
 	}
-	if w.leasesEndBy.Before(w.toldLeasesEndBy) {
-		w.toldLeasesEndBy = w.leasesEndBy
+	if w.leasesEndBy.Before(w.reportedLeasesEndBy) {
+		w.reportedLeasesEndBy = w.leasesEndBy
 	}
 	p.planNeeded = true
 }
 
-// applyOrderStatus returns what the response to an order tells of the present incarnation of the worker. It has the worker's clock, but not
+// applyOrderStatus returns what the response to an order reports of the present incarnation of the worker. It has the worker's clock, but not
 // the incarnation: the clock may be that of an earlier one, or of a new one that is not known yet.
 func (p *Planner) applyOrderStatus(w *workerState, fence int64, sent time.Time, s WorkerStatus) WorkerStatus {
 	switch {
@@ -212,7 +213,7 @@
 	return s
 }
 
-// errOutdatedRefusal replaces a refusal that tells nothing of the worker or of the term.
+// errOutdatedRefusal replaces a refusal that reports nothing of the worker or of the term.
 var errOutdatedRefusal = errors.New("refused because of an earlier address or an earlier incarnation of the worker")
 
 // applyRefusal returns the error of a call that was sent to the worker at the given time. A refusal by another worker shows that
--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -99,8 +99,8 @@
 	})
 }
 
-// Guards against acknowledging ends to a worker that has restarted since it last told its incarnation, while the new one has carried out
-// a start whose answer is lost or does not tell the incarnation: the end of that run has the same number.
+// Guards against acknowledging ends to a worker that has restarted since it last reported its incarnation, while the new one has carried out
+// a start whose answer is lost or does not report the incarnation: the end of that run has the same number.
 func TestEndsAreNotAcknowledgedToUnknownIncarnation(t *testing.T) {
 	for name, answered := range map[string]bool{"start unanswered": false, "start answered": true} {
 		t.Run(name, func(t *testing.T) {
@@ -178,8 +178,8 @@
 	})
 }
 
-// Guards against ending a run that a new incarnation has started and confirmed in a response that does not tell the incarnation:
-// workers tell it with their registrations and their lists of runs.
+// Guards against ending a run that a new incarnation has started and confirmed in a response that does not report the incarnation:
+// workers report it with their registrations and their lists of runs.
 func TestRunConfirmedWithoutIncarnationIsNotRepeated(t *testing.T) {
 	for name, c := range map[string]struct {
 		step  workload.Step
@@ -291,7 +291,7 @@
 }
 
 // Guards against taking a stop that the earlier incarnation has confirmed for one of the next, because its answer arrives after the
-// restart is known and does not tell the incarnation: the run has ended, and is started late.
+// restart is known and does not report the incarnation: the run has ended, and is started late.
 func TestLateStopAnswerOfEarlierIncarnationDoesNotCoverLateStart(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		starts, stops := 0, 0
@@ -488,7 +488,7 @@
 }
 
 // Guards against a gang whose members wait in vain because the start of one got no answer, and is not sent again while the worker does
-// not tell its clock.
+// not report its clock.
 func TestGangIsStoppedWhenStartCannotBeRepeated(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		lost := false
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -230,7 +230,7 @@
 		id := workload.TaskID{Job: j.id(), Occurrence: u.Occurrence, Step: u.Step, Index: placement.Task}
 		r := p.addRun(g, id, number, w)
 		r.checkpoint = t.Checkpoint
-		// The worker may have to tell its clock first.
+		// The worker may have to report its clock first.
 		p.scheduleContact(w)
 		p.breaker.RecordStart(now, w.id(), breakerKey(j))
 	}
--- a/engine/state.go
+++ b/engine/state.go
@@ -84,7 +84,7 @@
 	runningSince time.Time
 }
 
-// workersIdentified reports whether all workers on which runs of the group are to be started have told their incarnations since the group
+// workersIdentified reports whether all workers on which runs of the group are to be started have reported their incarnations since the group
 // was placed. Members that start without the others would wait.
 func (g *group) workersIdentified() bool {
 	for _, r := range g.runs {
@@ -172,14 +172,14 @@
 	incarnation        int64
 	incarnationSince   time.Time
 	incarnationChanges int
-	// toldIncarnation is the newest incarnation that the worker itself has told, and answersAt the address at which it did, which is that
+	// reportedIncarnation is the newest incarnation that the worker itself has reported, and answersAt the address at which it did, which is that
 	// of the registration; empty once another worker has it. Entries in the store may be of other writers.
-	toldIncarnation int64
-	answersAt       string
+	reportedIncarnation int64
+	answersAt           string
 	// supersededIncarnation is the last one before the time of day of the worker went back, 0 if it never did. It is higher than the
 	// next one.
 	supersededIncarnation int64
-	// outdated is the newest entry if it tells an incarnation that has ended, until the worker has told its own since.
+	// outdated is the newest entry if it reports an incarnation that has ended, until the worker has reported its own since.
 	outdated *unverifiedEntry
 	// unverified is the newest entry if it contradicts that, until that is settled; see resolveUnverified. It is not registered
 	// meanwhile.
@@ -204,7 +204,7 @@
 	contactScheduled, contactTimerSet bool
 	// lastAnswer is when the worker last responded; failingSince is when calls began to fail, zero while they succeed.
 	lastAnswer, failingSince time.Time
-	// identifiedAt is when the response arrived in which the worker last told its incarnation, and identifiedSentAt is when the call
+	// identifiedAt is when the response arrived in which the worker last reported its incarnation, and identifiedSentAt is when the call
 	// was sent.
 	identifiedAt, identifiedSentAt time.Time
 	nextPoll                       time.Time
@@ -217,8 +217,8 @@
 	// leaseRenewedAt is when a poll last extended the lease.
 	leaseRenewedAt time.Time
 	// leasesEndBy is the time after which the leases of all incarnations of the worker have certainly ended, also those that one that only an
-	// entry tells may get from late orders. toldLeasesEndBy, which is never later, counts the incarnations that the worker has told.
-	leasesEndBy, toldLeasesEndBy time.Time
+	// entry reports may get from late orders. reportedLeasesEndBy, which is never later, counts the incarnations that the worker has reported.
+	leasesEndBy, reportedLeasesEndBy time.Time
 	// lastEnd is the number of the last end that was applied; acknowledgedEnd is the last one that the worker may discard.
 	lastEnd, acknowledgedEnd int64
 	// moreEnds is set while the worker may have ends beyond those that it last listed.
@@ -228,8 +228,8 @@
 	// unstoredEnds counts the ends up to lastEnd that are not stored. They are acknowledged once there are none.
 	unstoredEnds int
 	draining     bool
-	// toldDraining is set once the worker itself has told that it drains, not only an entry.
-	toldDraining bool
+	// reportedDraining is set once the worker itself has reported that it drains, not only an entry.
+	reportedDraining bool
 	// drainEnd is the earliest time at which a draining worker leaves.
 	drainEnd time.Time
 	// unhealthyUntil is when the worker may get new runs again.
@@ -263,12 +263,12 @@
 	return all, stopping
 }
 
-// clockKnown reports whether the worker has told its clock recently enough to grant it a lease.
+// clockKnown reports whether the worker has reported its clock recently enough to grant it a lease.
 func (w *workerState) clockKnown(now time.Time) bool {
 	return w.clock != 0 && now.Sub(w.clockAt) <= maxClockAge
 }
 
-// recordIdentified records that the worker told its incarnation, unless it is 0, in the response to a call to an address that was sent at the
+// recordIdentified records that the worker reported its incarnation, unless it is 0, in the response to a call to an address that was sent at the
 // given time. It reports whether the worker had not answered there before.
 func (w *workerState) recordIdentified(incarnation int64, address string, sent time.Time) bool {
 	if incarnation == 0 {
@@ -281,19 +281,19 @@
 		// The entry is of an earlier incarnation or of another writer.
 		w.outdated = nil
 	}
-	if w.toldIncarnation == 0 && w.registration.Address != "" {
-		// An entry may have told another address since the call was sent.
+	if w.reportedIncarnation == 0 && w.registration.Address != "" {
+		// An entry may have reported another address since the call was sent.
 		w.registration.Address = address
 	}
 	if address != w.registration.Address {
 		return false
 	}
 	first := w.answersAt != address
-	w.toldIncarnation, w.answersAt = incarnation, address
+	w.reportedIncarnation, w.answersAt = incarnation, address
 	return first
 }
 
-// identifiedSince reports whether the worker has told its incarnation in the response to a call that was sent at the given time or later.
+// identifiedSince reports whether the worker has reported its incarnation in the response to a call that was sent at the given time or later.
 func (w *workerState) identifiedSince(t time.Time) bool { return !w.identifiedSentAt.Before(t) }
 
 // earliestWorkerTime returns the lowest reading that the worker's clock can have now.
@@ -301,15 +301,15 @@
 	return w.clock + WorkerTime(float64(now.Sub(w.clockAt))*(1-maxClockDrift))
 }
 
-// boundLeases records that leases of an incarnation that the worker has told may last until the given time.
+// boundLeases records that leases of an incarnation that the worker has reported may last until the given time.
 func (w *workerState) boundLeases(until time.Time) {
 	w.boundAnyLeases(until)
-	if until.After(w.toldLeasesEndBy) {
-		w.toldLeasesEndBy = until
+	if until.After(w.reportedLeasesEndBy) {
+		w.reportedLeasesEndBy = until
 	}
 }
 
-// boundAnyLeases records that leases of any incarnation, also one that only an entry tells, may last until the given time.
+// boundAnyLeases records that leases of any incarnation, also one that only an entry reports, may last until the given time.
 func (w *workerState) boundAnyLeases(until time.Time) {
 	if until.After(w.leasesEndBy) {
 		w.leasesEndBy = until
