engine: log why a job has no run at work

A job that is ready can wait for a lease, for workers in quarantine or that it avoids, for room, for a rack, or because an earlier run may start late, and no log line told these apart. job-idle names the runs and the workers by reason, at most 20 lines in 500 ms; jobs-idle-gauge counts the jobs. No decision changes.

--- a/engine/planner.go
+++ b/engine/planner.go
@@ -135,6 +135,8 @@
 	outageEnd atomic.Pointer[outageEnd]
 	// planNeeded is set when something has changed that affects planning.
 	planNeeded bool
+	// idleCheckedAt is when idle jobs were last searched for.
+	idleCheckedAt time.Time
 	// nextPlanAt is when planning may run next; planScheduled is set while a timer for it runs.
 	nextPlanAt    time.Time
 	planScheduled bool
@@ -308,6 +310,7 @@
 	p.concludeProbes(now)
 	p.moveOffDrainingWorkers(now)
 	p.deleteExpiredJobs()
+	p.reportIdleJobs(now)
 	p.scheduleAllContacts()
 	p.planNeeded = true
 }
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -45,15 +45,20 @@
 // readyUnits returns the gangs and single tasks that could start now.
 func (p *Planner) readyUnits(now time.Time, guaranteed map[*jobState]bool) []*policy.Unit {
 	var units []*policy.Unit
-	timeOfDay := p.TimeOfDay()
 	for _, j := range p.active {
-		for k := range j.record.Progress.Tasks {
-			if due := j.record.Job.OccurrenceStart(k); !due.IsZero() && timeOfDay.Before(due) {
-				break
-			}
-			for s := range j.record.Job.Steps {
-				units = p.appendStepUnits(units, now, j, k, s, guaranteed[j])
-			}
+		units = p.readyUnitsOf(units, now, j, guaranteed[j])
+	}
+	return units
+}
+
+// readyUnitsOf appends the units of a job that could start now.
+func (p *Planner) readyUnitsOf(units []*policy.Unit, now time.Time, j *jobState, guaranteed bool) []*policy.Unit {
+	for k := range j.record.Progress.Tasks {
+		if due := j.record.Job.OccurrenceStart(k); !due.IsZero() && p.TimeOfDay().Before(due) {
+			break
+		}
+		for s := range j.record.Job.Steps {
+			units = p.appendStepUnits(units, now, j, k, s, guaranteed)
 		}
 	}
 	return units
--- a/engine/state.go
+++ b/engine/state.go
@@ -33,6 +33,9 @@
 	avoid map[string]time.Time
 	// stalls counts, by task or gang, the runs that were stopped because they seemed to stall.
 	stalls map[groupKey]int
+	// idleSince is since when no run of the job is at work although a task is ready or placed, zero while one is; idleReportedAt is when the
+	// reason was last logged.
+	idleSince, idleReportedAt time.Time
 	// blamedFailures counts the failures that were attributed to workers.
 	blamedFailures int
 	// maybeStored is set once the store may have the job, from a commit of this planner that got no response or from another
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -70,6 +70,7 @@
 	GroupsPreempted      Name = "groups-preempted"
 	EndsContradicted     Name = "inferred-ends-contradicted"
 	UnitsWaiting         Name = "units-waiting-gauge"
+	JobsIdle             Name = "jobs-idle-gauge"
 	PlannerTerms         Name = "planner-terms"
 	LogLinesDropped      Name = "log-lines-dropped-gauge"
 )
