--- a/standin/site/profile.go
+++ b/standin/site/profile.go
@@ -20,6 +20,43 @@
 	Work []time.Duration
 	// Failures is how many runs of each task or gang fail at the end of their work.
 	Failures int
+	// MidwayFailures has how runs of a task, or of a gang by the name of its step (ID.K.STEP), fail before the end of their work.
+	MidwayFailures map[string]MidwayFailures
+}
+
+// MidwayFailures says how runs of a task or a gang fail before the end of their work.
+type MidwayFailures struct {
+	// Percents has the share of the work after which each run fails, in turn; later runs do not fail. A run that resumes from a
+	// checkpoint fails after that share of the rest.
+	Percents []int
+	// Always makes the runs after those of Percents fail as well, in the same order of shares.
+	Always bool
+}
+
+// MustFail reports whether a task or a gang fails as often as the job allows, unless another one does so before.
+func (p *JobProfile) MustFail() bool {
+	limit := p.Job.MaxAttempts
+	if limit == 0 {
+		return false
+	}
+	for _, m := range p.MidwayFailures {
+		if m.Always || len(m.Percents) >= limit {
+			return true
+		}
+	}
+	return p.Failures >= limit
+}
+
+// percent returns the share of the work after which a run fails if the given number of runs have failed before, false if it does not.
+func (m *MidwayFailures) percent(failed int) (int, bool) {
+	switch {
+	case failed < len(m.Percents):
+		return m.Percents[failed], true
+	case m.Always && len(m.Percents) > 0:
+		return m.Percents[failed%len(m.Percents)], true
+	default:
+		return 0, false
+	}
 }
 
 // taskProfile is what a task does.
@@ -66,6 +103,15 @@
 	return len(s.failures[t.unit]) < t.profile.Failures
 }
 
+// setMidwayFailure sets whether and when a run that starts fails midway.
+func (s *Site) setMidwayFailure(task string, r *run) {
+	t := s.taskOf(task)
+	m := t.profile.MidwayFailures[t.unit]
+	if percent, fails := m.percent(len(s.failures[t.unit])); fails {
+		r.failsMidway, r.failsAfter = true, max(0, r.work-r.restored)*time.Duration(percent)/100
+	}
+}
+
 // saved returns the newest checkpoint of a run, empty if it has none. The end of a run by a stop writes one.
 func (s *Site) saved(task string, r *run, at time.Time, reason engine.EndReason) string {
 	if !s.stepOf(task).Checkpoints {
@@ -93,6 +139,9 @@
 // recordEnd records the end of a run for the oracle.
 func (s *Site) recordEnd(task string, r *run, reason engine.EndReason, at time.Time) {
 	unit := s.unitOf(task)
+	if at.After(s.lastEnds[unit]) {
+		s.lastEnds[unit] = at
+	}
 	switch reason {
 	case engine.EndDone:
 		s.everDone[unit] = true
--- a/standin/site/profile_test.go
+++ b/standin/site/profile_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"clementinepier/engine"
 	"clementinepier/standin/site"
 	"clementinepier/workload"
@@ -194,3 +196,93 @@
 		b.True(time.Since(sent) >= 300*time.Millisecond)
 	})
 }
+
+// Guards against runs that fail midway at another share of their work, or more often, than their profile says.
+func TestRunsFailMidway(t *testing.T) {
+	inVirtualTime(t, nil, func(b *bed) {
+		job := workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 2}}, MaxAttempts: 3}
+		b.SetJobProfile(site.JobProfile{Job: job, Work: []time.Duration{10 * time.Second}, MidwayFailures: map[string]site.MidwayFailures{
+			"j.0.0.0": {Percents: []int{28, 88}},
+		}})
+		b.mustStart("r-w1", "j.0.0.1", 1)
+		for run, after := range []time.Duration{2800 * time.Millisecond, 8800 * time.Millisecond} {
+			b.mustStart("r-w0", "j.0.0.0", run+1)
+			time.Sleep(after - 10*time.Millisecond)
+			b.Equal(b.ends("r-w0"), "running")
+			time.Sleep(10 * time.Millisecond)
+			b.Equal(b.ends("r-w0"), "failed")
+			b.acknowledge("r-w0")
+		}
+		b.mustStart("r-w0", "j.0.0.0", 3)
+		time.Sleep(10 * time.Second)
+		b.Equal(b.ends("r-w0"), "done")
+		b.Equal(b.ends("r-w1"), "done")
+		b.True(!b.OutOfAttempts("j"))
+	})
+}
+
+// Guards against a task whose runs stop to fail, or one out of attempts that is not known to be.
+func TestRunsAlwaysFailMidway(t *testing.T) {
+	inVirtualTime(t, nil, func(b *bed) {
+		profile := site.JobProfile{
+			Job: workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 1}}, MaxAttempts: 3}, Work: []time.Duration{10 * time.Second},
+			MidwayFailures: map[string]site.MidwayFailures{"j.0.0.0": {Percents: []int{50, 20}, Always: true}},
+		}
+		b.SetJobProfile(profile)
+		b.True(profile.MustFail())
+		for run, after := range []time.Duration{5 * time.Second, 2 * time.Second, 5 * time.Second} {
+			b.True(!b.OutOfAttempts("j"))
+			b.mustStart("r-w0", "j.0.0.0", run+1)
+			time.Sleep(after)
+			b.Equal(b.ends("r-w0"), "failed")
+			b.acknowledge("r-w0")
+		}
+		b.True(b.OutOfAttempts("j"))
+	})
+}
+
+// Guards against a profile that is said to fail although a task has an attempt left, or not to fail although none is left.
+func TestMustFail(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		name    string
+		profile site.JobProfile
+		want    bool
+	}{
+		{"no failures", site.JobProfile{}, false},
+		{"an attempt left", site.JobProfile{MidwayFailures: map[string]site.MidwayFailures{"j.0.0.0": {Percents: []int{5, 5}}}}, false},
+		{"no attempt left", site.JobProfile{MidwayFailures: map[string]site.MidwayFailures{"j.0.0.0": {Percents: []int{5, 5, 5}}}}, true},
+		{"always", site.JobProfile{MidwayFailures: map[string]site.MidwayFailures{"j.0.0.0": {Percents: []int{5}, Always: true}}}, true},
+		{"an attempt left at the end of the work", site.JobProfile{Failures: 2}, false},
+		{"no attempt left at the end of the work", site.JobProfile{Failures: 3}, true},
+	} {
+		c.profile.Job = workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 1}}, MaxAttempts: 3}
+		is.Equal(c.profile.MustFail(), c.want) // name of the case
+	}
+}
+
+// Guards against a gang of which a member goes on when the gang fails midway, and against a run from a checkpoint that fails before it
+// has done any work.
+func TestGangFailsMidwayOfRemainingWork(t *testing.T) {
+	inVirtualTime(t, nil, func(b *bed) {
+		b.SetJobProfile(site.JobProfile{
+			Job:  workload.Job{ID: "j", Steps: []workload.Step{{Tasks: 2, Gang: true, Checkpoints: true}}, MaxAttempts: 5},
+			Work: []time.Duration{10 * time.Second}, MidwayFailures: map[string]site.MidwayFailures{"j.0.0": {Percents: []int{50, 50}}},
+		})
+		b.mustStart("r-w0", "j.0.0.0", 1)
+		time.Sleep(time.Second)
+		b.mustStart("r-w1", "j.0.0.1", 1)
+		time.Sleep(5 * time.Second)
+		response, err := b.poll("r-w0", engine.PollRequest{})
+		b.NoErr(err)
+		b.Equal(response.Ends[0].Reason, engine.EndFailed)
+		b.Equal(b.ends("r-w1"), "broken")
+		b.startFrom("r-w0", "j.0.0.0", response.Ends[0].Checkpoint)
+		b.startFrom("r-w1", "j.0.0.1", response.Ends[0].Checkpoint)
+		b.acknowledge("r-w0")
+		time.Sleep(2490 * time.Millisecond)
+		b.Equal(b.ends("r-w0"), "running")
+		time.Sleep(10 * time.Millisecond)
+		b.Equal(b.ends("r-w0"), "failed")
+	})
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -71,13 +71,16 @@
 	checkpoints map[string]map[string]time.Duration
 	// started holds the time of the last start of each unit.
 	started map[string]time.Time
+	// lastRuns holds the highest run number of each unit that was started, lastEnds when a run of it last ended or was lost.
+	lastRuns map[string]int
+	lastEnds map[string]time.Time
 }
 
 // New returns a site without workers.
 func New() *Site {
 	return &Site{
 		Store: NewStore(), workers: map[string]*Worker{}, profiles: map[string]JobProfile{}, tasks: map[string]*taskProfile{},
-		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{},
+		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{}, lastRuns: map[string]int{}, lastEnds: map[string]time.Time{},
 		cancelled: map[string]time.Time{}, failures: map[string]map[int]time.Time{}, notedFailures: map[string]map[int]time.Time{},
 		checkpoints:   map[string]map[string]time.Duration{},
 		MaxListedEnds: DefaultMaxListedEnds, Prefix: RegistrationPrefix, EncodeRegistration: func(a engine.Registration) []byte { return []byte(a.ID) },
@@ -327,13 +330,17 @@
 		}
 		return e
 	}
-	done := run.workingSince.Add(max(0, run.work-run.restored))
-	if done.Before(s.appliedAt) {
+	atWork, reason := max(0, run.work-run.restored), engine.EndDone
+	if run.failsMidway {
+		atWork, reason = run.failsAfter, engine.EndFailed
+	}
+	end := run.workingSince.Add(atWork)
+	if end.Before(s.appliedAt) {
 		// The work was stalled at that time.
-		done = s.appliedAt
+		end = s.appliedAt
 	}
-	if !stalled && !run.broken && !done.After(e.at) {
-		e.at, e.reason = done, engine.EndDone
+	if !stalled && !run.broken && !end.After(e.at) {
+		e.at, e.reason = end, reason
 	}
 	if stop := run.stopsAt; !stop.IsZero() && stop.Before(e.at) {
 		e.at, e.reason = stop, engine.EndStopped
@@ -371,6 +378,7 @@
 	runs := w.runs
 	w.runs = map[string]*run{}
 	for task, run := range runs {
+		s.lastEnds[s.unitOf(task)] = time.Now()
 		key, size := s.gangOf(task, run)
 		if size == 0 {
 			continue
@@ -534,8 +542,10 @@
 	s.checkStart(w, o, received)
 	w.Starts++
 	s.started[s.unitOf(o.Task)] = time.Now()
+	s.lastRuns[s.unitOf(o.Task)] = max(s.lastRuns[s.unitOf(o.Task)], o.Run)
 	r := &run{number: o.Run, started: time.Now(), work: s.taskOf(o.Task).work, checkpoint: o.Checkpoint}
 	r.restored = s.checkpoints[s.unitOf(o.Task)][o.Checkpoint]
+	s.setMidwayFailure(o.Task, r)
 	w.runs[o.Task] = r
 	s.beginWork(o.Task, r)
 	return w.orderStatus(), nil
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -120,6 +120,13 @@
 	return s.items[key].Revision
 }
 
+// value returns the value of a key, nil if it does not exist.
+func (s *Store) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 func (s *Store) put(i engine.Item) {
 	s.revision++
 	s.record(i)
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -11,6 +11,9 @@
 	number  int
 	started time.Time
 	work    time.Duration
+	// failsMidway means that the run fails after working for failsAfter.
+	failsMidway bool
+	failsAfter  time.Duration
 	// workingSince is when the run began to work; zero while it waits for the other members of its gang.
 	workingSince time.Time
 	// broken is set when another member of the gang has ended, not as done, while this one was present.
