--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -74,13 +74,15 @@
 	// lastRuns holds the highest run number of each unit that was started, lastEnds when a run of it last ended or was lost.
 	lastRuns map[string]int
 	lastEnds map[string]time.Time
+	// ended holds the jobs that Waiting has found to have no unit left, or one that is out of attempts.
+	ended map[string]bool
 }
 
 // New returns a site without workers.
 func New() *Site {
 	return &Site{
 		Store: NewStore(), workers: map[string]*Worker{}, profiles: map[string]JobProfile{}, tasks: map[string]*taskProfile{},
-		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{}, lastRuns: map[string]int{}, lastEnds: map[string]time.Time{},
+		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{}, lastRuns: map[string]int{}, lastEnds: map[string]time.Time{}, ended: map[string]bool{},
 		cancelled: map[string]time.Time{}, failures: map[string]map[int]time.Time{}, notedFailures: map[string]map[int]time.Time{},
 		checkpoints:   map[string]map[string]time.Duration{},
 		MaxListedEnds: DefaultMaxListedEnds, Prefix: RegistrationPrefix, EncodeRegistration: func(a engine.Registration) []byte { return []byte(a.ID) },
@@ -181,6 +183,13 @@
 	s.profiles[p.Job.ID] = p
 }
 
+// JobProfile returns what the tasks of a job do.
+func (s *Site) JobProfile(id string) JobProfile {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.profiles[id]
+}
+
 // lockWorker waits for the latency of a call and returns the worker at the address with s.mu held, after
 // applying elapsed time. On an error, s.mu is not held.
 func (s *Site) lockWorker(ctx context.Context, address string) (*Worker, error) {
--- a/standin/site/waiting.go
+++ b/standin/site/waiting.go
@@ -45,7 +45,7 @@
 		}
 	}
 	for _, id := range jobs {
-		if p, ok := s.profiles[id]; ok && !running[id] {
+		if p, ok := s.profiles[id]; ok && !running[id] && !s.ended[id] {
 			found.Units = append(found.Units, s.waitingUnits(p, inTouch)...)
 		}
 	}
@@ -77,6 +77,7 @@
 func (s *Site) waitingUnits(p JobProfile, workers []*Worker) []WaitingUnit {
 	var found []WaitingUnit
 	var idleSince time.Time
+	left := false
 	for occurrence := range p.Job.Occurrences() {
 		due := !time.Now().Before(p.Job.OccurrenceStart(occurrence))
 		for i := range p.Job.Steps {
@@ -85,9 +86,11 @@
 			for index := range numberOfUnits(step) {
 				unit := s.unitOf(workload.TaskID{Job: p.Job.ID, Occurrence: occurrence, Step: i, Index: index}.String())
 				if limit := p.Job.MaxAttempts; limit > 0 && len(s.failures[unit]) >= limit {
+					s.ended[p.Job.ID] = true
 					return nil
 				}
 				idleSince = slices.MaxFunc([]time.Time{idleSince, s.started[unit], s.lastEnds[unit]}, time.Time.Compare)
+				left = left || !s.everDone[unit]
 				if !turn || s.everDone[unit] {
 					continue
 				}
@@ -97,6 +100,7 @@
 			}
 		}
 	}
+	s.ended[p.Job.ID] = !left
 	for i := range found {
 		found[i].IdleSince = idleSince
 	}
