engine: note in the store how long the leases of silent workers can last

Cause: only the memory of a planner has until when it granted leases. Each successor assumed that the last lease was granted just before its own start, also for workers that no planner had reached since.

Change: the planner stores, for each silent worker with runs, how long its leases can last from then on, and extends no lease of a worker while the stored note names it. A successor counts that time from its own start, which is after the writing. No time of day is used. A planner whose term has ended by itself leaves a last note, on condition that no later term has begun: each claim of the planner's key also writes a key that stays.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -236,7 +236,7 @@
 	if p.mayAcknowledge(w, now) {
 		request.Acknowledged = w.lastEnd
 	}
-	if !w.fenced || len(w.runs) > 0 && !w.clockKnown(now) {
+	if !w.fenced || len(w.runs) > 0 && !p.mayExtendLease(w, now) {
 		return request
 	}
 	switch {
@@ -381,11 +381,13 @@
 	}
 	p.reconcile(w, sent, request.Fence, response)
 	p.sendDueStartsTo(w, now)
+	named := p.leaseNote.named[w.id()]
+	p.leaseNote.checkNeeded = p.leaseNote.checkNeeded || named
 	switch {
 	case p.suspended && request.Wait == 0:
 		// The worker lists the same ends again until the store answers.
 		w.nextPoll = now.Add(pollRetryDelay)
-	case len(w.orphans) > 0, request.Wait == 0 && request.Until != 0 && len(response.Ends) == 0:
+	case len(w.orphans) > 0, named && request.Wait == 0, request.Wait == 0 && request.Until != 0 && len(response.Ends) == 0:
 		w.nextPoll = now.Add(immediatePollInterval)
 	}
 }
--- a/engine/load.go
+++ b/engine/load.go
@@ -34,6 +34,9 @@
 
 // load reads the jobs and the workers from the store.
 func (p *Planner) load(ctx context.Context) error {
+	if err := p.loadLeaseNote(ctx); err != nil {
+		return err
+	}
 	jobs, err := p.list(ctx, jobPrefix)
 	if err != nil {
 		return err
@@ -162,7 +165,7 @@
 	w, ok := p.workers[id]
 	if !ok {
 		w = &workerState{registration: Registration{ID: id}, fence: max(p.lastRevision, p.forgottenFence), runs: map[string]*run{}}
-		w.boundLeases(p.started.Add(p.leaseBound(p.Bounds.MaxLease)))
+		w.boundLeases(p.started.Add(p.inheritedLeaseBound(id)))
 		p.workers[id] = w
 		p.invalidateFleets()
 	}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -64,7 +64,7 @@
 		p.endRun(r, EndStopped, "", basisNotSent)
 		return
 	}
-	if !w.clockKnown(p.Clock.Now()) || r.startAttempts == 0 && !r.group.workersIdentified() {
+	if !p.mayExtendLease(w, p.Clock.Now()) || r.startAttempts == 0 && !r.group.workersIdentified() {
 		if r.startAttempts > 0 {
 			p.stopGroup(r.group, "a start order got no response")
 			p.stopRun(r)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -95,6 +95,8 @@
 	workers map[string]*workerState
 	// misdirected has the workers at whose address another server has refused a call since they last answered.
 	misdirected map[*workerState]bool
+	// leaseNote is the lease note in the store.
+	leaseNote leaseNoteState
 	// orphanTasks counts, by task, the workers that have an orphan run of it.
 	orphanTasks map[string]int
 	breaker     *breaker.Breaker
@@ -166,11 +168,13 @@
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker, p.fleets, p.orphanTasks = breaker.New(), map[string]*fleet{}, map[string]int{}
 	p.misdirected = map[*workerState]bool{}
+	p.leaseNote = leaseNoteState{named: map[string]bool{}}
 	// A job may fail by its own fault, so any success shows that the worker does not fail everything it starts.
 	p.breaker.FailureThreshold, p.breaker.InitialQuarantine, p.breaker.AnySuccessEndsQuarantine = failuresToQuarantine, firstQuarantine, true
 	done := make(chan error, 1)
 	go func() {
 		err := p.loop(ctx)
+		p.leaveLeaseNote()
 		p.withdrawUnsent()
 		cancel()
 		for _, watch := range p.watches {
@@ -266,6 +270,7 @@
 	}
 	p.planWhenDue()
 	p.flush()
+	p.writeLeaseNote()
 	p.contactWorkers()
 }
 
@@ -303,6 +308,7 @@
 	}
 	p.sendDueStarts(now)
 	p.expireLeases(now)
+	p.leaseNote.checkNeeded = true
 	p.withdrawLaterRuns(now)
 	p.stopStalledGroups(now)
 	p.concludeProbes(now)
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -45,6 +45,10 @@
 	// onConfiguration, if set, is called on a planner's control goroutine with the planner's name whenever it reads the
 	// configuration.
 	onConfiguration func(name string)
+	// timeOfDay, if set, is the time of day of the planner with the given name.
+	timeOfDay func(name string) time.Time
+	// wrapStore, if set, changes the calls to the store of the planner with the given name.
+	wrapStore func(name string, s engine.Store) engine.Store
 	// wrapWorkers, if set, changes the calls to workers of the planners that are started afterwards.
 	wrapWorkers func(engine.Workers) engine.Workers
 }
@@ -88,10 +92,14 @@
 func (r *rig) startPlanner(name string) (*engine.Planner, func()) {
 	clock := clockwork.NewRealClock()
 	ctx, cancel := context.WithCancel(context.Background())
+	store := r.Store.Engine()
+	if r.wrapStore != nil {
+		store = r.wrapStore(name, store)
+	}
 	var term *engine.Term
 	for term == nil {
 		var err error
-		term, err = engine.Claim(ctx, r.Store.Engine(), clock, engine.Holder{VM: name, Boot: name}, engine.TermLength)
+		term, err = engine.Claim(ctx, store, clock, engine.Holder{VM: name, Boot: name}, engine.TermLength)
 		if err != nil || term == nil {
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -100,7 +108,7 @@
 	if r.wrapWorkers != nil {
 		workers = r.wrapWorkers(workers)
 	}
-	p := r.newPlanner(name, term, r.Store.Engine(), workers)
+	p := r.newPlanner(name, term, store, workers)
 	renewed := term.Run(ctx, p.Log, p.Stalled)
 	planned, err := p.Run(ctx)
 	r.NoErr(err)
@@ -136,6 +144,9 @@
 			return r.Worker(id).Registration, nil
 		},
 	}
+	if r.timeOfDay != nil {
+		p.TimeOfDay = func() time.Time { return r.timeOfDay(name) }
+	}
 	if *logEvents {
 		p.Log = &eventlog.Log{Clock: clock, Budget: 10000}
 	}
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -181,6 +181,7 @@
 // acceptsStarts reports whether runs that were placed on a worker may be started there.
 func (p *Planner) acceptsStarts(w *workerState, now time.Time, conf *Configuration) bool {
 	return now.Sub(p.registrationsKnownAt) < maxRegistrationAge && w.registered && w.fenced && w.clock != 0 && !w.draining && w.failingSince.IsZero() && len(w.orphans) == 0 &&
+		!p.leaseNote.named[w.id()] &&
 		!conf.Evacuated[w.registration.FailureDomain] && !now.Before(w.unhealthyUntil)
 }
 
--- a/engine/store.go
+++ b/engine/store.go
@@ -123,4 +123,7 @@
 	plannerKey   = "clementinepier/planner"
 	jobPrefix    = "clementinepier/job/"
 	markerPrefix = "clementinepier/new/"
+	leaseNoteKey = "clementinepier/leases"
+	// termKey outlasts the terms. Its revision is the fencing token of the newest one.
+	termKey = "clementinepier/term"
 )
--- a/engine/term.go
+++ b/engine/term.go
@@ -75,7 +75,10 @@
 		return nil, errors.Wrap(err, "encode holder")
 	}
 	t := &Term{store: store, clock: clock, lease: lease, length: length, until: start.Add(length)}
-	revision, err := store.Commit(ctx, Txn{Writes: []Write{{Key: plannerKey, Value: value, Lease: lease}}})
+	revision, err := store.Commit(ctx, Txn{Writes: []Write{
+		{Key: plannerKey, Value: value, Lease: lease},
+		{Key: termKey, Value: value, Expected: AnyRevision},
+	}})
 	var conflict *ErrConflict
 	switch {
 	case errors.As(err, &conflict):
@@ -109,6 +112,9 @@
 // Key returns the planner's key and its revision, which are a precondition of every write of this planner.
 func (t *Term) Key() Item { return t.key }
 
+// newest returns the item that the store has as long as no later term has begun, also when this one has ended.
+func (t *Term) newest() Item { return Item{Key: termKey, Revision: t.key.Revision} }
+
 // Fence returns the fencing token that is sent with every order. A later planner has a higher one, and workers refuse orders
 // with a lower one than they have seen.
 func (t *Term) Fence() int64 { return t.key.Revision }
