engine, policy: a job that fits on no other worker uses one in quarantine

Cause: one failure closed a worker to all jobs for 3 s, each failed probe doubled that up to 10 minutes, failing jobs were the probes, and nothing bounded the closed share of a service. Closing was a ban where a preference was meant.

Now a job without a run for 1 s uses a closed worker if it fits on no other, the least suspect first, after 2 s also one on which it failed. A job that failed on two workers and was done on no more is suspect: its failures neither prolong a quarantine nor count against a worker. Two other jobs whose runs fail within 1 s of their starts show that the worker is at fault; it is then used only in a service that is mostly idle, by jobs that have not failed there and keep another attempt, so that bad workers take few attempts of sound jobs. Decisions are logged as failure-judged and suspect-worker-used.

That the users' record has this course is suspected, not shown.

--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -31,7 +31,8 @@
 		policyWorker := f.policyWorkers[i]
 		policyWorker.Free = policyWorker.Capacity.Sub(used)
 		policyWorker.FreeAfterStops = policyWorker.Free.Add(stopping)
-		policyWorker.Usable = p.usable(w, now, conf)
+		policyWorker.Usable = p.acceptsStarts(w, now, conf)
+		policyWorker.Closed, policyWorker.Quarantined = p.closed(w, now), p.breaker.Quarantined(w.id())
 		policyWorker.Victims = policyWorker.Victims[:0]
 	}
 	if mayPreempt {
--- a/engine/health.go
+++ b/engine/health.go
@@ -72,6 +72,7 @@
 			if r.group.step().LongRunning {
 				// A task that lasts is never done, so being at work is its success.
 				p.breaker.RecordSuccess(w.id(), key)
+				r.recordDoneOnWorker()
 			} else {
 				p.breaker.RecordLongProbe(w.id(), key)
 			}
--- a/engine/idle.go
+++ b/engine/idle.go
@@ -22,7 +22,7 @@
 type idleWorkers struct {
 	// unavailable workers accept no starts at all, such as those that cannot be reached, drain or restart.
 	unavailable int
-	// closed workers are in quarantine, or tested by another job.
+	// closed workers are in quarantine, or tested by another job; see closedWorkerWait.
 	closed int
 	// avoided workers have failed or stalled a run of the job.
 	avoided int
@@ -43,7 +43,7 @@
 	conf := p.Configuration()
 	idle, reports := 0, 0
 	for _, j := range p.active {
-		units := p.readyUnitsOf(nil, now, j, false)
+		units := p.readyUnitsOf(nil, now, j, false, nil)
 		if j.atWork() || len(units) == 0 && len(j.groups) == 0 {
 			j.idleSince = time.Time{}
 			continue
@@ -114,7 +114,7 @@
 		switch capacity := w.registration.Capacity; {
 		case !p.acceptsStarts(w, now, conf):
 			c.unavailable++
-		case !p.breaker.Allowed(now, w.id(), true):
+		case p.closed(w, now):
 			c.closed++
 		case u.Avoid[w.id()]:
 			c.avoided++
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -373,7 +373,10 @@
 
 // newJobState returns the in-memory state of a job that was accepted at the given time of the planner's clock.
 func newJobState(record workload.Record, accepted time.Time) *jobState {
-	j := &jobState{record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, stalls: map[groupKey]int{}}
+	j := &jobState{
+		record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, stalls: map[groupKey]int{},
+		failedOn: map[string]bool{}, doneOn: map[string]bool{}, endedAt: map[groupKey]time.Time{},
+	}
 	j.readySince = make([][]time.Time, record.Job.Occurrences())
 	for k := range j.readySince {
 		j.readySince[k] = make([]time.Time, len(record.Job.Steps))
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -116,6 +116,9 @@
 	}
 	if len(g.runs) == 0 {
 		delete(g.job.groups, g.key)
+		if g.step().LongRunning {
+			g.job.endedAt[g.key] = p.Clock.Now()
+		}
 		return
 	}
 	if !g.done {
@@ -127,6 +130,7 @@
 func (p *Planner) recordSuccess(r *run) {
 	g := r.group
 	p.breaker.RecordSuccess(r.worker.id(), breakerKey(g.job))
+	r.recordDoneOnWorker()
 	if g.done || g.step().LongRunning {
 		return
 	}
@@ -150,10 +154,7 @@
 func (p *Planner) recordFailure(r *run) {
 	g, j := r.group, r.group.job
 	j.begun = true
-	if j.blamedFailures < maxBlamedFailures || p.breaker.Quarantined(r.worker.id()) {
-		j.blamedFailures++
-		p.breaker.RecordFailure(p.Clock.Now(), r.worker.id(), breakerKey(j))
-	}
+	p.blameFailure(r)
 	j.avoidWorker(p.Clock.Now(), r.worker)
 	if g.failed || g.done {
 		return
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -24,7 +24,7 @@
 	now := p.Clock.Now()
 	conf := p.Configuration()
 	guaranteed := p.guaranteedJobs(conf)
-	units := p.readyUnits(now, guaranteed)
+	units := p.readyUnits(now, conf, guaranteed)
 	p.Metrics.SetGauge(metrics.UnitsWaiting, int64(len(units)))
 	units = p.withoutPossibleRuns(now, units)
 	if len(units) == 0 {
@@ -43,29 +43,31 @@
 }
 
 // readyUnits returns the gangs and single tasks that could start now.
-func (p *Planner) readyUnits(now time.Time, guaranteed map[*jobState]bool) []*policy.Unit {
+func (p *Planner) readyUnits(now time.Time, conf *Configuration, guaranteed map[*jobState]bool) []*policy.Unit {
 	var units []*policy.Unit
+	closed := p.closedWorkers(now, conf)
 	for _, j := range p.active {
-		units = p.readyUnitsOf(units, now, j, guaranteed[j])
+		j.updateUnplacedSince(now)
+		units = p.readyUnitsOf(units, now, j, guaranteed[j], closed[j.record.Job.Service])
 	}
 	return units
 }
 
-// readyUnitsOf appends the units of a job that could start now.
-func (p *Planner) readyUnitsOf(units []*policy.Unit, now time.Time, j *jobState, guaranteed bool) []*policy.Unit {
+// readyUnitsOf appends the units of a job that could start now. The closed workers may be nil if they do not matter.
+func (p *Planner) readyUnitsOf(units []*policy.Unit, now time.Time, j *jobState, guaranteed bool, closed *closedFleet) []*policy.Unit {
 	for k := range j.record.Progress.Tasks {
 		if due := j.record.Job.OccurrenceStart(k); !due.IsZero() && p.TimeOfDay().Before(due) {
 			break
 		}
 		for s := range j.record.Job.Steps {
-			units = p.appendStepUnits(units, now, j, k, s, guaranteed)
+			units = appendStepUnits(units, now, j, k, s, guaranteed, closed)
 		}
 	}
 	return units
 }
 
 // appendStepUnits appends the units of step s of occurrence k that could start now.
-func (p *Planner) appendStepUnits(units []*policy.Unit, now time.Time, j *jobState, k, s int, guaranteed bool) []*policy.Unit {
+func appendStepUnits(units []*policy.Unit, now time.Time, j *jobState, k, s int, guaranteed bool, closed *closedFleet) []*policy.Unit {
 	step := &j.record.Job.Steps[s]
 	if j.record.Progress.StepDone(k, s) || !j.stepReady(k, s) {
 		return units
@@ -82,6 +84,7 @@
 	if !step.LongRunning {
 		// A task that lasts may be away for a few seconds only; the quarantine of a worker is short enough.
 		base.Avoid = j.avoidedWorkers(now)
+		base.ClosedWorkers = closed.allowedFor(j, now, latest(j.readySince[k][s], j.unplacedSince), false)
 	}
 	origin := j.accepted
 	if j.record.Job.Repeat > 0 {
@@ -111,6 +114,9 @@
 		}
 		u := base
 		u.Tasks = []int{i}
+		if step.LongRunning {
+			u.ClosedWorkers = closed.allowedFor(j, now, latest(j.readySince[k][s], j.endedAt[groupKey{k, s, i}]), true)
+		}
 		units = append(units, &u)
 	}
 	return units
@@ -180,7 +186,7 @@
 
 // usable reports whether new runs may be placed on a worker.
 func (p *Planner) usable(w *workerState, now time.Time, conf *Configuration) bool {
-	return p.acceptsStarts(w, now, conf) && p.breaker.Allowed(now, w.id(), true)
+	return p.acceptsStarts(w, now, conf) && !p.closed(w, now)
 }
 
 // acceptsStarts reports whether runs that were placed on a worker may be started there.
@@ -237,6 +243,10 @@
 		r.checkpoint = t.Checkpoint
 		// The worker may have to report its clock first.
 		p.scheduleContact(w)
+		if p.closed(w, now) || u.Avoid[w.id()] {
+			p.Log.Event("suspect-worker-used", "task", r.name, "run", number, "worker", w.id(), "closed", p.closed(w, now), "failed-here", u.Avoid[w.id()],
+				"suspicion", w.suspicion(), "waited", now.Sub(latest(u.ReadySince, j.unplacedSince)))
+		}
 		p.breaker.RecordStart(now, w.id(), breakerKey(j))
 	}
 	if !j.record.Progress.Started {
--- a/engine/state.go
+++ b/engine/state.go
@@ -38,6 +38,12 @@
 	idleSince, idleReportedAt time.Time
 	// blamedFailures counts the failures that were attributed to workers.
 	blamedFailures int
+	// failedOn and doneOn have the workers on which a run of the job has failed or was done.
+	failedOn, doneOn map[string]bool
+	// unplacedSince is since when the job has no run that is at work or is being started; zero while it has one.
+	unplacedSince time.Time
+	// endedAt is, for each task that lasts, when its last run ended.
+	endedAt map[groupKey]time.Time
 	// maybeStored is set once the store may have the job, from a commit of this planner that got no response or from another
 	// entry VM.
 	maybeStored bool
@@ -237,6 +243,8 @@
 	drainEnd time.Time
 	// unhealthyUntil is when the worker may get new runs again.
 	unhealthyUntil time.Time
+	// failedJobs has the jobs of which a run has failed on the worker soon after its start, since one was last done there, the newest last.
+	failedJobs []*jobState
 }
 
 // lateStart is a start order that got no response, so that the worker may carry it out later.
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -36,9 +36,10 @@
 
 // candidate is a worker with the capacity that a unit may still use on it, and the number of the step's tasks there.
 type candidate struct {
-	worker *Worker
-	free   workload.Resources
-	tasks  int
+	worker    *Worker
+	suspicion int
+	free      workload.Resources
+	tasks     int
 }
 
 // NewFleet returns a fleet of the workers. Plan changes the workers as it places work on them.
@@ -64,13 +65,19 @@
 	var d Decision
 	reserved := int64(0)
 	blocked := map[stepKey]bool{}
+	onClosed := map[*workload.Job]bool{}
 	for _, u := range units {
 		key := stepKey{job: u.Job, occurrence: u.Occurrence, step: u.Step}
-		if blocked[key] {
+		if blocked[key] && (!u.step().LongRunning || len(u.ClosedWorkers) == 0) {
 			continue
 		}
-		if chosen := f.findWorkers(now, u, freeCapacity); chosen != nil {
+		if onClosed[u.Job] && !u.step().LongRunning {
+			// One attempt of a job at a time is risked there.
+			u.ClosedWorkers = nil
+		}
+		if chosen := f.findWithFallbacks(now, u); chosen != nil {
 			for i, w := range chosen {
+				onClosed[u.Job] = onClosed[u.Job] || w.isClosedTo(u)
 				d.Placements = append(d.Placements, Placement{Unit: u, Task: u.Tasks[i], Worker: w.ID})
 				f.allocate(w, u)
 			}
@@ -80,7 +87,7 @@
 			blocked[key] = true
 		}
 		if u.Guaranteed || u.Job.Priority == 0 && u.timeliness(now) == inTime {
-			f.preemptFor(now, u, &d)
+			u.withFallbacks(func() bool { return f.preemptFor(now, u, &d) })
 			continue
 		}
 		if need := u.step().Need.Accelerators * int64(len(u.Tasks)); u.timeliness(now) == inTime &&
@@ -92,7 +99,7 @@
 }
 
 // stepKey identifies one occurrence of a step. All its tasks need the same resources, so when one of them does not fit, no
-// other fits in the same pass.
+// other fits in the same pass, but on the closed workers that a task that lasts may use.
 type stepKey struct {
 	job              *workload.Job
 	occurrence, step int
@@ -107,7 +114,18 @@
 	}
 }
 
-// findWorkers returns a worker for each task of the unit, or nil if the unit has to wait.
+// findWithFallbacks returns a worker for each task of the unit, or nil if the unit has to wait. Load pattern: jobs that fail wherever they
+// run, beside sound jobs and on few workers.
+func (f *Fleet) findWithFallbacks(now time.Time, u *Unit) []*Worker {
+	var chosen []*Worker
+	u.withFallbacks(func() bool {
+		chosen = f.findWorkers(now, u, freeCapacity)
+		return chosen != nil
+	})
+	return chosen
+}
+
+// findWorkers returns a worker for each task of the unit, at its present fallback, or nil.
 func (f *Fleet) findWorkers(now time.Time, u *Unit, capacity capacityFunc) []*Worker {
 	s := u.step()
 	if !s.SameRack && s.DataRack == "" {
@@ -175,8 +193,8 @@
 	return best
 }
 
-// bestFit places every task of the unit on one of the given workers, each on the worker with the least capacity into which
-// it fits. It returns nil if not all tasks fit.
+// bestFit places every task of the unit on one of the given workers, each on the least suspect worker with the least capacity into
+// which it fits. It returns nil if not all tasks fit.
 func (f *Fleet) bestFit(u *Unit, workers []*Worker, capacity capacityFunc) []*Worker {
 	chosen := f.partialBestFit(u, workers, capacity)
 	if len(chosen) < len(u.Tasks) {
@@ -190,16 +208,17 @@
 	s := u.step()
 	candidates := f.candidates[:0]
 	for _, w := range workers {
-		if !w.Usable || u.Avoid[w.ID] || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+		if !u.mayUse(w) || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 			continue
 		}
 		if available := capacity(w); s.Need.Fits(available) {
-			candidates = append(candidates, candidate{worker: w, free: available, tasks: u.TasksByWorker[w.ID]})
+			candidates = append(candidates, candidate{worker: w, suspicion: u.suspicion(w), free: available, tasks: u.TasksByWorker[w.ID]})
 		}
 	}
 	f.candidates = candidates
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
+			cmp.Compare(a.suspicion, b.suspicion),
 			cmp.Compare(a.free.Accelerators, b.free.Accelerators),
 			cmp.Compare(a.free.MilliCPU, b.free.MilliCPU),
 			cmp.Compare(a.free.MemoryMB, b.free.MemoryMB),
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -166,3 +166,48 @@
 	d = plan(start, []*policy.Worker{w1, w2}, unit("other", 0, 1, 8))
 	is.Equal(len(d.Preemptions), 0)
 }
+
+// Guards against work that waits beside an idle closed worker which it may use, and against closed workers that are used before others.
+func TestClosedWorkerIsUsedAsLastResort(t *testing.T) {
+	is := is.New(t)
+	fleet := func(usedOnOpen int64) []*policy.Worker {
+		workers := []*policy.Worker{worker("closed1", "r1", 0), worker("closed2", "r1", 6), worker("open", "r2", usedOnOpen)}
+		workers[0].Closed, workers[1].Closed = true, true
+		return workers
+	}
+	job := unit("job", 1, 1, 2).Job
+	task := func(i int) *policy.Unit {
+		u := unit("job", 1, 1, 2)
+		u.Job, u.Tasks = job, []int{i}
+		return u
+	}
+	is.Equal(len(plan(start, fleet(8), task(0)).Placements), 0)
+	allowed := func(i int) *policy.Unit {
+		u := task(i)
+		u.ClosedWorkers = map[string]int{"closed1": 1, "closed2": 2}
+		return u
+	}
+	is.Equal(plan(start, fleet(0), allowed(0)).Placements[0].Worker, "open")
+	d := plan(start, fleet(8), allowed(0), allowed(1))
+	is.Equal(len(d.Placements), 1) // one attempt of a job at a time is risked there
+	is.Equal(d.Placements[0].Worker, "closed1")
+	job.Steps[0].LongRunning = true
+	is.Equal(len(plan(start, fleet(8), task(0), allowed(1), allowed(2)).Placements), 2)
+}
+
+// Guards against a worker that failed and is used before others, and against a job whose run tests a worker on which it failed.
+func TestQuarantinedWorkerIsUsedAfterOthers(t *testing.T) {
+	is := is.New(t)
+	fleet := func(usedOnOther int64) []*policy.Worker {
+		workers := []*policy.Worker{worker("quarantined", "r1", 6), worker("other", "r1", usedOnOther)}
+		workers[0].Quarantined = true
+		return workers
+	}
+	is.Equal(plan(start, fleet(0), unit("job", 1, 1, 2)).Placements[0].Worker, "other")
+	is.Equal(plan(start, fleet(8), unit("job", 1, 1, 2)).Placements[0].Worker, "quarantined")
+	failed := unit("job", 1, 1, 2)
+	failed.Avoid["quarantined"] = true
+	is.Equal(len(plan(start, fleet(8), failed).Placements), 0)
+	failed.ClosedWorkers = map[string]int{"quarantined": 1}
+	is.Equal(len(plan(start, fleet(8), failed).Placements), 1)
+}
--- a/policy/reclaim.go
+++ b/policy/reclaim.go
@@ -16,11 +16,11 @@
 // preemptFor preempts groups for a unit that is guaranteed, or urgent and still in time. The unit may arrive while work of
 // other organisations uses the capacity that its organisation's guarantee covers. Of the possible sets of victims it takes
 // the one that loses the least work. If the unit fits once the stops that are already in progress have ended, it preempts
-// nothing, so that no unit causes preemptions twice.
-func (f *Fleet) preemptFor(now time.Time, u *Unit, d *Decision) {
+// nothing, so that no unit causes preemptions twice. It reports whether the unit fits after the stops.
+func (f *Fleet) preemptFor(now time.Time, u *Unit, d *Decision) bool {
 	if chosen := f.findWorkers(now, u, capacityAfterStops); chosen != nil {
 		f.allocateAll(u, chosen)
-		return
+		return true
 	}
 	var bestVictims []*Group
 	var bestTargets []*Worker
@@ -48,6 +48,7 @@
 		d.Preemptions = append(d.Preemptions, g)
 	}
 	f.allocateAll(u, bestTargets)
+	return bestTargets != nil
 }
 
 // allocateAll withholds the capacity of one task on each of the workers from the units behind this one.
@@ -76,7 +77,7 @@
 	// held has the accelerators of each candidate on these workers, plus minHeld per worker.
 	held := map[*Group]float64{}
 	for _, w := range workers {
-		if !w.Usable {
+		if !u.mayUse(w) {
 			continue
 		}
 		for _, g := range w.Victims {
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -28,6 +28,61 @@
 	TasksByWorker map[string]int
 	// Avoid has the ids of workers on which a run of the job has failed or stalled.
 	Avoid map[string]bool
+	// ClosedWorkers has the ids of closed workers that the unit may use if it fits on no others, with how suspect each is. The least
+	// suspect are used first.
+	ClosedWorkers map[string]int
+
+	// fallback is which workers the unit may use at present.
+	fallback fallback
+}
+
+// fallback is how far a unit may fall back to workers that failed.
+type fallback int
+
+const (
+	preferredWorkers fallback = iota
+	closedWorkers
+)
+
+// isClosedTo reports whether the unit may use the worker only as a last resort. A quarantined worker is given no second run of a job that
+// failed there as its test.
+func (w *Worker) isClosedTo(u *Unit) bool { return w.Closed || w.Quarantined && u.Avoid[w.ID] }
+
+// mayUse reports whether the unit may use the worker at its present fallback.
+func (u *Unit) mayUse(w *Worker) bool {
+	if !w.Usable {
+		return false
+	}
+	if w.isClosedTo(u) {
+		_, allowed := u.ClosedWorkers[w.ID]
+		return allowed && u.fallback >= closedWorkers
+	}
+	return !u.Avoid[w.ID]
+}
+
+// suspicion ranks the workers that the unit may use; the lowest are used first.
+func (u *Unit) suspicion(w *Worker) int {
+	switch {
+	case w.isClosedTo(u):
+		return 2 + u.ClosedWorkers[w.ID]
+	case w.Quarantined:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// withFallbacks calls f with each fallback of the unit in turn until f succeeds.
+func (u *Unit) withFallbacks(f func() bool) {
+	defer func() { u.fallback = preferredWorkers }()
+	for u.fallback = preferredWorkers; u.fallback <= closedWorkers; u.fallback++ {
+		if u.fallback == closedWorkers && len(u.ClosedWorkers) == 0 {
+			continue
+		}
+		if f() {
+			return
+		}
+	}
 }
 
 func (u *Unit) step() *workload.Step { return &u.Job.Steps[u.Step] }
@@ -45,6 +100,11 @@
 	FreeAfterStops workload.Resources
 	// Usable means that new runs may be started on the worker.
 	Usable bool
+	// Closed means that the worker is kept from new runs because runs failed or stalled there, but for units that have it in
+	// ClosedWorkers.
+	Closed bool
+	// Quarantined means that no run was done on the worker since it was closed. It is used after others.
+	Quarantined bool
 	// Victims are the groups with runs on the worker that may be preempted for more urgent or guaranteed work.
 	Victims []*Group
 }
