engine, policy: a job uses a worker on which it failed if it fits on no other

Cause: a job avoided up to four workers for 30 s, whether or not it had others, and whether or not runs of other jobs were done there since. Preemption for a guaranteed job left them out too.

An avoided worker that is open is now used at once if the unit fits on no other. With that the bound of four is not needed.

--- a/engine/health.go
+++ b/engine/health.go
@@ -29,10 +29,7 @@
 	// maxBlamedFailures is how many workers one job may send into quarantine, so that a job that fails everywhere takes few
 	// workers out of service.
 	maxBlamedFailures = 2
-	// maxAvoidedWorkers bounds the workers that one job avoids, so that a job that always fails does not run out of workers.
-	maxAvoidedWorkers = 4
-	// avoidTime is how long a job avoids a worker on which it stalled or failed. In a service of few workers, the job may have
-	// no others.
+	// avoidTime is how long a job prefers other workers to one on which it stalled or failed.
 	avoidTime = 30 * time.Second
 	// drainMargin is how much longer than announced a draining worker is expected to keep running.
 	drainMargin = time.Second
@@ -114,9 +111,7 @@
 
 // avoidWorker keeps the job's next runs away from a worker for a while.
 func (j *jobState) avoidWorker(now time.Time, w *workerState) {
-	if _, known := j.avoid[w.id()]; known || len(j.avoid) < maxAvoidedWorkers {
-		j.avoid[w.id()] = now.Add(avoidTime)
-	}
+	j.avoid[w.id()] = now.Add(avoidTime)
 }
 
 // avoidedWorkers returns the IDs of the workers that the job avoids.
--- a/engine/idle_workers_test.go
+++ b/engine/idle_workers_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -59,7 +58,7 @@
 	}
 	for id, job := range w.jobs {
 		ended := w.planner.State(context.Background(), id).State.Ended()
-		if ended || strings.HasPrefix(id, "failing") || len(running[id]) > 0 || 2*inUse >= 8*int64(len(free)) || !w.fitsTwice(job, free) {
+		if ended || len(running[id]) > 0 || 2*inUse >= 8*int64(len(free)) || !w.fitsTwice(job, free) {
 			delete(w.idleSince, id)
 			continue
 		}
@@ -100,7 +99,7 @@
 
 // Guards against jobs that wait beside idle workers, which are closed because wide jobs, all of whose runs fail, failed there.
 func TestFailingWideJobsDoNotCloseWorkersToOthers(t *testing.T) {
-	for _, workers := range []int{2, 4, 12} {
+	for _, workers := range []int{1, 2, 4, 12} {
 		t.Run(strconv.Itoa(workers), func(t *testing.T) {
 			runInVirtualTime(t, func(r *rig) {
 				p, stop := r.startWithWorkers(workers)
@@ -126,6 +125,44 @@
 	}
 }
 
+// Guards against a job that avoids the few workers which it may use, after its tasks have failed there by their own fault.
+func TestJobWithFewWorkersDoesNotWaitBesideThem(t *testing.T) {
+	apart := wideStep(4)
+	apart.MaxTasksPerWorker = 1
+	labelled := wideStep(6)
+	labelled.Label = "r1"
+	gang := gangStep(2, 4)
+	gang.Label, gang.SameRack = "r1", true
+	for _, c := range []struct {
+		name               string
+		workers, elsewhere int
+		step               workload.Step
+		failures           int
+	}{
+		{"label of six workers", 6, 6, labelled, 2},
+		{"label of one worker", 1, 6, labelled, 2},
+		{"gang in a rack of two", 2, 6, gang, 2},
+		{"service of one worker", 1, 0, singleTaskStep(1), 2},
+		{"service of two workers", 2, 0, wideStep(2), 2},
+		{"one task on a worker", 5, 0, apart, 2},
+		{"fails always", 6, 6, labelled, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				r.AddWorkers("r2", c.elsewhere)
+				p, stop := r.startWithWorkers(c.workers)
+				defer stop()
+				w := r.newIdleWatch(p)
+				for _, work := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 6 * time.Second} {
+					w.submit(newJob("job-"+work.String(), 1, c.step), work, c.failures)
+					w.wait(40 * time.Second)
+					r.True(p.State(context.Background(), "job-"+work.String()).State.Ended())
+				}
+			})
+		})
+	}
+}
+
 // Guards against sound jobs that fail because bad workers, which are always idle, take all their attempts while the others are in use.
 func TestBadWorkersDoNotTakeAllAttempts(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
@@ -149,7 +186,7 @@
 
 // Guards against jobs that wait beside idle workers, which are closed because single tasks, all of whose runs fail, failed there.
 func TestFailingSingleTasksDoNotCloseWorkersToOthers(t *testing.T) {
-	for _, workers := range []int{2, 4, 12} {
+	for _, workers := range []int{1, 2, 4, 12} {
 		for _, attempts := range []int{2, 3, 4} {
 			t.Run(strconv.Itoa(workers)+" workers, "+strconv.Itoa(attempts)+" attempts", func(t *testing.T) {
 				runInVirtualTime(t, func(r *rig) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -211,3 +211,23 @@
 	failed.ClosedWorkers = map[string]int{"quarantined": 1}
 	is.Equal(len(plan(start, fleet(8), failed).Placements), 1)
 }
+
+// Guards against a unit that waits beside idle workers because its job avoids them, and against avoided workers that are used before others.
+func TestAvoidedWorkerIsUsedAfterOthers(t *testing.T) {
+	is := is.New(t)
+	avoiding := func() *policy.Unit {
+		u := unit("job", 1, 1, 2)
+		u.Avoid["avoided"] = true
+		return u
+	}
+	fleet := func(usedOnOther int64) []*policy.Worker {
+		return []*policy.Worker{worker("avoided", "r1", 6), worker("other", "r1", usedOnOther)}
+	}
+	is.Equal(plan(start, fleet(0), avoiding()).Placements[0].Worker, "other")
+	is.Equal(plan(start, fleet(8), avoiding()).Placements[0].Worker, "avoided")
+	urgent := avoiding()
+	urgent.Job.Priority, urgent.Guaranteed = 0, true
+	workers := []*policy.Worker{worker("avoided", "r1", 0)}
+	fillWithBorrower(workers[0], 1)
+	is.Equal(len(plan(start, workers, urgent).Preemptions), 1)
+}
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -26,7 +26,7 @@
 	Guaranteed bool
 	// TasksByWorker counts the step's tasks by worker id; it is nil when the step has no MaxTasksPerWorker.
 	TasksByWorker map[string]int
-	// Avoid has the ids of workers on which a run of the job has failed or stalled.
+	// Avoid has the ids of workers on which a run of the job has failed or stalled. They are used if the unit fits on no others.
 	Avoid map[string]bool
 	// ClosedWorkers has the ids of closed workers that the unit may use if it fits on no others, with how suspect each is. The least
 	// suspect are used first.
@@ -41,6 +41,7 @@
 
 const (
 	preferredWorkers fallback = iota
+	avoidedWorkers
 	closedWorkers
 )
 
@@ -57,7 +58,7 @@
 		_, allowed := u.ClosedWorkers[w.ID]
 		return allowed && u.fallback >= closedWorkers
 	}
-	return !u.Avoid[w.ID]
+	return !u.Avoid[w.ID] || u.fallback >= avoidedWorkers
 }
 
 // suspicion ranks the workers that the unit may use; the lowest are used first.
@@ -65,7 +66,7 @@
 	switch {
 	case w.isClosedTo(u):
 		return 2 + u.ClosedWorkers[w.ID]
-	case w.Quarantined:
+	case w.Quarantined || u.Avoid[w.ID]:
 		return 1
 	default:
 		return 0
@@ -76,7 +77,7 @@
 func (u *Unit) withFallbacks(f func() bool) {
 	defer func() { u.fallback = preferredWorkers }()
 	for u.fallback = preferredWorkers; u.fallback <= closedWorkers; u.fallback++ {
-		if u.fallback == closedWorkers && len(u.ClosedWorkers) == 0 {
+		if u.fallback == avoidedWorkers && len(u.Avoid) == 0 || u.fallback == closedWorkers && len(u.ClosedWorkers) == 0 {
 			continue
 		}
 		if f() {
