engine: a worker on which a run stalled is closed as after a failure

Callers see in a service of one worker, or a job with few, nothing running for 6 s after a run was stopped because it showed no progress, and its own job for 30 s, also if the worker is sound and the task only takes longer than its estimate.

The pause now closes the worker as a quarantine does, so that a job that fits on no other uses it after 1 s, and the one that stalled there after 2 s.

--- a/engine/closed.go
+++ b/engine/closed.go
@@ -8,7 +8,7 @@
 )
 
 // Load pattern: jobs that fail wherever they run, some of them wide, beside sound jobs. A closed worker is one that is kept from new runs
-// because runs failed there. The users' rules let no job have nothing at work for 3 s beside idle workers, so closing is a
+// because runs failed or stalled there. The users' rules let no job have nothing at work for 3 s beside idle workers, so closing is a
 // preference: a job that finds no other worker uses a closed one, the least suspect first.
 const (
 	// closedWorkerWait is how long a job has no run at work before it may use closed workers.
@@ -38,7 +38,7 @@
 
 // closed reports whether the worker is closed to new runs.
 func (p *Planner) closed(w *workerState, now time.Time) bool {
-	return !p.breaker.Allowed(now, w.id(), true)
+	return now.Before(w.stalledUntil) || !p.breaker.Allowed(now, w.id(), true)
 }
 
 // closedWorkers returns the workers that are closed, or that may be closed to the jobs that failed there, by service.
--- a/engine/health.go
+++ b/engine/health.go
@@ -16,7 +16,7 @@
 	maxEstimateFactor = 20
 	// maxStallDoublings bounds the doublings of the time without progress for a task that seems to stall wherever it runs.
 	maxStallDoublings = 10
-	// stalledWorkerPause is how long a worker gets no new runs after one has stalled on it.
+	// stalledWorkerPause is how long a worker is closed after a run has stalled on it.
 	stalledWorkerPause = 6 * time.Second
 	// failuresToQuarantine is how many jobs in a row have to fail on a worker before it is quarantined. It is low because a
 	// job has two or three attempts, and a gang loses one for each of its workers that fails everything it starts.
@@ -90,7 +90,7 @@
 		if r.phase != runRunning || !r.worker.failingSince.IsZero() || now.Sub(r.progressedAt) < limit || r.worker.lastAnswer.Sub(r.progressedAt) < limit {
 			continue
 		}
-		r.worker.unhealthyUntil = now.Add(stalledWorkerPause)
+		r.worker.stalledUntil = now.Add(stalledWorkerPause)
 		g.job.avoidWorker(now, r.worker)
 		g.job.stalls[g.key]++
 		p.Log.Event("run-stands-still", "task", r.name, "run", r.number, "worker", r.worker.id(), "percent", r.percent, "since", now.Sub(r.progressedAt), "limit", limit)
--- a/engine/idle_workers_test.go
+++ b/engine/idle_workers_test.go
@@ -237,6 +237,25 @@
 	}
 }
 
+// Guards against jobs that wait for a worker on which a run has stalled, although their service has no other.
+func TestJobDoesNotWaitForWorkerAfterStall(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		w := r.newIdleWatch(p)
+		w.submit(newJob("stalls", 1, singleTaskStep(1)), 20*time.Second, 0)
+		w.wait(2 * time.Second)
+		r.Set("r1-w0", func(worker *site.Worker) { worker.Stalled = true })
+		w.wait(8 * time.Second)
+		w.submit(newJob("next", 1, singleTaskStep(1)), time.Second, 0)
+		r.Set("r1-w0", func(worker *site.Worker) { worker.Stalled = false })
+		w.wait(40 * time.Second)
+		for id := range w.jobs {
+			r.Equal(p.State(context.Background(), id).State, workload.StateCompleted)
+		}
+	})
+}
+
 // Guards against sound jobs whose attempts are spent on a bad worker, idle because it is closed, while the others are in use for long.
 func TestClosedBadWorkerTakesFewAttemptsInBusyService(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
--- a/engine/state.go
+++ b/engine/state.go
@@ -241,8 +241,10 @@
 	reportedDraining bool
 	// drainEnd is the earliest time at which a draining worker leaves.
 	drainEnd time.Time
-	// unhealthyUntil is when the worker may get new runs again.
+	// unhealthyUntil is when the worker, which refused a call, may get new runs again.
 	unhealthyUntil time.Time
+	// stalledUntil is until when the worker is closed because a run has stalled there.
+	stalledUntil time.Time
 	// failedJobs has the jobs of which a run has failed on the worker soon after its start, since one was last done there, the newest last.
 	failedJobs []*jobState
 }
