engine, policy: closed and avoided workers are used only while a service is mostly idle

Closed and avoided workers are now one kind of last resort, and only while under half of the service is in use, which is where the users' rule counts. Tasks that last have no attempts to lose and are not limited. A job avoids up to four workers again. Runs that fail within 1 s of their start prolong a quarantine whoever's they are, since bad workers fail what they start.

TestAvoidedWorkerIsUsedAfterOthers now names the avoided worker as one that the unit may use, since waiting is part of the condition; it demands the same placements.

--- a/engine/closed.go
+++ b/engine/closed.go
@@ -41,11 +41,11 @@
 	return now.Before(w.stalledUntil) || !p.breaker.Allowed(now, w.id(), true)
 }
 
-// closedWorkers returns the workers that are closed, or that may be closed to the jobs that failed there, by service.
+// closedWorkers returns the workers that are closed to all jobs or to some, by service.
 func (p *Planner) closedWorkers(now time.Time, conf *Configuration) map[string]*closedFleet {
 	fleets := map[string]*closedFleet{}
 	for _, w := range p.workers {
-		if !p.closed(w, now) && !p.breaker.Quarantined(w.id()) || !p.acceptsStarts(w, now, conf) {
+		if !p.closed(w, now) && !now.Before(w.avoidedUntil) || !p.acceptsStarts(w, now, conf) {
 			continue
 		}
 		service := w.registration.Service
@@ -73,9 +73,9 @@
 }
 
 // allowedFor returns, with how suspect they are, the closed workers that may be used by a job that has been without a run since the given time, or
-// by a task that lasts and was not at work since then. A worker on which the job failed, or that is shown to be at fault, is used only
-// while most of the service is idle; one that is shown to be at fault only by jobs that have not failed there and can spare the attempt.
-// Tasks that last have no limit on attempts.
+// by a task that lasts and was not at work since then. Jobs use them only while most of the service is idle, since waiting is usual in a busy one
+// and bad workers would take the attempts of many jobs. A worker that is shown to be at fault is used only by jobs that have not failed there
+// and can spare the attempt. Tasks that last have no limit on attempts.
 func (f *closedFleet) allowedFor(j *jobState, now, unplacedSince time.Time, lasts bool) map[string]int {
 	idle := now.Sub(unplacedSince)
 	if f == nil || idle < closedWorkerWait {
@@ -90,7 +90,7 @@
 		case failedHere && idle < retryOnWorkerWait:
 			continue
 		case lasts:
-		case (failedHere || proven) && !f.mostlyIdle:
+		case !f.mostlyIdle:
 			continue
 		case proven && (failedHere || !expendable):
 			continue
@@ -139,7 +139,7 @@
 	return n
 }
 
-// blameFailure records what a failed run shows of its worker. The failure of a suspect job neither closes a worker nor prolongs that.
+// blameFailure records what a failed run shows of its worker. A suspect job whose run fails midway does not prolong a quarantine.
 func (p *Planner) blameFailure(r *run) {
 	j, w := r.group.job, r.worker
 	j.failedOn[w.id()] = true
@@ -152,7 +152,7 @@
 		w.failedJobs = w.failedJobs[max(0, len(w.failedJobs)-maxFailedJobs):]
 	}
 	quarantined := p.breaker.Quarantined(w.id())
-	blamed := quarantined && !j.suspect() || !quarantined && j.blamedFailures < maxBlamedFailures
+	blamed := quarantined && (atWork < startFailureTime || !j.suspect()) || !quarantined && j.blamedFailures < maxBlamedFailures
 	p.Log.Event("failure-judged", "task", r.name, "run", r.number, "worker", w.id(), "blamed", blamed, "at-work", atWork, "quarantined", quarantined, "suspicion", w.suspicion(),
 		"job-failed-on", len(j.failedOn), "job-done-on", len(j.doneOn))
 	if !blamed {
--- a/engine/health.go
+++ b/engine/health.go
@@ -29,7 +29,9 @@
 	// maxBlamedFailures is how many workers one job may send into quarantine, so that a job that fails everywhere takes few
 	// workers out of service.
 	maxBlamedFailures = 2
-	// avoidTime is how long a job prefers other workers to one on which it stalled or failed.
+	// maxAvoidedWorkers bounds the workers that one job avoids, so that a job that always fails does not run out of workers.
+	maxAvoidedWorkers = 4
+	// avoidTime is how long a worker on which a job stalled or failed is closed to that job.
 	avoidTime = 30 * time.Second
 	// drainMargin is how much longer than announced a draining worker is expected to keep running.
 	drainMargin = time.Second
@@ -111,7 +113,9 @@
 
 // avoidWorker keeps the job's next runs away from a worker for a while.
 func (j *jobState) avoidWorker(now time.Time, w *workerState) {
-	j.avoid[w.id()] = now.Add(avoidTime)
+	if _, known := j.avoid[w.id()]; known || len(j.avoid) < maxAvoidedWorkers {
+		j.avoid[w.id()], w.avoidedUntil = now.Add(avoidTime), now.Add(avoidTime)
+	}
 }
 
 // avoidedWorkers returns the IDs of the workers that the job avoids.
--- a/engine/idle.go
+++ b/engine/idle.go
@@ -24,7 +24,7 @@
 	unavailable int
 	// closed workers are in quarantine, or tested by another job; see closedWorkerWait.
 	closed int
-	// avoided workers have failed a run of the job, and no run was done there since.
+	// avoided workers have failed or stalled a run of the job.
 	avoided int
 	// unsuitable workers do not have the label or the capacity, or have as many of the step's tasks as one worker may have.
 	unsuitable int
@@ -116,7 +116,7 @@
 			c.unavailable++
 		case p.closed(w, now):
 			c.closed++
-		case u.Avoid[w.id()] && p.breaker.Quarantined(w.id()):
+		case u.Avoid[w.id()]:
 			c.avoided++
 		case step.Label != "" && !slices.Contains(w.registration.Labels, step.Label), !step.Need.Fits(capacity),
 			step.MaxTasksPerWorker > 0 && u.TasksByWorker[w.id()] >= step.MaxTasksPerWorker:
--- a/engine/state.go
+++ b/engine/state.go
@@ -245,6 +245,8 @@
 	unhealthyUntil time.Time
 	// stalledUntil is until when the worker is closed because a run has stalled there.
 	stalledUntil time.Time
+	// avoidedUntil is until when a job may avoid the worker.
+	avoidedUntil time.Time
 	// failedJobs has the jobs of which a run has failed on the worker soon after its start, since one was last done there, the newest last.
 	failedJobs []*jobState
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -213,11 +213,13 @@
 }
 
 // Guards against a unit that waits beside idle workers because its job avoids them, and against avoided workers that are used before others.
+// Only jobs that have waited for long may use them.
 func TestAvoidedWorkerIsUsedAfterOthers(t *testing.T) {
 	is := is.New(t)
 	avoiding := func() *policy.Unit {
 		u := unit("job", 1, 1, 2)
 		u.Avoid["avoided"] = true
+		u.ClosedWorkers = map[string]int{"avoided": 1}
 		return u
 	}
 	fleet := func(usedOnOther int64) []*policy.Worker {
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -26,7 +26,7 @@
 	Guaranteed bool
 	// TasksByWorker counts the step's tasks by worker id; it is nil when the step has no MaxTasksPerWorker.
 	TasksByWorker map[string]int
-	// Avoid has the ids of workers on which a run of the job has failed or stalled. They are used if the unit fits on no others.
+	// Avoid has the ids of workers on which a run of the job has failed or stalled. They are closed to the unit.
 	Avoid map[string]bool
 	// ClosedWorkers has the ids of closed workers that the unit may use if it fits on no others, with how suspect each is. The least
 	// suspect are used first.
@@ -41,13 +41,11 @@
 
 const (
 	preferredWorkers fallback = iota
-	avoidedWorkers
 	closedWorkers
 )
 
-// isClosedTo reports whether the unit may use the worker only as a last resort. A quarantined worker is given no second run of a job that
-// failed there as its test.
-func (w *Worker) isClosedTo(u *Unit) bool { return w.Closed || w.Quarantined && u.Avoid[w.ID] }
+// isClosedTo reports whether the unit may use the worker only as a last resort.
+func (w *Worker) isClosedTo(u *Unit) bool { return w.Closed || u.Avoid[w.ID] }
 
 // mayUse reports whether the unit may use the worker at its present fallback.
 func (u *Unit) mayUse(w *Worker) bool {
@@ -56,9 +54,9 @@
 	}
 	if w.isClosedTo(u) {
 		_, allowed := u.ClosedWorkers[w.ID]
-		return allowed && u.fallback >= closedWorkers
+		return allowed && u.fallback == closedWorkers
 	}
-	return !u.Avoid[w.ID] || u.fallback >= avoidedWorkers
+	return true
 }
 
 // suspicion ranks the workers that the unit may use; the lowest are used first.
@@ -66,7 +64,7 @@
 	switch {
 	case w.isClosedTo(u):
 		return 2 + u.ClosedWorkers[w.ID]
-	case w.Quarantined || u.Avoid[w.ID]:
+	case w.Quarantined:
 		return 1
 	default:
 		return 0
@@ -77,7 +75,7 @@
 func (u *Unit) withFallbacks(f func() bool) {
 	defer func() { u.fallback = preferredWorkers }()
 	for u.fallback = preferredWorkers; u.fallback <= closedWorkers; u.fallback++ {
-		if u.fallback == avoidedWorkers && len(u.Avoid) == 0 || u.fallback == closedWorkers && len(u.ClosedWorkers) == 0 {
+		if u.fallback == closedWorkers && len(u.ClosedWorkers) == 0 {
 			continue
 		}
 		if f() {
