--- a/engine/health.go
+++ b/engine/health.go
@@ -16,7 +16,7 @@
 	maxEstimateFactor = 20
 	// maxStallDoublings bounds the doublings of the time without progress for a task that seems to stall wherever it runs.
 	maxStallDoublings = 10
-	// stalledWorkerPause is how long a worker gets no new runs after one has stalled on it.
+	// stalledWorkerPause is how long a worker is closed after a run has stalled on it.
 	stalledWorkerPause = 6 * time.Second
 	// failuresToQuarantine is how many jobs in a row have to fail on a worker before it is quarantined. It is low because a
 	// job has two or three attempts, and a gang loses one for each of its workers that fails everything it starts.
@@ -31,8 +31,7 @@
 	maxBlamedFailures = 2
 	// maxAvoidedWorkers bounds the workers that one job avoids, so that a job that always fails does not run out of workers.
 	maxAvoidedWorkers = 4
-	// avoidTime is how long a job avoids a worker on which it stalled or failed. In a service of few workers, the job may have
-	// no others.
+	// avoidTime is how long a worker on which a job stalled or failed is closed to that job.
 	avoidTime = 30 * time.Second
 	// drainMargin is how much longer than announced a draining worker is expected to keep running.
 	drainMargin = time.Second
@@ -72,6 +71,7 @@
 			if r.group.step().LongRunning {
 				// A task that lasts is never done, so being at work is its success.
 				p.breaker.RecordSuccess(w.id(), key)
+				r.recordDoneOnWorker()
 			} else {
 				p.breaker.RecordLongProbe(w.id(), key)
 			}
@@ -92,7 +92,7 @@
 		if r.phase != runRunning || !r.worker.failingSince.IsZero() || now.Sub(r.progressedAt) < limit || r.worker.lastAnswer.Sub(r.progressedAt) < limit {
 			continue
 		}
-		r.worker.unhealthyUntil = now.Add(stalledWorkerPause)
+		r.worker.stalledUntil = now.Add(stalledWorkerPause)
 		g.job.avoidWorker(now, r.worker)
 		g.job.stalls[g.key]++
 		p.Log.Event("run-stands-still", "task", r.name, "run", r.number, "worker", r.worker.id(), "percent", r.percent, "since", now.Sub(r.progressedAt), "limit", limit)
@@ -114,7 +114,7 @@
 // avoidWorker keeps the job's next runs away from a worker for a while.
 func (j *jobState) avoidWorker(now time.Time, w *workerState) {
 	if _, known := j.avoid[w.id()]; known || len(j.avoid) < maxAvoidedWorkers {
-		j.avoid[w.id()] = now.Add(avoidTime)
+		j.avoid[w.id()], w.avoidedUntil = now.Add(avoidTime), now.Add(avoidTime)
 	}
 }
 
