standin/site, engine: random faults judge jobs that wait beside idle workers

The random tests in virtual time saw a job that stands still only if it had no final state 4 minutes after the last fault. The site now checks the users' rule at each moment: for 3 s, an accepted job that has not ended has nothing running while a task's turn has come, there is room for it twice over, and less than half of the capacity is in use, in a span that has been calm for 4 s before. Each task that lasts is judged by itself, from 6 s after its last run. Room counts labels, racks of gangs, tasks per worker, and only workers that are up, in touch, registered, not draining and not evacuated.

The mixed faults also play wide jobs of 8 to 24 tasks, of which many or all fail midway or at the end, in calm spans and after the last fault too. A paused planner goes on as soon as the faults end.

Known and left out unless -judge-lost-runs is set: jobs of which a run was lost, or a start got no answer, in the last 90 s, and spans in which a worker is dead that comes back. Planners wait there for leases and late starts, up to 40 s.

--- a/engine/random_faults_test.go
+++ b/engine/random_faults_test.go
@@ -24,6 +24,8 @@
 var (
 	faultsFirst     = flag.Uint64("faults-first", 1, "first seed of the random faults")
 	faultsSeeds     = flag.Int("faults-seeds", 0, "number of seeds of the random faults; 0 means that of the test")
+	judgeWaiting    = flag.Bool("judge-waiting", false, "judge jobs that wait beside idle workers in the random faults")
+	judgeLostRuns   = flag.Bool("judge-lost-runs", false, "judge them also after their runs were lost; see KNOWN-RED.txt")
 	keepsLateOrders = flag.Bool("keeps-late-orders", false, "let restarted workers carry out late orders in the random faults; see KNOWN-RED.txt")
 )
 
@@ -119,6 +121,7 @@
 func newFaultScenario(r *rig, seed uint64) *faultScenario {
 	s := &faultScenario{rig: r, seed: seed, random: rand.New(rand.NewPCG(seed, 2)), slowClocks: seed%4 != 2, over: make(chan struct{})}
 	r.storeEntries()
+	r.JudgeLostRuns = *judgeLostRuns
 	if seed%4 == 0 {
 		r.MaxListedEnds = 1 + s.random.IntN(3)
 	}
@@ -174,6 +177,9 @@
 		e := s.events[0]
 		s.events = s.events[1:]
 		time.Sleep(time.Until(e.at))
+		if !e.submits {
+			s.RecordDisruption()
+		}
 		e.do()
 	}
 	time.Sleep(time.Until(end))
@@ -185,6 +191,7 @@
 		s.nodes = append(s.nodes, n)
 		n.start()
 	}
+	defer s.judgeWaiting()()
 	s.pass(2 * time.Second)
 	for range faultRounds {
 		rested := s.chance(4)
@@ -304,9 +311,18 @@
 	}})
 }
 
+// judgeWaiting judges the jobs that wait until the returned function is called.
+func (s *faultScenario) judgeWaiting() func() {
+	if !*judgeWaiting && !*judgeLostRuns {
+		return func() {}
+	}
+	return s.watchWaiting()
+}
+
 // heal ends all faults.
 func (s *faultScenario) heal() {
 	s.logf("heal")
+	s.RecordDisruption()
 	s.events = slices.DeleteFunc(s.events, func(e event) bool { return !e.submits })
 	s.Store.SetLoseWrites(false)
 	s.Store.SetRefusing(false)
@@ -346,6 +362,7 @@
 	}
 	close(s.over)
 	<-ended
+	s.RecordDisruption()
 	for _, n := range s.nodes {
 		n.stop()
 	}
@@ -700,11 +717,13 @@
 	}
 	select {
 	case <-p.Ready():
+		n.RecordDisruption()
 		n.t.Logf("%s %s is the planner, fence %d", time.Now().Format("05.000"), boot, term.Fence())
 		n.current.Store(p)
 		err = <-planned
 	case err = <-planned:
 	}
+	n.RecordDisruption()
 	n.t.Logf("%s %s is no longer the planner: %v", time.Now().Format("05.000"), boot, err)
 	killed := ctx.Err() != nil && !n.endsTerm.Load()
 	cancel()
@@ -743,6 +762,7 @@
 			time.AfterFunc(cmp.Or(time.Duration(n.commitDelay.Load()), time.Second), func() {
 				lateCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 				defer cancel()
+				n.RecordDisruption()
 				_, _ = direct.Commit(lateCtx, t)
 			})
 			<-ctx.Done()
@@ -829,8 +849,14 @@
 	}
 }
 
-// sleepWhilePaused returns once the process no longer stands still.
-func (n *node) sleepWhilePaused() { time.Sleep(time.Until(time.Unix(0, n.pausedUntil.Load()))) }
+// sleepWhilePaused returns once the process no longer stands still, which heal may end early.
+func (n *node) sleepWhilePaused() {
+	for left := n.pauseLeft(); left > 0; left = n.pauseLeft() {
+		time.Sleep(min(left, 20*time.Millisecond))
+	}
+}
+
+func (n *node) pauseLeft() time.Duration { return time.Until(time.Unix(0, n.pausedUntil.Load())) }
 
 // waitWhilePaused returns once the process no longer stands still, with an error if ctx is done by then.
 func (n *node) waitWhilePaused(ctx context.Context) error {
@@ -858,6 +884,7 @@
 	for c.final == "" && c.pause() {
 		switch {
 		case c.cancels && time.Now().After(cancelAt):
+			c.scenario.RecordGivenUp(c.id)
 			c.ask((*engine.Planner).Cancel)
 		case c.repeats && c.random.IntN(4) == 0:
 			c.submit()
@@ -905,7 +932,10 @@
 		}
 		c.last = p.Submit(ctx, job)
 	}
-	c.accepted = c.accepted || c.last.Verdict == engine.VerdictAccepted
+	if c.last.Verdict == engine.VerdictAccepted && !c.accepted {
+		c.accepted = true
+		c.scenario.RecordAccepted(c.id)
+	}
 	c.maybeStored = c.maybeStored || c.accepted || c.last.Verdict == engine.VerdictUnknown
 	return c.accepted
 }
--- a/engine/random_mixed_test.go
+++ b/engine/random_mixed_test.go
@@ -47,6 +47,8 @@
 	domainFaults []domainFault
 	// dense is set if this seed plays more faults and jobs at once, and large if it has more workers and larger gangs.
 	dense, large bool
+	// wide is set if this seed plays wide jobs of which many runs fail.
+	wide bool
 	// foreign has the workers whose entries may be of another writer.
 	foreign map[string]bool
 
@@ -87,6 +89,7 @@
 	if s.large {
 		s.addRack(10)
 	}
+	s.wide = s.chance(2)
 	return s
 }
 
@@ -106,6 +109,7 @@
 	if s.chance(2) {
 		s.heartbeat()
 	}
+	defer s.judgeWaiting()()
 	s.pass(2 * time.Second)
 	rounds, longest := mixedRounds, 9*time.Second
 	if s.dense {
@@ -116,10 +120,20 @@
 		s.pass(s.between(100*time.Millisecond, longest))
 		if s.chance(7) {
 			s.heal()
+			if s.wide {
+				s.planWideJob(s.between(0, 3*time.Second))
+				s.planJob(s.between(0, 3*time.Second))
+			}
 			s.pass(s.between(time.Second, 40*time.Second))
 		}
 	}
 	s.heal()
+	if s.wide {
+		for range 2 {
+			s.planWideJob(s.between(0, 3*time.Second))
+			s.planJob(s.between(0, 3*time.Second))
+		}
+	}
 	s.judge()
 }
 
@@ -139,6 +153,9 @@
 	for range jobs {
 		s.planJob(s.between(0, spread))
 	}
+	if s.wide && s.chance(2) {
+		s.planWideJob(s.between(0, spread))
+	}
 	targets := s.aliveWorkers()
 	if !s.chance(3) {
 		targets = choose(s.random, targets, 1+s.random.IntN(1+len(targets)/2))
@@ -233,6 +250,31 @@
 	s.planSubmission(j, after)
 }
 
+// planWideJob plans the submission of a job of many tasks, of which many or all fail midway or at the end, some as often as the job allows.
+func (s *mixedScenario) planWideJob(after time.Duration) {
+	j := &submittedJob{id: fmt.Sprintf("j%d", len(s.jobs)), cancels: s.chance(6), repeats: s.chance(4), cancelWithin: 10 * time.Second}
+	step := singleTaskStep(int64(s.random.IntN(2)))
+	step.Tasks = 8 + s.random.IntN(17)
+	j.job = newJob(j.id, 1+s.random.IntN(2), step)
+	j.job.MaxAttempts = 2 + s.random.IntN(3)
+	profile := site.JobProfile{Job: j.job, Work: []time.Duration{s.between(200*time.Millisecond, 8*time.Second)}, MidwayFailures: map[string]site.MidwayFailures{}}
+	if s.chance(3) {
+		profile.Failures = 1 + s.random.IntN(j.job.MaxAttempts)
+	} else {
+		always := s.chance(3)
+		for i := range step.Tasks {
+			if s.chance(4) {
+				continue
+			}
+			task := workload.TaskID{Job: j.id, Index: i}.String()
+			profile.MidwayFailures[task] = site.MidwayFailures{Percents: []int{20 + s.random.IntN(70), 20 + s.random.IntN(70)}[:1+s.random.IntN(2)], Always: always}
+		}
+	}
+	s.SetJobProfile(profile)
+	s.jobs = append(s.jobs, j)
+	s.planSubmission(j, after)
+}
+
 func (s *mixedScenario) randomStep() workload.Step {
 	accelerators := []int64{0, 1, 2, 4, 8}[s.random.IntN(5)]
 	if s.large {
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -25,6 +25,8 @@
 	maxLease    = 10 * time.Second
 	stopGrace   = 400 * time.Millisecond
 	gangTimeout = 3 * time.Second
+	// waitingCheckInterval is how often the site looks for jobs that wait although they could run.
+	waitingCheckInterval = 100 * time.Millisecond
 )
 
 // logEvents writes the planners' event logs to the standard error stream, with virtual times.
@@ -212,6 +214,26 @@
 	r.t.Fatalf("job %s is %s, not %s, after %s", id, last, state, limit)
 }
 
+// watchWaiting checks all the time for jobs that have nothing running although they could, and returns a function that ends that.
+func (r *rig) watchWaiting() func() {
+	over, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			select {
+			case <-over:
+				return
+			case <-time.After(waitingCheckInterval):
+				r.CheckWaiting()
+			}
+		}
+	}()
+	return func() {
+		close(over)
+		<-ended
+	}
+}
+
 func singleTaskStep(accelerators int64) workload.Step {
 	return workload.Step{Tasks: 1, Need: workload.Resources{MilliCPU: 1000, MemoryMB: 100, Accelerators: accelerators}, Estimate: time.Second}
 }
--- a/standin/site/profile.go
+++ b/standin/site/profile.go
@@ -143,6 +143,8 @@
 		s.lastEnds[unit] = at
 	}
 	switch reason {
+	case engine.EndLapsed, engine.EndIsolated:
+		s.lostAt[jobOf(task)] = at
 	case engine.EndDone:
 		s.everDone[unit] = true
 	case engine.EndFailed:
@@ -171,6 +173,10 @@
 func (s *Site) OutOfAttempts(job string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.outOfAttempts(job)
+}
+
+func (s *Site) outOfAttempts(job string) bool {
 	limit := s.profiles[job].Job.MaxAttempts
 	for unit, failed := range s.failures {
 		if jobOf(unit) == job && limit > 0 && len(failed) >= limit {
@@ -253,14 +259,20 @@
 	if step.MaxTasksPerWorker == 0 {
 		return
 	}
-	beside := 0
+	beside := tasksOfStep(w, id)
+	if beside >= step.MaxTasksPerWorker {
+		fault("ROUTE: %s starts on %s beside %d tasks of its step", id, w.Registration.ID, beside)
+	}
+}
+
+// tasksOfStep returns how many other tasks of a task's step the worker runs.
+func tasksOfStep(w *Worker, id workload.TaskID) int {
+	n := 0
 	for task := range w.runs {
 		other, err := workload.ParseTaskID(task)
 		if err == nil && other != id && other.Job == id.Job && other.Occurrence == id.Occurrence && other.Step == id.Step {
-			beside++
+			n++
 		}
 	}
-	if beside >= step.MaxTasksPerWorker {
-		fault("ROUTE: %s starts on %s beside %d tasks of its step", id, w.Registration.ID, beside)
-	}
+	return n
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -46,6 +46,9 @@
 	DrainBound, EvacuateBound time.Duration
 	// CancelBound is how long after RecordCancelled workers may still receive orders to start tasks of the job.
 	CancelBound time.Duration
+	// JudgeLostRuns makes CheckWaiting judge also while workers are dead that come back later, and jobs of which a run was lost, or an order to
+	// start one got no answer, in the last lostRunSpan.
+	JudgeLostRuns bool
 	// EvacuatedSince returns since when a failure domain has been evacuated; Evacuated is used for a domain that is evacuated at all.
 	EvacuatedSince func(domain string) time.Time
 
@@ -74,6 +77,16 @@
 	// lastRuns holds the highest run number of each unit that was started, lastEnds when a run of it last ended or was lost.
 	lastRuns map[string]int
 	lastEnds map[string]time.Time
+	// accepted has the jobs that CheckWaiting judges. listedDone has the units of which an end as done was listed in response to a poll, notedDone
+	// those of which one was acknowledged, also after a lease had lapsed.
+	accepted, listedDone, notedDone map[string]bool
+	// lostAt has, by job, when a run was last lost, or an order to start one got no answer.
+	lostAt map[string]time.Time
+	// disruptedAt is when a fault last lasted, began or ended.
+	disruptedAt time.Time
+	// waitingSince holds since when jobs, or tasks that last, wait although they could run. waitReported has those that were reported.
+	waitingSince map[string]time.Time
+	waitReported map[string]bool
 }
 
 // New returns a site without workers.
@@ -82,6 +95,7 @@
 		Store: NewStore(), workers: map[string]*Worker{}, profiles: map[string]JobProfile{}, tasks: map[string]*taskProfile{},
 		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{}, lastRuns: map[string]int{}, lastEnds: map[string]time.Time{},
 		cancelled: map[string]time.Time{}, failures: map[string]map[int]time.Time{}, notedFailures: map[string]map[int]time.Time{},
+		accepted: map[string]bool{}, listedDone: map[string]bool{}, notedDone: map[string]bool{}, waitReported: map[string]bool{}, lostAt: map[string]time.Time{},
 		checkpoints:   map[string]map[string]time.Duration{},
 		MaxListedEnds: DefaultMaxListedEnds, Prefix: RegistrationPrefix, EncodeRegistration: func(a engine.Registration) []byte { return []byte(a.ID) },
 	}
@@ -244,8 +258,11 @@
 func (s *Site) applyElapsedTime() {
 	now := time.Now()
 	for _, w := range s.workers {
-		if len(w.runs) > 0 && (w.Dead || w.Replaced) {
-			s.loseRuns(w)
+		if w.Dead || w.Replaced {
+			s.loseEnds(w)
+			if len(w.runs) > 0 {
+				s.loseRuns(w)
+			}
 		}
 		for task, run := range w.runs {
 			switch {
@@ -372,6 +389,17 @@
 	}
 }
 
+// loseEnds records that the planner may not hear of the ends of a worker that no longer exists.
+func (s *Site) loseEnds(w *Worker) {
+	if w.endsLost {
+		return
+	}
+	w.endsLost = true
+	for _, e := range w.ends {
+		s.lostAt[jobOf(e.Task)] = time.Now()
+	}
+}
+
 // loseRuns removes the runs of a worker that no longer exists. The members of their gangs that are at work elsewhere end as broken,
 // except on isolated workers; the others go on waiting.
 func (s *Site) loseRuns(w *Worker) {
@@ -379,6 +407,7 @@
 	w.runs = map[string]*run{}
 	for task, run := range runs {
 		s.lastEnds[s.unitOf(task)] = time.Now()
+		s.lostAt[jobOf(task)] = time.Now()
 		key, size := s.gangOf(task, run)
 		if size == 0 {
 			continue
@@ -426,6 +455,7 @@
 		e, ended := w.ends[0], w.endTimes[0]
 		w.ends, w.endTimes = w.ends[1:], w.endTimes[1:]
 		unit := s.unitOf(e.Task)
+		s.notedDone[unit] = s.notedDone[unit] || e.Reason == engine.EndDone
 		if w.lapsedAt.After(ended) || s.lasts(e.Task) {
 			continue
 		}
@@ -470,8 +500,12 @@
 func (s *Site) Start(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
 	w, err := s.lockWorker(ctx, t.Address)
 	if err != nil {
+		s.recordLost(o.Task)
 		return engine.WorkerStatus{}, err
 	}
+	if w.disrupted() {
+		s.lostAt[jobOf(o.Task)] = time.Now()
+	}
 	if delay := w.startDelay(); delay > 0 {
 		received := time.Now()
 		s.carryOutLater(w, delay, func() { _, _ = s.applyStart(w, o, received) })
@@ -516,6 +550,7 @@
 		if w.Dead || w.Replaced || w.Registration.Incarnation != incarnation && !w.KeepsLateOrders {
 			return
 		}
+		s.disruptedAt = time.Now()
 		f()
 	})
 }
@@ -682,6 +717,11 @@
 
 func (w *Worker) pollResponse() engine.PollResponse {
 	page := w.ends[:min(len(w.ends), w.site.MaxListedEnds)]
+	for _, e := range page {
+		if e.Reason == engine.EndDone {
+			w.site.listedDone[w.site.unitOf(e.Task)] = true
+		}
+	}
 	response := engine.PollResponse{WorkerStatus: w.status(), Ends: slices.Clone(page), MoreEnds: len(page) == w.site.MaxListedEnds}
 	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
 		r := w.runs[task]
@@ -700,7 +740,9 @@
 
 // Restart gives the worker a new incarnation, without runs, lease, fencing token or unacknowledged ends.
 func (w *Worker) Restart() {
+	w.site.loseEnds(w)
 	w.site.loseRuns(w)
+	w.endsLost = false
 	w.Registration.Incarnation = max(w.Registration.Incarnation+1, time.Now().UnixMilli())
 	w.start, w.fence, w.leaseEnd, w.endCount, w.ends, w.endTimes = time.Now(), 0, time.Time{}, 0, nil, nil
 	w.lastEnded = map[string]int{}
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -40,6 +40,8 @@
 	endTimes []time.Time
 	// endCount is the number of the last ended run; RunEnd.Number counts from 1.
 	endCount int64
+	// endsLost is set once a worker that no longer exists has lost the ends that were not acknowledged.
+	endsLost bool
 	// lapsedAt is when the lease last lapsed.
 	lapsedAt time.Time
 	// lastEnded holds the highest run number of each task that was stopped or has ended.
