policy: a job that has nothing running waits for a rack for 1.5 s in an idle service

Cause: the wait was bounded only by the job's own deadline. While less than 60% of the capacity is in use, a job without runs now waits 1.5 s; the rule allows 3 s below half. Other tasks of a job at work, and jobs in a busy service, wait as before, since a task away from its data takes about three times as long.

--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -78,6 +78,7 @@
 	}
 	base := policy.Unit{
 		Job: &j.record.Job, Occurrence: k, Step: s, ReadySince: j.readySince[k][s], Guaranteed: guaranteed && s == 0,
+		JobIdle: len(j.groups) == 0 || step.LongRunning,
 	}
 	if !step.LongRunning {
 		// A task that lasts may be away for a few seconds only; the quarantine of a worker is short enough.
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -12,6 +12,11 @@
 	// maxUrgentRackWait bounds how long a guaranteed unit waits for a rack on which it runs at full speed. It is a third of
 	// the shortest limit on the start of guaranteed work, 2.9 s.
 	maxUrgentRackWait = time.Second
+	// maxIdleWait bounds how long a unit of a job that has nothing running waits for a rack while the fleet is idle. The users' rules let no
+	// job wait for 3 s beside idle workers.
+	maxIdleWait = 1500 * time.Millisecond
+	// idleShare is the share of the fleet's capacity in use below which the fleet is idle. The users' rules say half.
+	idleShare = 0.6
 	// maxReservedShare is the share of the fleet's accelerators that may be reserved for blocked units in one pass.
 	maxReservedShare = 0.3
 )
@@ -30,6 +35,8 @@
 	// rackNames has the racks in a fixed order, so that decisions do not depend on the iteration order of a map.
 	rackNames         []string
 	totalAccelerators int64
+	// idle is set during a pass of a fleet that is idle when it begins.
+	idle bool
 	// candidates is a buffer that partialBestFit reuses.
 	candidates []candidate
 }
@@ -62,14 +69,18 @@
 // for jobs that are worth little by then.
 func (f *Fleet) Plan(now time.Time, units []*Unit) Decision {
 	var d Decision
+	f.idle = f.usedShare() < idleShare
 	reserved := int64(0)
 	blocked := map[stepKey]bool{}
+	placed := map[*workload.Job]bool{}
 	for _, u := range units {
 		key := stepKey{job: u.Job, occurrence: u.Occurrence, step: u.Step}
 		if blocked[key] {
 			continue
 		}
+		u.JobIdle = u.JobIdle && (u.step().LongRunning || !placed[u.Job])
 		if chosen := f.findWorkers(now, u, freeCapacity); chosen != nil {
+			placed[u.Job] = true
 			for i, w := range chosen {
 				d.Placements = append(d.Placements, Placement{Unit: u, Task: u.Tasks[i], Worker: w.ID})
 				f.allocate(w, u)
@@ -146,9 +157,25 @@
 	if u.Guaranteed {
 		maxWait = min(maxWait, maxUrgentRackWait)
 	}
+	if f.idle && u.JobIdle {
+		maxWait = min(maxWait, maxIdleWait)
+	}
 	return now.Sub(u.ReadySince) < maxWait
 }
 
+// usedShare returns the share of the workers' capacity that is in use.
+func (f *Fleet) usedShare() float64 {
+	var capacity, free float64
+	for _, w := range f.workers {
+		capacity += w.Capacity.Cores()
+		free += w.Free.Cores()
+	}
+	if capacity == 0 {
+		return 1
+	}
+	return 1 - free/capacity
+}
+
 // findInBestRack places the unit in one rack: in the rack that has its data if it fits there, otherwise in the rack with the
 // fewest free accelerators into which it fits.
 func (f *Fleet) findInBestRack(u *Unit, capacity capacityFunc) []*Worker {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -133,6 +133,36 @@
 	is.Equal(len(plan(at(4*time.Second), busy, u).Placements), 2)
 }
 
+// Guards against a job that has nothing running and waits for its rack beside idle workers, and against tasks that run far from their data
+// although the job is at work or the fleet is busy.
+func TestWaitForRackIsShortForIdleJobInIdleFleet(t *testing.T) {
+	is := is.New(t)
+	fleet := func(used int64) []*policy.Worker {
+		return []*policy.Worker{worker("a1", "r1", 8), worker("b1", "r2", used), worker("b2", "r2", used), worker("b3", "r2", used)}
+	}
+	task := func(jobIdle bool) *policy.Unit {
+		u := unit("j", 1, 1, 2)
+		u.Job.Steps[0].DataRack, u.JobIdle = "r1", jobIdle
+		return u
+	}
+	placements := func(after time.Duration, used int64, jobIdle bool) int {
+		return len(plan(at(after), fleet(used), task(jobIdle)).Placements)
+	}
+	is.Equal(placements(time.Second, 0, true), 0)
+	is.Equal(placements(2*time.Second, 0, true), 1)
+	is.Equal(placements(2*time.Second, 0, false), 0)
+	is.Equal(placements(2*time.Second, 6, true), 0)
+	is.Equal(placements(4*time.Second, 6, true), 1)
+
+	// A task that was placed in the same pass is at work.
+	workers := fleet(0)
+	workers[0].Free, workers[0].FreeAfterStops = workers[1].Capacity, workers[1].Capacity
+	first, second := task(true), task(true)
+	first.Job.Steps[0].Need.Accelerators = 8
+	second.Job, second.Tasks = first.Job, []int{1}
+	is.Equal(len(plan(at(2*time.Second), workers, first, second).Placements), 1)
+}
+
 // Guards against work that can still be in time and waits behind work whose result is of no use any more.
 func TestOrderPutsExpiredUnitsLast(t *testing.T) {
 	is := is.New(t)
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -24,6 +24,8 @@
 	// Guaranteed means that the organisation's guarantee covers the job, so that work beyond a guarantee is preempted for
 	// it.
 	Guaranteed bool
+	// JobIdle means that no other run of the job exists, or that the step's tasks last and each counts by itself.
+	JobIdle bool
 	// TasksByWorker counts the step's tasks by worker id; it is nil when the step has no MaxTasksPerWorker.
 	TasksByWorker map[string]int
 	// Avoid has the ids of workers on which a run of the job has failed or stalled.
