policy: capacity of an idle service is reserved for a blocked unit for 1.5 s

Callers could see a job stand for as long as a gang that does not fit can be in time, next to idle workers that are reserved for the gang, against the rule LOST: two of ten workers idle, 8 of 80 accelerators in use.

Cause: a reservation ends with the unit's deadline only. While less than 60% of the capacity is in use, it now ends 1.5 s after the unit is ready.

TestReservationForGangDoesNotKeepWorkersIdle (LOST by the site's check) and TestReservationInIdleFleetIsShort failed before.

--- a/engine/placement_wait_test.go
+++ b/engine/placement_wait_test.go
@@ -1,9 +1,12 @@
 package engine_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"clementinepier/engine"
+	"clementinepier/standin/site"
 	"clementinepier/workload"
 )
 
@@ -40,3 +43,44 @@
 		})
 	}
 }
+
+// Guards against a task that waits for seconds beside idle workers, which are reserved for a gang that does not fit.
+func TestReservationForGangDoesNotKeepWorkersIdle(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(10)
+		defer stop()
+		filler := singleTaskStep(1)
+		filler.Tasks, filler.MaxTasksPerWorker = 8, 1
+		r.mustSubmit(p, "filler", 1, filler, time.Minute)
+		time.Sleep(time.Second)
+		r.mustSubmit(p, "gang", 1, gangStep(3, 8), time.Second)
+		time.Sleep(100 * time.Millisecond)
+		r.mustSubmit(p, "j1", 2, singleTaskStep(8), time.Second)
+		defer r.watchWaiting()()
+		r.RecordAccepted("j1")
+		r.waitForState(p, "j1", workload.StateCompleted, 10*time.Second)
+	})
+}
+
+// Guards against counting a failed run of a task twice: an earlier planner hears of it and cannot store it, and the successor hears of it
+// again.
+func TestFailureOfTaskIsCountedOnceAcrossPlanners(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(4)
+		job := newJob("j1", 1, singleTaskStep(1))
+		job.MaxAttempts = 2
+		r.SetTaskProfile("j1", job.Steps[0], 3*time.Second)
+		r.Equal(p.Submit(context.Background(), job).Verdict, engine.VerdictAccepted)
+		time.Sleep(time.Second)
+		for _, id := range r.WorkersRunning("j1") {
+			r.Store.SetRefusing(true)
+			r.Set(id, func(w *site.Worker) { w.EndAll(engine.EndFailed) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		stop()
+		r.Store.SetRefusing(false)
+		p, stop = r.startPlanner("b")
+		defer func() { stop() }()
+		r.waitForState(p, "j1", workload.StateCompleted, 30*time.Second)
+	})
+}
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -12,8 +12,8 @@
 	// maxUrgentRackWait bounds how long a guaranteed unit waits for a rack on which it runs at full speed. It is a third of
 	// the shortest limit on the start of guaranteed work, 2.9 s.
 	maxUrgentRackWait = time.Second
-	// maxIdleWait bounds how long a unit of a job that has nothing running waits for a rack while the fleet is idle. The users' rules let no
-	// job wait for 3 s beside idle workers.
+	// maxIdleWait bounds how long a unit of a job that has nothing running waits for a rack, and how long capacity is reserved for any unit,
+	// while the fleet is idle. The users' rules let no job wait for 3 s beside idle workers.
 	maxIdleWait = 1500 * time.Millisecond
 	// idleShare is the share of the fleet's capacity in use below which the fleet is idle. The users' rules say half.
 	idleShare = 0.6
@@ -94,6 +94,9 @@
 			f.preemptFor(now, u, &d)
 			continue
 		}
+		if f.idle && now.Sub(u.ReadySince) >= maxIdleWait {
+			continue
+		}
 		if need := u.step().Need.Accelerators * int64(len(u.Tasks)); u.timeliness(now) == inTime &&
 			float64(reserved+need) <= maxReservedShare*float64(f.totalAccelerators) {
 			reserved += f.reserve(u)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -163,6 +163,23 @@
 	is.Equal(len(plan(at(2*time.Second), workers, first, second).Placements), 1)
 }
 
+// Guards against idle workers that are reserved for a gang which does not fit, while other work waits for them for seconds.
+func TestReservationInIdleFleetIsShort(t *testing.T) {
+	is := is.New(t)
+	placements := func(after time.Duration, used int64) int {
+		workers := []*policy.Worker{worker("w0", "r1", 0)}
+		for i := range 9 {
+			workers = append(workers, worker(fmt.Sprintf("x%d", i), "r1", used))
+		}
+		gang, single := unit("gang", 1, 2, 8), unit("single", 2, 1, 8)
+		single.Deadline = at(20 * time.Second)
+		return len(plan(at(after), workers, gang, single).Placements)
+	}
+	is.Equal(placements(time.Second, 1), 0)
+	is.Equal(placements(2*time.Second, 1), 1)
+	is.Equal(placements(2*time.Second, 8), 0)
+}
+
 // Guards against work that can still be in time and waits behind work whose result is of no use any more.
 func TestOrderPutsExpiredUnitsLast(t *testing.T) {
 	is := is.New(t)
