--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -87,13 +87,15 @@
 	// waitingSince holds since when jobs, or tasks that last, wait although they could run. waitReported has those that were reported.
 	waitingSince map[string]time.Time
 	waitReported map[string]bool
+	// ended holds the jobs that Waiting has found to have no unit left, or one that is out of attempts.
+	ended map[string]bool
 }
 
 // New returns a site without workers.
 func New() *Site {
 	return &Site{
 		Store: NewStore(), workers: map[string]*Worker{}, profiles: map[string]JobProfile{}, tasks: map[string]*taskProfile{},
-		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{}, lastRuns: map[string]int{}, lastEnds: map[string]time.Time{},
+		done: map[string]bool{}, completed: map[string]bool{}, everDone: map[string]bool{}, started: map[string]time.Time{}, lastRuns: map[string]int{}, lastEnds: map[string]time.Time{}, ended: map[string]bool{},
 		cancelled: map[string]time.Time{}, failures: map[string]map[int]time.Time{}, notedFailures: map[string]map[int]time.Time{},
 		accepted: map[string]bool{}, listedDone: map[string]bool{}, notedDone: map[string]bool{}, waitReported: map[string]bool{}, lostAt: map[string]time.Time{},
 		checkpoints:   map[string]map[string]time.Duration{},
@@ -195,6 +197,13 @@
 	s.profiles[p.Job.ID] = p
 }
 
+// JobProfile returns what the tasks of a job do.
+func (s *Site) JobProfile(id string) JobProfile {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.profiles[id]
+}
+
 // lockWorker waits for the latency of a call and returns the worker at the address with s.mu held, after
 // applying elapsed time. On an error, s.mu is not held.
 func (s *Site) lockWorker(ctx context.Context, address string) (*Worker, error) {
