--- a/engine/idle.go
+++ b/engine/idle.go
@@ -22,9 +22,9 @@
 type idleWorkers struct {
 	// unavailable workers accept no starts at all, such as those that cannot be reached, drain or restart.
 	unavailable int
-	// closed workers are in quarantine, or tested by another job.
+	// closed workers are in quarantine, or tested by another job; see closedWorkerWait.
 	closed int
-	// avoided workers have failed or stalled a run of the job.
+	// avoided workers have failed a run of the job, and no run was done there since.
 	avoided int
 	// unsuitable workers do not have the label or the capacity, or have as many of the step's tasks as one worker may have.
 	unsuitable int
@@ -43,7 +43,7 @@
 	conf := p.Configuration()
 	idle, reports := 0, 0
 	for _, j := range p.active {
-		units := p.readyUnitsOf(nil, now, j, false)
+		units := p.readyUnitsOf(nil, now, j, false, nil)
 		if j.atWork() || len(units) == 0 && len(j.groups) == 0 {
 			j.idleSince = time.Time{}
 			continue
@@ -114,9 +114,9 @@
 		switch capacity := w.registration.Capacity; {
 		case !p.acceptsStarts(w, now, conf):
 			c.unavailable++
-		case !p.breaker.Allowed(now, w.id(), true):
+		case p.closed(w, now):
 			c.closed++
-		case u.Avoid[w.id()]:
+		case u.Avoid[w.id()] && p.breaker.Quarantined(w.id()):
 			c.avoided++
 		case step.Label != "" && !slices.Contains(w.registration.Labels, step.Label), !step.Need.Fits(capacity),
 			step.MaxTasksPerWorker > 0 && u.TasksByWorker[w.id()] >= step.MaxTasksPerWorker:
