engine: failing test of a task that waits for a restarted worker that is gone

A worker leaves a start without a response, restarts behind a cut, and is gone for good 2 s later. The task stands for 40.8 s beside three idle workers, which breaks LOST if a worker that is gone counts as calm: the start may be carried out for 30 s after it was sent, and its run lasts for a lease of 10 s.

--- a/engine/placement_wait_test.go
+++ b/engine/placement_wait_test.go
@@ -62,6 +62,35 @@
 	})
 }
 
+// Guards against a task that waits beside idle workers for a worker that is gone, because that one has restarted after a start that got no
+// response.
+func TestTaskDoesNotWaitForRestartedWorkerThatIsGone(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.JudgeLostRuns = true
+		r.storeEntries()
+		r.AddWorkers("r1", 4)
+		const gone = "r1-w0"
+		r.Set(gone, func(w *site.Worker) { w.StartDelay = 5 * time.Second })
+		p, stop := r.startPlanner("a")
+		defer stop()
+		time.Sleep(time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), time.Second)
+		r.RecordAccepted("j1")
+		time.Sleep(20 * time.Millisecond)
+		r.Set(gone, func(w *site.Worker) {
+			w.Restart()
+			w.StartDelay, w.Silent = 0, true
+		})
+		r.Register(r.Worker(gone))
+		time.Sleep(2 * time.Second)
+		r.Set(gone, func(w *site.Worker) { w.Replaced = true })
+		r.Deregister(r.Worker(gone))
+		r.RecordDisruption()
+		defer r.watchWaiting()()
+		r.waitForState(p, "j1", workload.StateCompleted, 2*time.Minute)
+	})
+}
+
 // Guards against counting a failed run of a task twice: an earlier planner hears of it and cannot store it, and the successor hears of it
 // again.
 func TestFailureOfTaskIsCountedOnceAcrossPlanners(t *testing.T) {
