--- a/engine/placement_wait_test.go
+++ b/engine/placement_wait_test.go
@@ -91,6 +91,19 @@
 	})
 }
 
+// Guards against a task that is started again and again on a worker that leaves every start without a response, beside idle workers.
+func TestTaskMovesAwayFromWorkerThatAnswersNoStarts(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.AddWorkers("r1", 4)
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay = 5 * time.Second })
+		p, stop := r.startPlanner("a")
+		defer stop()
+		time.Sleep(time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), time.Second)
+		r.waitForState(p, "j1", workload.StateCompleted, 10*time.Second)
+	})
+}
+
 // Guards against counting a failed run of a task twice: an earlier planner hears of it and cannot store it, and the successor hears of it
 // again.
 func TestFailureOfTaskIsCountedOnceAcrossPlanners(t *testing.T) {
