policy: waits for racks and reservations end only for jobs that the rule protects

Now a unit is overdue if its job has had nothing at work for 2 s, under half of the service is in use and there is room for it twice over: it is placed first, on whatever rack. One unit of a job at a time counts, but for tasks that last.

--- a/engine/closed.go
+++ b/engine/closed.go
@@ -184,6 +184,15 @@
 	}
 }
 
+// unplacedStepSince returns since when the step could have started while the job had no run that is at work or being started; zero while it
+// has one.
+func (j *jobState) unplacedStepSince(occurrence, step int) time.Time {
+	if j.unplacedSince.IsZero() {
+		return time.Time{}
+	}
+	return latest(j.readySince[occurrence][step], j.unplacedSince)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -26,6 +26,7 @@
 // be stopped only if preemption may be necessary.
 func (p *Planner) currentFleet(service string, now time.Time, conf *Configuration, guaranteed map[*jobState]bool, mayPreempt bool) *policy.Fleet {
 	f := p.cachedFleet(service)
+	f.policyFleet.MostlyIdle = p.mostlyIdle(service)
 	for i, w := range f.workers {
 		used, stopping := w.used()
 		policyWorker := f.policyWorkers[i]
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -79,8 +79,7 @@
 		}
 	}
 	base := policy.Unit{
-		Job: &j.record.Job, Occurrence: k, Step: s, ReadySince: j.readySince[k][s], Guaranteed: guaranteed && s == 0,
-		JobIdle: len(j.groups) == 0 || step.LongRunning,
+		Job: &j.record.Job, Occurrence: k, Step: s, ReadySince: j.readySince[k][s], IdleSince: j.unplacedStepSince(k, s), Guaranteed: guaranteed && s == 0,
 	}
 	if !step.LongRunning {
 		// A task that lasts may be away for a few seconds only; the quarantine of a worker is short enough.
@@ -116,7 +115,8 @@
 		u := base
 		u.Tasks = []int{i}
 		if step.LongRunning {
-			u.ClosedWorkers = closed.allowedFor(j, now, latest(j.readySince[k][s], j.endedAt[groupKey{k, s, i}]), true)
+			u.IdleSince = latest(j.readySince[k][s], j.endedAt[groupKey{k, s, i}])
+			u.ClosedWorkers = closed.allowedFor(j, now, u.IdleSince, true)
 		}
 		units = append(units, &u)
 	}
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -12,11 +12,9 @@
 	// maxUrgentRackWait bounds how long a guaranteed unit waits for a rack on which it runs at full speed. It is a third of
 	// the shortest limit on the start of guaranteed work, 2.9 s.
 	maxUrgentRackWait = time.Second
-	// maxIdleWait bounds how long a unit of a job that has nothing running waits for a rack, and how long capacity is reserved for any unit,
-	// while the fleet is idle. The users' rules let no job wait for 3 s beside idle workers.
-	maxIdleWait = 1500 * time.Millisecond
-	// idleShare is the share of the fleet's capacity in use below which the fleet is idle. The users' rules say half.
-	idleShare = 0.6
+	// maxIdleWait bounds how long a job has nothing at work while most of the fleet is idle, because its unit waits for a rack or behind
+	// capacity that is reserved. The users' rules let no job wait for 3 s beside idle workers that have room for it twice.
+	maxIdleWait = 2 * time.Second
 	// maxReservedShare is the share of the fleet's accelerators that may be reserved for blocked units in one pass.
 	maxReservedShare = 0.3
 )
@@ -29,14 +27,15 @@
 
 // Fleet is the set of workers of one service during a pass.
 type Fleet struct {
+	// MostlyIdle means that under half of the service's capacity is in use. It is set before Plan.
+	MostlyIdle bool
+
 	workers []*Worker
 	byID    map[string]*Worker
 	racks   map[string][]*Worker
 	// rackNames has the racks in a fixed order, so that decisions do not depend on the iteration order of a map.
 	rackNames         []string
 	totalAccelerators int64
-	// idle is set during a pass of a fleet that is idle when it begins.
-	idle bool
 	// candidates is a buffer that partialBestFit reuses.
 	candidates []candidate
 }
@@ -70,22 +69,19 @@
 // for jobs that are worth little by then.
 func (f *Fleet) Plan(now time.Time, units []*Unit) Decision {
 	var d Decision
-	f.idle = f.usedShare() < idleShare
 	reserved := int64(0)
 	blocked := map[stepKey]bool{}
-	placed, onClosed := map[*workload.Job]bool{}, map[*workload.Job]bool{}
-	for _, u := range units {
+	onClosed := map[*workload.Job]bool{}
+	for _, u := range f.overdueFirst(now, units) {
 		key := stepKey{job: u.Job, occurrence: u.Occurrence, step: u.Step}
 		if blocked[key] && (!u.step().LongRunning || len(u.ClosedWorkers) == 0) {
 			continue
 		}
-		u.JobIdle = u.JobIdle && (u.step().LongRunning || !placed[u.Job])
 		if onClosed[u.Job] && !u.step().LongRunning {
 			// One attempt of a job at a time is risked there.
 			u.ClosedWorkers = nil
 		}
 		if chosen := f.findWithFallbacks(now, u); chosen != nil {
-			placed[u.Job] = true
 			for i, w := range chosen {
 				onClosed[u.Job] = onClosed[u.Job] || w.isClosedTo(u)
 				d.Placements = append(d.Placements, Placement{Unit: u, Task: u.Tasks[i], Worker: w.ID})
@@ -100,9 +96,6 @@
 			u.withFallbacks(func() bool { return f.preemptFor(now, u, &d) })
 			continue
 		}
-		if f.idle && now.Sub(u.ReadySince) >= maxIdleWait {
-			continue
-		}
 		if need := u.step().Need.Accelerators * int64(len(u.Tasks)); u.timeliness(now) == inTime &&
 			float64(reserved+need) <= maxReservedShare*float64(f.totalAccelerators) {
 			reserved += f.reserve(u)
@@ -111,6 +104,34 @@
 	return d
 }
 
+// overdueFirst moves one unit of each job that has had nothing at work for too long to the front, and each such task that lasts. There it
+// finds the capacity that would be reserved for others, and it does not wait for a rack. Load pattern: a gang or a task with its data in a
+// busy rack, or small work behind a gang that does not fit, in a service of which most is idle.
+func (f *Fleet) overdueFirst(now time.Time, units []*Unit) []*Unit {
+	if !f.MostlyIdle {
+		return units
+	}
+	moved := map[*workload.Job]bool{}
+	var overdue, others []*Unit
+	for _, u := range units {
+		u.overdue = !u.IdleSince.IsZero() && now.Sub(u.IdleSince) >= maxIdleWait && (!moved[u.Job] || u.step().LongRunning) && f.fitsTwice(u)
+		if u.overdue {
+			moved[u.Job] = true
+			overdue = append(overdue, u)
+		} else {
+			others = append(others, u)
+		}
+	}
+	return append(overdue, others...)
+}
+
+// fitsTwice reports whether there is room for the unit twice over, in whatever racks.
+func (f *Fleet) fitsTwice(u *Unit) bool {
+	twice := *u
+	twice.Tasks = slices.Repeat(u.Tasks, 2)
+	return f.bestFit(&twice, f.workers, freeCapacity) != nil
+}
+
 // stepKey identifies one occurrence of a step. All its tasks need the same resources, so when one of them does not fit, no
 // other fits in the same pass, but on the closed workers that a task that lasts may use.
 type stepKey struct {
@@ -160,6 +181,9 @@
 // shouldWaitForRack reports whether the unit waits for capacity in a suitable rack instead of running now at a fraction of
 // its speed. A unit that would fit into no suitable rack even if the rack were empty does not wait.
 func (f *Fleet) shouldWaitForRack(now time.Time, u *Unit) bool {
+	if u.overdue {
+		return false
+	}
 	fits := false
 	for _, name := range f.rackNames {
 		if s := u.step(); s.DataRack != "" && !s.SameRack && name != s.DataRack {
@@ -177,25 +201,9 @@
 	if u.Guaranteed {
 		maxWait = min(maxWait, maxUrgentRackWait)
 	}
-	if f.idle && u.JobIdle {
-		maxWait = min(maxWait, maxIdleWait)
-	}
 	return now.Sub(u.ReadySince) < maxWait
 }
 
-// usedShare returns the share of the workers' capacity that is in use.
-func (f *Fleet) usedShare() float64 {
-	var capacity, free float64
-	for _, w := range f.workers {
-		capacity += w.Capacity.Cores()
-		free += w.Free.Cores()
-	}
-	if capacity == 0 {
-		return 1
-	}
-	return 1 - free/capacity
-}
-
 // findInBestRack places the unit in one rack: in the rack that has its data if it fits there, otherwise in the rack with the
 // fewest free accelerators into which it fits.
 func (f *Fleet) findInBestRack(u *Unit, capacity capacityFunc) []*Worker {
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -24,8 +24,9 @@
 	// Guaranteed means that the organisation's guarantee covers the job, so that work beyond a guarantee is preempted for
 	// it.
 	Guaranteed bool
-	// JobIdle means that no other run of the job exists, or that the step's tasks last and each counts by itself.
-	JobIdle bool
+	// IdleSince is since when the unit could have started while no run of the job was at work or being started; zero while one is. Each task
+	// that lasts counts by itself.
+	IdleSince time.Time
 	// TasksByWorker counts the step's tasks by worker id; it is nil when the step has no MaxTasksPerWorker.
 	TasksByWorker map[string]int
 	// Avoid has the ids of workers on which a run of the job has failed or stalled. They are closed to the unit.
@@ -36,6 +37,8 @@
 
 	// fallback is which workers the unit may use at present.
 	fallback fallback
+	// overdue means that the job has had nothing at work for too long beside idle workers.
+	overdue bool
 }
 
 // fallback is how far a unit may fall back to workers that failed.
