--- a/standin/site/idle.go
+++ b/standin/site/idle.go
@@ -37,7 +37,7 @@
 	delete(s.accepted, job)
 }
 
-// RecordDisruption records that a fault begins or ends, or that the planner changes.
+// RecordDisruption records that a fault begins or ends.
 func (s *Site) RecordDisruption() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,6 +57,20 @@
 	return lost && now.Sub(at) < lostRunSpan
 }
 
+// RecordPlannerChange records that the planner changes, which is a disruption. Orders that the earlier one had still to send are lost, so those
+// to start tasks of jobs that have nothing running may be.
+func (s *Site) RecordPlannerChange() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyElapsedTime()
+	s.disruptedAt = time.Now()
+	for job := range s.profiles {
+		if !s.hasRun(func(task string) bool { return jobOf(task) == job }) {
+			s.lostAt[job] = time.Now()
+		}
+	}
+}
+
 // CheckWaiting records a fault for each accepted job that has had nothing running for maxIdleWait although one of its tasks could run,
 // while the site was calm. Each task that lasts is judged by itself. Call it a few times per second.
 func (s *Site) CheckWaiting() {
--- a/standin/site/idle_test.go
+++ b/standin/site/idle_test.go
@@ -62,6 +62,12 @@
 		{"fault before that", []workload.Step{single}, func(b *bed) { b.RecordDisruption() }, 7100 * time.Millisecond, "j"},
 		{"fault that lasts", []workload.Step{single}, func(b *bed) { b.Set("r-w2", func(w *site.Worker) { w.LosePolls = true }) }, 20 * time.Second, ""},
 		{"store silent", []workload.Step{single}, func(b *bed) { b.Store.SetSilent(true) }, 20 * time.Second, ""},
+		{"planner changes", []workload.Step{single}, func(b *bed) { b.RecordPlannerChange() }, 40 * time.Second, ""},
+		{"planner changes while the job runs", []workload.Step{single}, func(b *bed) {
+			b.mustStart("r-w0", "j.0.0.0", 1)
+			b.RecordPlannerChange()
+			failAll(b)
+		}, 8 * time.Second, "j"},
 		{"worker dead", []workload.Step{single}, func(b *bed) { b.Set("r-w2", func(w *site.Worker) { w.Dead = true }) }, 20 * time.Second, ""},
 		{"run lost", []workload.Step{single}, func(b *bed) {
 			b.mustStart("r-w0", "j.0.0.0", 1)
