--- a/engine/state.go
+++ b/engine/state.go
@@ -38,6 +38,12 @@
 	idleSince, idleReportedAt time.Time
 	// blamedFailures counts the failures that were attributed to workers.
 	blamedFailures int
+	// failedOn and doneOn have the workers on which a run of the job has failed or was done.
+	failedOn, doneOn map[string]bool
+	// unplacedSince is since when the job has no run that is at work or is being started; zero while it has one.
+	unplacedSince time.Time
+	// endedAt is, for each task that lasts, when its last run ended.
+	endedAt map[groupKey]time.Time
 	// maybeStored is set once the store may have the job, from a commit of this planner that got no response or from another
 	// entry VM.
 	maybeStored bool
@@ -235,8 +241,14 @@
 	reportedDraining bool
 	// drainEnd is the earliest time at which a draining worker leaves.
 	drainEnd time.Time
-	// unhealthyUntil is when the worker may get new runs again.
+	// unhealthyUntil is when the worker, which refused a call, may get new runs again.
 	unhealthyUntil time.Time
+	// stalledUntil is until when the worker is closed because a run has stalled there.
+	stalledUntil time.Time
+	// avoidedUntil is until when a job may avoid the worker.
+	avoidedUntil time.Time
+	// failedJobs has the jobs of which a run has failed on the worker soon after its start, since one was last done there, the newest last.
+	failedJobs []*jobState
 }
 
 // lateStart is a start order that got no response, so that the worker may carry it out later.
