--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 isolation:
 	go run ./bench --isolation
 
-# soak plays random faults on real processes; SOAK_FIRST and SOAK_SEEDS choose the seeds. A seed takes 30 to 45 seconds.
+# soak plays random faults on real processes; SOAK_FIRST and SOAK_SEEDS choose the seeds. A seed takes 50 to 90 seconds.
 # SOAK_FLAGS may have "-soak-vms 40 -soak-workers 200" or "-soak-binary FILE".
 SOAK_FIRST := 1
 SOAK_SEEDS := 50
