--- a/policy/placement.go
+++ b/policy/placement.go
@@ -100,17 +100,22 @@
 			u.withFallbacks(func() bool { return f.preemptFor(now, u, &d) })
 			continue
 		}
-		if f.idle && now.Sub(u.ReadySince) >= maxIdleWait {
-			continue
-		}
-		if need := u.step().Need.Accelerators * int64(len(u.Tasks)); u.timeliness(now) == inTime &&
-			float64(reserved+need) <= maxReservedShare*float64(f.totalAccelerators) {
+		if f.mayReserve(now, u, reserved) {
 			reserved += f.reserve(u)
 		}
 	}
 	return d
 }
 
+// mayReserve reports whether capacity may be reserved for a blocked unit beside the accelerators that are reserved already.
+func (f *Fleet) mayReserve(now time.Time, u *Unit, reserved int64) bool {
+	if u.timeliness(now) != inTime || f.idle && now.Sub(u.ReadySince) >= maxIdleWait {
+		return false
+	}
+	need := u.step().Need.Accelerators * int64(len(u.Tasks))
+	return float64(reserved+need) <= maxReservedShare*float64(f.totalAccelerators)
+}
+
 // stepKey identifies one occurrence of a step. All its tasks need the same resources, so when one of them does not fit, no
 // other fits in the same pass, but on the closed workers that a task that lasts may use.
 type stepKey struct {
