engine: a job uses a worker that left its starts without a response after others

Callers could see a job stand for as long as one worker carries out starts late and without a response, while the rest of the service is idle: the worker answers polls, and the task fits there best, so it is placed there again.

Cause: the run ended without any mark on the job or the worker. The worker now ranks after all others for this job for 30 s.

--- a/engine/health.go
+++ b/engine/health.go
@@ -118,12 +118,17 @@
 	}
 }
 
-// avoidedWorkers returns the IDs of the workers that the job avoids.
-func (j *jobState) avoidedWorkers(now time.Time) map[string]bool {
+// preferOthers makes the job's next runs use the worker after all others for a while.
+func (j *jobState) preferOthers(now time.Time, w *workerState) {
+	j.unresponsive[w.id()] = now.Add(avoidTime)
+}
+
+// currentIDs returns the IDs whose time has not passed, and deletes the others.
+func currentIDs(now time.Time, until map[string]time.Time) map[string]bool {
 	var ids map[string]bool
-	for id, until := range j.avoid {
-		if !now.Before(until) {
-			delete(j.avoid, id)
+	for id, end := range until {
+		if !now.Before(end) {
+			delete(until, id)
 			continue
 		}
 		if ids == nil {
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -158,6 +158,7 @@
 		w.recordLateStart(lateStart{job: r.group.job.id(), key: r.group.key, run: r.number, sent: sent, incarnation: w.incarnation})
 		p.recordNoAnswer(w, sent)
 		if r.startAttempts >= maxStartAttempts {
+			r.group.job.preferOthers(p.Clock.Now(), w)
 			p.stopGroup(r.group, "a start order got no response")
 			p.stopRun(r)
 			return
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -380,7 +380,7 @@
 // newJobState returns the in-memory state of a job that was accepted at the given time of the planner's clock.
 func newJobState(record workload.Record, accepted time.Time) *jobState {
 	j := &jobState{
-		record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, stalls: map[groupKey]int{},
+		record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, unresponsive: map[string]time.Time{}, stalls: map[groupKey]int{},
 		failedOn: map[string]bool{}, doneOn: map[string]bool{}, endedAt: map[groupKey]time.Time{},
 	}
 	j.readySince = make([][]time.Time, record.Job.Occurrences())
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -80,10 +80,11 @@
 	}
 	base := policy.Unit{
 		Job: &j.record.Job, Occurrence: k, Step: s, ReadySince: j.readySince[k][s], IdleSince: j.unplacedStepSince(k, s), Guaranteed: guaranteed && s == 0,
+		Unresponsive: currentIDs(now, j.unresponsive),
 	}
 	if !step.LongRunning {
 		// A task that lasts may be away for a few seconds only; the quarantine of a worker is short enough.
-		base.Avoid = j.avoidedWorkers(now)
+		base.Avoid = currentIDs(now, j.avoid)
 		base.ClosedWorkers = closed.allowedFor(j, now, latest(j.readySince[k][s], j.unplacedSince), false)
 	}
 	origin := j.accepted
--- a/engine/state.go
+++ b/engine/state.go
@@ -31,6 +31,8 @@
 	groups   map[groupKey]*group
 	// avoid has the workers on which a run of this job stalled or failed, and until when the job avoids them.
 	avoid map[string]time.Time
+	// unresponsive has the workers that left the starts of a run of this job without a response, and until when the job uses them after others.
+	unresponsive map[string]time.Time
 	// stalls counts, by task or gang, the runs that were stopped because they seemed to stall.
 	stalls map[groupKey]int
 	// idleSince is since when no run of the job is at work although a task is ready or placed, zero while one is; idleReportedAt is when the
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -31,6 +31,8 @@
 	TasksByWorker map[string]int
 	// Avoid has the ids of workers on which a run of the job has failed or stalled. They are closed to the unit.
 	Avoid map[string]bool
+	// Unresponsive has the ids of workers that left starts of the job without a response. They are used after others.
+	Unresponsive map[string]bool
 	// ClosedWorkers has the ids of closed workers that the unit may use if it fits on no others, with how suspect each is. The least
 	// suspect are used first.
 	ClosedWorkers map[string]int
@@ -69,7 +71,7 @@
 	switch {
 	case w.isClosedTo(u):
 		return 2 + u.ClosedWorkers[w.ID]
-	case w.Quarantined:
+	case w.Quarantined || u.Unresponsive[w.ID]:
 		return 1
 	default:
 		return 0
