engine: the lease note names the incarnation whose leases it bounds

Callers could see two runs of a task (TWICE). A worker is cut off, is named in the lease note, restarts, and its new incarnation carries out a start that had got no response, which gives it the longest lease. The next planner read the entry of the new incarnation as the first one that it knew, and ended the run by the noted bound of the earlier one.

A successor now begins with the noted incarnation, so that the entry counts as a restart: the run is doubtful, and ends by the bound for late orders.

TestNoteOfEndedIncarnationDoesNotBoundLateStart: "store away" and "killed at restart" failed before and hold on and now; "none" and "killed" held throughout.

Without the entry nothing tells of the restart.

--- a/engine/lease_note.go
+++ b/engine/lease_note.go
@@ -28,6 +28,20 @@
 	// Remaining has, by the worker's ID, how long the leases of the worker can last from the writing of the note on. Whoever is the planner
 	// extends no lease of a worker while the stored note names it.
 	Remaining map[string]time.Duration `cbor:"1,keyasint,omitempty"`
+	// Incarnations has, by the worker's ID, the incarnation whose leases these are. Late orders may give a later one leases that last longer.
+	Incarnations map[string]int64 `cbor:"2,keyasint,omitempty"`
+}
+
+func newLeaseNote() leaseNote {
+	return leaseNote{Remaining: map[string]time.Duration{}, Incarnations: map[string]int64{}}
+}
+
+// add names a worker.
+func (n *leaseNote) add(w *workerState, now time.Time) {
+	n.Remaining[w.id()] = max(0, w.leasesEndBy.Sub(now))
+	if w.incarnation != 0 {
+		n.Incarnations[w.id()] = w.incarnation
+	}
 }
 
 // longest returns the longest remaining time.
@@ -43,8 +57,8 @@
 type leaseNoteState struct {
 	// revision is the last known revision of the note's key; 0 means that the key does not exist.
 	revision int64
-	// inherited has the remaining times of the note that an earlier planner has left, counted from the start of this planner.
-	inherited map[string]time.Duration
+	// inherited is the note that an earlier planner has left. Its remaining times are counted from the start of this planner.
+	inherited leaseNote
 	// named has the workers that the stored note names, or may name since a write got no response yet.
 	named map[string]bool
 	// checkNeeded is set when the note may have to change.
@@ -68,7 +82,7 @@
 			p.Log.Event("lease-note-unreadable", "revision", item.Revision, "error", err)
 			continue
 		}
-		n.inherited = note.Remaining
+		n.inherited = note
 		for id := range note.Remaining {
 			n.named[id] = true
 		}
@@ -81,7 +95,7 @@
 // certainly ended.
 func (p *Planner) inheritedLeaseBound(id string) time.Duration {
 	bound := p.leaseBound(p.Bounds.MaxLease)
-	if remaining, ok := p.leaseNote.inherited[id]; ok {
+	if remaining, ok := p.leaseNote.inherited.Remaining[id]; ok {
 		// A worker that can be reached again has time to report its ends.
 		return min(bound, max(remaining, pollTimeout))
 	}
@@ -113,14 +127,13 @@
 		return
 	}
 	n.checkNeeded = false
-	note := leaseNote{Remaining: map[string]time.Duration{}}
+	note := newLeaseNote()
 	changed, counting := false, false
 	for id, w := range p.workers {
 		switch {
 		case p.isNotable(w, now):
-			remaining := max(0, w.leasesEndBy.Sub(now))
-			note.Remaining[id] = remaining
-			changed, counting = changed || !n.named[id], counting || remaining > 0
+			note.add(w, now)
+			changed, counting = changed || !n.named[id], counting || note.Remaining[id] > 0
 		case n.named[id] && (len(w.runs) > 0 || w.fenced && w.failingSince.IsZero()):
 			changed = true
 		}
@@ -162,10 +175,10 @@
 	if p.Term.Err() == nil {
 		return
 	}
-	note, now := leaseNote{Remaining: map[string]time.Duration{}}, p.Clock.Now()
-	for id, w := range p.workers {
+	note, now := newLeaseNote(), p.Clock.Now()
+	for _, w := range p.workers {
 		if len(w.runs) > 0 && w.restartSuspectedAt.IsZero() {
-			note.Remaining[id] = max(0, w.leasesEndBy.Sub(now))
+			note.add(w, now)
 		}
 	}
 	if len(note.Remaining) == 0 {
--- a/engine/load.go
+++ b/engine/load.go
@@ -165,6 +165,7 @@
 	w, ok := p.workers[id]
 	if !ok {
 		w = &workerState{registration: Registration{ID: id}, fence: max(p.lastRevision, p.forgottenFence), runs: map[string]*run{}}
+		w.incarnation, w.incarnationSince = p.leaseNote.inherited.Incarnations[id], p.started
 		w.boundLeases(p.started.Add(p.inheritedLeaseBound(id)))
 		p.workers[id] = w
 		p.invalidateFleets()
