policy: a job at work waits for open workers instead of risking an attempt on a closed one

What callers could see: a sound job of which tasks are at work loses attempts on a bad worker, which is idle because it is closed, while its other tasks would soon fit on the workers that are open.

Cause: the last resort counted the time since the step was ready also for a job that has runs at work, which the rule on standing still does not ask for. Such a job now uses a closed worker only if no open one has the capacity at all.

The policy tests of closed workers now say that their jobs have nothing at work.

--- a/policy/placement.go
+++ b/policy/placement.go
@@ -24,6 +24,7 @@
 
 func freeCapacity(w *Worker) workload.Resources       { return w.Free }
 func capacityAfterStops(w *Worker) workload.Resources { return w.FreeAfterStops }
+func totalCapacity(w *Worker) workload.Resources      { return w.Capacity }
 
 // Fleet is the set of workers of one service during a pass.
 type Fleet struct {
@@ -77,7 +78,7 @@
 		if blocked[key] && (!u.step().LongRunning || len(u.ClosedWorkers) == 0) {
 			continue
 		}
-		if onClosed[u.Job] && !u.step().LongRunning {
+		if onClosed[u.Job] && !u.step().LongRunning || f.mayWaitForOpenWorkers(u) {
 			// One attempt of a job at a time is risked there.
 			u.ClosedWorkers = nil
 		}
@@ -103,6 +104,12 @@
 	return d
 }
 
+// mayWaitForOpenWorkers reports whether the job is at work and open workers have the capacity for the unit once they are free, so that it need
+// not risk an attempt on a closed one.
+func (f *Fleet) mayWaitForOpenWorkers(u *Unit) bool {
+	return len(u.ClosedWorkers) > 0 && u.IdleSince.IsZero() && f.bestFit(u, f.workers, totalCapacity) != nil
+}
+
 // overdueFirst moves one unit of each job that has had nothing at work for too long to the front, and each such task that lasts. There it
 // finds the capacity that would be reserved for others, and it does not wait for a rack. Load pattern: a gang or a task with its data in a
 // busy rack, or small work behind a gang that does not fit, in a service of which most is idle.
@@ -197,7 +204,7 @@
 		if s := u.step(); s.DataRack != "" && !s.SameRack && name != s.DataRack {
 			continue
 		}
-		if f.bestFit(u, f.racks[name], func(w *Worker) workload.Resources { return w.Capacity }) != nil {
+		if f.bestFit(u, f.racks[name], totalCapacity) != nil {
 			fits = true
 			break
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -239,13 +239,20 @@
 	is.Equal(len(plan(start, fleet(8), task(0)).Placements), 0)
 	allowed := func(i int) *policy.Unit {
 		u := task(i)
-		u.ClosedWorkers = map[string]int{"closed1": 1, "closed2": 2}
+		u.ClosedWorkers, u.IdleSince = map[string]int{"closed1": 1, "closed2": 2}, start
 		return u
 	}
 	is.Equal(plan(start, fleet(0), allowed(0)).Placements[0].Worker, "open")
 	d := plan(start, fleet(8), allowed(0), allowed(1))
 	is.Equal(len(d.Placements), 1) // one attempt of a job at a time is risked there
 	is.Equal(d.Placements[0].Worker, "closed1")
+	atWork := func() *policy.Unit {
+		u := allowed(0)
+		u.IdleSince = time.Time{}
+		return u
+	}
+	is.Equal(len(plan(start, fleet(8), atWork()).Placements), 0)     // the open worker will be free
+	is.Equal(len(plan(start, fleet(8)[:2], atWork()).Placements), 1) // there is no open worker
 	job.Steps[0].LongRunning = true
 	is.Equal(len(plan(start, fleet(8), task(0), allowed(1), allowed(2)).Placements), 2)
 }
@@ -263,7 +270,7 @@
 	failed := unit("job", 1, 1, 2)
 	failed.Avoid["quarantined"] = true
 	is.Equal(len(plan(start, fleet(8), failed).Placements), 0)
-	failed.ClosedWorkers = map[string]int{"quarantined": 1}
+	failed.ClosedWorkers, failed.IdleSince = map[string]int{"quarantined": 1}, start
 	is.Equal(len(plan(start, fleet(8), failed).Placements), 1)
 }
 
@@ -274,7 +281,7 @@
 	avoiding := func() *policy.Unit {
 		u := unit("job", 1, 1, 2)
 		u.Avoid["avoided"] = true
-		u.ClosedWorkers = map[string]int{"avoided": 1}
+		u.ClosedWorkers, u.IdleSince = map[string]int{"avoided": 1}, start
 		return u
 	}
 	fleet := func(usedOnOther int64) []*policy.Worker {
