standin/site: one measure of the room that a waiting task has

The soak and the random faults in virtual time each had their own. The soak's left out waits for a rack beside idle workers, which the rule on standing still does not excuse; it now counts the room far from a task's data, and of a gang in all racks, as the random faults do. TestWaiting demands the two cases that were not counted, and one more.

--- a/standin/site/idle.go
+++ b/standin/site/idle.go
@@ -116,10 +116,9 @@
 	return s.Store.silent || s.Store.refusing || s.Store.loseWrites || s.Store.loseEvery > 0
 }
 
-// disrupted reports whether a fault of the worker lasts.
+// disrupted reports whether a fault of the worker lasts, also one that it answers calls with.
 func (w *Worker) disrupted() bool {
-	return w.Silent || w.Misdirected || w.LoseStarts || w.LosePolls || w.LateStarts || w.LoseAnswers || w.DropStops || w.Unhealthy || w.RefusesPolls ||
-		w.Fails || w.Stalled || w.Isolated || w.StartDelay > 0 || w.StopDelay > 0 || w.PollDelay > 0 || len(w.AnswerDelays) > 0 || w.Registration.Draining
+	return !w.inTouch() || w.Fails || w.Stalled || w.Isolated || len(w.AnswerDelays) > 0
 }
 
 // freeWorker is a worker that may get runs, with its free capacity.
@@ -132,7 +131,7 @@
 func (s *Site) freeWorkers() (workers []freeWorker, busy bool) {
 	var used, capacity workload.Resources
 	for _, w := range s.workers {
-		if w.Dead || w.Replaced || w.disrupted() || s.Store.Revision(s.Prefix+w.Registration.ID) == 0 ||
+		if w.disrupted() || s.Store.Revision(s.Prefix+w.Registration.ID) == 0 ||
 			s.Evacuated != nil && s.Evacuated(w.Registration.FailureDomain) {
 			continue
 		}
--- a/standin/site/waiting.go
+++ b/standin/site/waiting.go
@@ -15,8 +15,6 @@
 	IdleSince time.Time
 	// Runs is the number of the unit's last run.
 	Runs int
-	// Places is how many tasks of the unit's step fit on workers in touch, where a worker counts for no more than twice the unit's tasks.
-	Places int
 }
 
 // Waiting is the work that waits at a moment, and the capacity of the workers in touch.
@@ -26,21 +24,22 @@
 }
 
 // Waiting returns the tasks and gangs of the jobs whose turn has come and for which the workers in touch have room twice over, if nothing
-// of their job runs and the job may not have ended. A task with a data rack only counts the room there.
+// of their job runs and the job may not have ended. Room far from a task's data counts.
 func (s *Site) Waiting(jobs []string) Waiting {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyElapsedTime()
 	var found Waiting
-	var inTouch []*Worker
+	var inTouch []freeWorker
 	running := map[string]bool{}
 	for _, w := range s.workers {
 		for task := range w.runs {
 			running[jobOf(task)] = true
 		}
 		if w.inTouch() && s.registered(w) {
-			inTouch = append(inTouch, w)
-			found.Used = found.Used.Add(w.used())
+			used := w.used()
+			inTouch = append(inTouch, freeWorker{Worker: w, free: w.Registration.Capacity.Sub(used)})
+			found.Used = found.Used.Add(used)
 			found.Capacity = found.Capacity.Add(w.Registration.Capacity)
 		}
 	}
@@ -74,7 +73,7 @@
 }
 
 // waitingUnits returns the units of a job whose turn has come and that have room twice over, or none if the job may have ended.
-func (s *Site) waitingUnits(p JobProfile, workers []*Worker) []WaitingUnit {
+func (s *Site) waitingUnits(p JobProfile, workers []freeWorker) []WaitingUnit {
 	var found []WaitingUnit
 	var idleSince time.Time
 	left := false
@@ -84,7 +83,8 @@
 			step := &p.Job.Steps[i]
 			turn := due && s.earlierStepsDone(p.Job, occurrence, i)
 			for index := range numberOfUnits(step) {
-				unit := s.unitOf(workload.TaskID{Job: p.Job.ID, Occurrence: occurrence, Step: i, Index: index}.String())
+				id := workload.TaskID{Job: p.Job.ID, Occurrence: occurrence, Step: i, Index: index}
+				unit := s.unitOf(id.String())
 				if limit := p.Job.MaxAttempts; limit > 0 && len(s.failures[unit]) >= limit {
 					s.ended[p.Job.ID] = true
 					return nil
@@ -94,8 +94,8 @@
 				if !turn || s.everDone[unit] {
 					continue
 				}
-				if places, enough := roomTwice(step, workers); enough {
-					found = append(found, WaitingUnit{Job: p.Job.ID, Unit: unit, Runs: s.lastRuns[unit], Places: places})
+				if s.hasRoom(id, p.Job.Steps[i], workers) {
+					found = append(found, WaitingUnit{Job: p.Job.ID, Unit: unit, Runs: s.lastRuns[unit]})
 				}
 			}
 		}
@@ -126,36 +126,3 @@
 	}
 	return true
 }
-
-// roomTwice returns the number of the step's tasks for which the workers have room, and whether that is twice a unit of the step. The
-// step has no task that runs.
-func roomTwice(step *workload.Step, workers []*Worker) (int, bool) {
-	tasks := 1
-	if step.Gang {
-		tasks = step.Tasks
-	}
-	total := 0
-	byRack := map[string]int{}
-	for _, w := range workers {
-		r := &w.Registration
-		if step.Label != "" && !slices.Contains(r.Labels, step.Label) || step.DataRack != "" && r.Rack != step.DataRack {
-			continue
-		}
-		places := 0
-		for free := r.Capacity.Sub(w.used()); step.Need.Fits(free) && places < 2*tasks; free = free.Sub(step.Need) {
-			if step.MaxTasksPerWorker > 0 && places == step.MaxTasksPerWorker {
-				break
-			}
-			places++
-		}
-		total += places
-		byRack[r.Rack] += places
-	}
-	if step.Gang && step.SameRack {
-		total = 0
-		for _, places := range byRack {
-			total = max(total, places)
-		}
-	}
-	return total, total >= 2*tasks
-}
--- a/standin/site/waiting_test.go
+++ b/standin/site/waiting_test.go
@@ -64,9 +64,10 @@
 		{"limit on a worker that leaves room", []workload.Step{{Tasks: 3, Gang: true, MaxTasksPerWorker: 2}}, nil, []string{"j.0.0"}},
 		{"label that no worker has", []workload.Step{{Tasks: 1, Label: "b"}}, nil, nil},
 		{"label of all workers", []workload.Step{{Tasks: 1, Label: "a"}}, nil, []string{"j.0.0.0"}},
-		{"data in another rack", []workload.Step{{Tasks: 1, DataRack: "r2"}}, nil, nil},
+		{"data in another rack", []workload.Step{{Tasks: 1, DataRack: "r2"}}, nil, []string{"j.0.0.0"}},
 		{"gang in one rack", []workload.Step{{Tasks: 2, Gang: true, SameRack: true, Need: accelerators(4)}}, nil, []string{"j.0.0"}},
-		{"gang that two racks have room for", []workload.Step{{Tasks: 3, Gang: true, SameRack: true, Need: accelerators(8)}}, func(b *bed) { b.AddWorkers("r2", 3) }, nil},
+		{"gang that two racks have room for", []workload.Step{{Tasks: 3, Gang: true, SameRack: true, Need: accelerators(8)}}, func(b *bed) { b.AddWorkers("r2", 3) }, []string{"j.0.0"}},
+		{"gang that one of two racks has room for", []workload.Step{{Tasks: 3, Gang: true, SameRack: true, Need: accelerators(8)}}, func(b *bed) { b.AddWorkers("r2", 2) }, nil},
 		{"gang that may use two racks", []workload.Step{{Tasks: 3, Gang: true, Need: accelerators(8)}}, func(b *bed) { b.AddWorkers("r2", 3) }, []string{"j.0.0"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -104,7 +105,7 @@
 		ended := time.Now()
 		time.Sleep(time.Second)
 		found := b.Waiting([]string{"j"})
-		b.Equal(found.Units, []site.WaitingUnit{{Job: "j", Unit: "j.0.0.0", IdleSince: ended, Runs: 1, Places: 6}})
+		b.Equal(found.Units, []site.WaitingUnit{{Job: "j", Unit: "j.0.0.0", IdleSince: ended, Runs: 1}})
 		b.Equal(found.Used.Accelerators, int64(2))
 		b.Equal(found.Capacity.Accelerators, int64(24))
 	})
