engine: a job whose runs are on silent workers is without a run since their last answer

What callers could see: the only run of a job is lost with its worker, and the next task waits up to 2 s longer than needed for its rack or for closed workers beside idle ones, since the time without a run began only when the loss was noticed, up to 2.7 s after the last answer.

--- a/engine/closed.go
+++ b/engine/closed.go
@@ -169,18 +169,28 @@
 	r.group.job.doneOn[r.worker.id()] = true
 }
 
-// updateUnplacedSince records whether the job has a run that is at work or is being started.
+// updateUnplacedSince records whether the job has a run that is at work or is being started. One whose worker no longer answers may have been lost
+// right after the last answer.
 func (j *jobState) updateUnplacedSince(now time.Time) {
+	var lastAnswer time.Time
 	for _, g := range j.groups {
 		for _, r := range g.runs {
-			if !r.stopRequested && r.phase != runDoubtful && r.worker.failingSince.IsZero() {
+			if r.stopRequested || r.phase == runDoubtful {
+				continue
+			}
+			if r.worker.failingSince.IsZero() {
 				j.unplacedSince = time.Time{}
 				return
 			}
+			lastAnswer = latest(lastAnswer, r.worker.lastAnswer)
 		}
 	}
-	if j.unplacedSince.IsZero() {
+	switch {
+	case !j.unplacedSince.IsZero():
+	case lastAnswer.IsZero():
 		j.unplacedSince = now
+	default:
+		j.unplacedSince = lastAnswer
 	}
 }
 
--- a/engine/placement_wait_test.go
+++ b/engine/placement_wait_test.go
@@ -46,6 +46,33 @@
 	}
 }
 
+// Guards against a job whose only run is on a worker that is gone, and whose next task waits for the rack of its data beside idle workers.
+func TestJobWithLostRunDoesNotWaitForRackBesideIdleWorkers(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.AddWorkers("r1", 1)
+		r.AddWorkers("r2", 6)
+		p, stop := r.startPlanner("a")
+		defer stop()
+		other := singleTaskStep(8)
+		other.Label = "r1"
+		r.mustSubmit(p, "other", 1, other, 30*time.Second)
+		time.Sleep(time.Second)
+		r.Equal(r.WorkersRunning("other"), []string{"r1-w0"})
+		first := singleTaskStep(8)
+		first.Label = "r2"
+		second := singleTaskStep(8)
+		second.DataRack, second.Estimate = "r1", time.Second
+		job := newJob("job", 1, first)
+		job.Steps = append(job.Steps, second)
+		r.SetJobProfile(site.JobProfile{Job: job, Work: []time.Duration{20 * time.Second, 5 * time.Second}})
+		r.Equal(p.Submit(context.Background(), job).Verdict, engine.VerdictAccepted)
+		time.Sleep(500 * time.Millisecond)
+		r.Set(r.WorkersRunning("job")[0], func(worker *site.Worker) { worker.Dead = true })
+		time.Sleep(5 * time.Second)
+		r.Equal(len(r.WorkersRunning("job")), 1)
+	})
+}
+
 // Guards against a task that waits for seconds beside idle workers, which are reserved for a gang that does not fit.
 func TestReservationForGangDoesNotKeepWorkersIdle(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
