--- a/engine/closed.go
+++ b/engine/closed.go
@@ -19,8 +19,8 @@
 	suspectWorkers = 2
 	// provenFailures is the number of jobs, not suspect themselves, whose failures show that a worker is at fault.
 	provenFailures = 2
-	// startFailureTime is how long a run is at work at most before a failure that shows a worker at fault. A worker on which runs fail
-	// later does not fail everything that it starts.
+	// startFailureTime is how soon after its start a run has to fail to count against its worker. A worker on which runs fail later does not
+	// fail everything that it starts.
 	startFailureTime = time.Second
 	// maxFailedJobs bounds the jobs that are kept for each worker.
 	maxFailedJobs = 8
@@ -57,6 +57,8 @@
 	return fleets
 }
 
+// mostlyIdle reports whether under half of the accelerators of a service's registered workers are in use, or of the processors if it has no
+// accelerators.
 func (p *Planner) mostlyIdle(service string) bool {
 	capacity, inUse := workload.Resources{}, workload.Resources{}
 	for _, w := range p.cachedFleet(service).workers {
@@ -203,6 +205,7 @@
 	return latest(j.readySince[occurrence][step], j.unplacedSince)
 }
 
+// latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
