engine: the lease note names no worker that may still carry out a start

What callers could see: two runs of a task (TWICE). A worker with a start that got no response is cut off, is named in the lease note, restarts out of reach without being registered anew, and carries out that start, which gives it the longest lease. The next planner ends the run by the noted bound. Before the lease note, the longest lease from that planner's own start covered it.

Cause: the note bounds the leases that were granted, and not those that late orders may still give. A worker that may have restarted was left out for that reason; one whose restart nothing shows was not.

Now a worker is named only if no start without a response may be carried out any more.

--- a/engine/lease_note.go
+++ b/engine/lease_note.go
@@ -107,10 +107,16 @@
 	return w.clockKnown(now) && !p.leaseNote.named[w.id()]
 }
 
+// leasesBounded reports whether the known leases of the worker bound all that late orders may still give. They do not if the worker may have
+// restarted, or if it may still carry out a start: a restart that nothing shows would give that run the longest lease.
+func (w *workerState) leasesBounded(now time.Time) bool {
+	return w.restartSuspectedAt.IsZero() && !w.mayStartAny(now)
+}
+
 // isNotable reports whether the worker is to be named in the lease note: it has runs and is silent; one that an earlier planner has named stays
-// so until it answers. A worker that may have restarted is not, since late orders may give its new incarnation leases that the note does not bound.
+// so until it answers.
 func (p *Planner) isNotable(w *workerState, now time.Time) bool {
-	if len(w.runs) == 0 || !w.restartSuspectedAt.IsZero() {
+	if len(w.runs) == 0 || !w.leasesBounded(now) {
 		return false
 	}
 	since := w.failingSince
@@ -177,7 +183,7 @@
 	}
 	note, now := newLeaseNote(), p.Clock.Now()
 	for _, w := range p.workers {
-		if len(w.runs) > 0 && w.restartSuspectedAt.IsZero() {
+		if len(w.runs) > 0 && w.leasesBounded(now) {
 			note.add(w, now)
 		}
 	}
