--- a/engine/idle_workers_test.go
+++ b/engine/idle_workers_test.go
@@ -97,6 +97,26 @@
 	return s
 }
 
+// playFailingJobs submits four times the given number of jobs of which every run fails, and a sound job each second, and requires that all
+// of them end.
+func (w *idleWatch) playFailingJobs(number int, step workload.Step, attempts int) {
+	for i := range 60 {
+		if i%10 == 0 && i <= 30 {
+			for k := range number {
+				failing := newJob("failing"+strconv.Itoa(i)+"-"+strconv.Itoa(k), 1, step)
+				failing.MaxAttempts = attempts
+				w.submit(failing, time.Duration(2+k%4)*time.Second, attempts)
+			}
+		}
+		w.submit(newJob("sound"+strconv.Itoa(i), 1, singleTaskStep(1)), 2*time.Second, 0)
+		w.wait(time.Second)
+	}
+	w.wait(20 * time.Second)
+	for id := range w.jobs {
+		w.rig.True(w.planner.State(context.Background(), id).State.Ended())
+	}
+}
+
 // Guards against jobs that wait beside idle workers, which are closed because wide jobs, all of whose runs fail, failed there.
 func TestFailingWideJobsDoNotCloseWorkersToOthers(t *testing.T) {
 	for _, workers := range []int{1, 2, 4, 12} {
@@ -105,21 +125,7 @@
 				p, stop := r.startWithWorkers(workers)
 				defer stop()
 				w := r.newIdleWatch(p)
-				for i := range 60 {
-					if i%10 == 0 && i <= 30 {
-						for k := range 3 {
-							failing := newJob("failing"+strconv.Itoa(i)+"-"+strconv.Itoa(k), 1, wideStep(workers))
-							failing.MaxAttempts = 4
-							w.submit(failing, time.Duration(2+k)*time.Second, failing.MaxAttempts)
-						}
-					}
-					w.submit(newJob("sound"+strconv.Itoa(i), 1, singleTaskStep(1)), 2*time.Second, 0)
-					w.wait(time.Second)
-				}
-				w.wait(20 * time.Second)
-				for id := range w.jobs {
-					r.True(p.State(context.Background(), id).State.Ended())
-				}
+				w.playFailingJobs(3, wideStep(workers), 4)
 			})
 		})
 	}
@@ -193,21 +199,7 @@
 					p, stop := r.startWithWorkers(workers)
 					defer stop()
 					w := r.newIdleWatch(p)
-					for i := range 60 {
-						if i%10 == 0 && i <= 30 {
-							for k := range 2 * workers {
-								failing := newJob("failing"+strconv.Itoa(i)+"-"+strconv.Itoa(k), 1, singleTaskStep(1))
-								failing.MaxAttempts = attempts
-								w.submit(failing, time.Duration(2+k%4)*time.Second, attempts)
-							}
-						}
-						w.submit(newJob("sound"+strconv.Itoa(i), 1, singleTaskStep(1)), 2*time.Second, 0)
-						w.wait(time.Second)
-					}
-					w.wait(20 * time.Second)
-					for id := range w.jobs {
-						r.True(p.State(context.Background(), id).State.Ended())
-					}
+					w.playFailingJobs(2*workers, singleTaskStep(1), attempts)
 				})
 			})
 		}
--- a/engine/lease_note.go
+++ b/engine/lease_note.go
@@ -63,7 +63,8 @@
 	named map[string]bool
 	// checkNeeded is set when the note may have to change.
 	checkNeeded bool
-	inFlight    bool
+	// inFlight is set while a write of the note is in flight; there is at most one.
+	inFlight bool
 	// writtenAt is when the last write was decided on; zero if it failed. nextWriteAt is the earliest time of the next one.
 	writtenAt, nextWriteAt time.Time
 }
--- a/engine/placement_wait_test.go
+++ b/engine/placement_wait_test.go
@@ -133,8 +133,8 @@
 	})
 }
 
-// Guards against counting a failed run of a task twice: an earlier planner hears of it and cannot store it, and the successor hears of it
-// again.
+// Guards against counting a failed run of a task twice: it is reported to an earlier planner, which cannot store it, and again to the
+// successor.
 func TestFailureOfTaskIsCountedOnceAcrossPlanners(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
 		p, stop := r.startWithWorkers(4)
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -83,7 +83,7 @@
 		Unresponsive: currentIDs(now, j.unresponsive),
 	}
 	if !step.LongRunning {
-		// A task that lasts may be away for a few seconds only; the quarantine of a worker is short enough.
+		// A task that lasts may be away for a few seconds only, so it avoids no workers.
 		base.Avoid = currentIDs(now, j.avoid)
 		base.ClosedWorkers = closed.allowedFor(j, now, latest(j.readySince[k][s], j.unplacedSince), false)
 	}
