--- a/review/rig2/lost.go
+++ b/review/rig2/lost.go
@@ -18,7 +18,7 @@
 	if trouble {
 		hit := false
 		for _, w := range s.workers {
-			w.onStart = func(string, int) bool {
+			w.onStart = func(startOrder) bool {
 				if hit {
 					return true
 				}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -1,4 +1,4 @@
-// Command rig2 plays the cases 6 and up of the review against real processes of the project, with stand-ins for the store, the workers and the
+// Command rig2 plays the cases 6 to 10 of the review against real processes of the project, with stand-ins for the store, the workers and the
 // callers on loopback addresses. Run it in the repository's root:
 //
 //	rig2 CASE RECORD
@@ -21,8 +21,11 @@
 	workers, fronts int
 	play            play
 }{
+	"reclaim-shape":           {workers: 6, fronts: 3, play: reclaimShape},
+	"reclaim-from-lasting":    {workers: 6, fronts: 3, play: reclaimFromLasting},
 	"lost-after-restart":      {workers: 6, fronts: 3, play: lostAfterRestart},
-	"restart-as-smaller-kind": {workers: 48, fronts: 3, play: restartAsSmallerKind},
+	"late-order-after-crash":  {workers: 6, fronts: 3, play: lateOrderAfterCrash},
+	"lasting-in-full-service": {workers: 6, fronts: 3, play: lastingInFullService},
 }
 
 func main() {
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -13,14 +13,37 @@
 const (
 	maxLease  = 6 * time.Second
 	heartbeat = 1500 * time.Millisecond
+	// stopTime is how long a stop takes; StopGraceMs is 900.
+	stopTime = 300 * time.Millisecond
 )
 
+// startOrder is an order to start a run.
+type startOrder struct {
+	task, spec     string
+	number         int
+	untilMs, fence int64
+}
+
 // taskRun is a run of a task at a worker.
 type taskRun struct {
 	number  int
 	started time.Time
 	work    time.Duration
 	stopsAt time.Time
+	// lasts means that the run has no end of its own but a failure, which comes at failsAt unless that is zero.
+	lasts   bool
+	failsAt time.Time
+}
+
+// lastingSpec is the text of tasks that last.
+const lastingSpec = "lasts"
+
+// percent returns the run's progress.
+func (r *taskRun) percent() int {
+	if r.lasts {
+		return 100
+	}
+	return min(100, int(100*time.Since(r.started)/r.work))
 }
 
 // worker is a stand-in for a worker. Its process may end and start again under the same id.
@@ -29,11 +52,11 @@
 	listener       net.Listener
 	store          *store
 	record         *record
-	// work is how long a task takes.
-	work time.Duration
+	// work is how long a task takes. The first run of a task fails after firstRunFailsAfter, unless that is 0.
+	work, firstRunFailsAfter time.Duration
 
 	mu sync.Mutex
-	// up is set while the process of the worker runs, cut while no call of the system reaches it.
+	// up is set while the process of the worker runs, and cut while no call of the system reaches it.
 	up, cut bool
 	// kind is its first label; gpus are its accelerators.
 	kind string
@@ -41,8 +64,8 @@
 	// registered is set while the worker writes its entry.
 	registered bool
 	state      string
-	// onStart is called for each start order before it is carried out; it returns false if the order is not.
-	onStart  func(task string, number int) bool
+	// onStart is called for each start order before it is carried out; it returns false if the order is not, and gets no answer.
+	onStart  func(o startOrder) bool
 	born     time.Time
 	fence    int64
 	until    time.Time
@@ -84,16 +107,31 @@
 func (w *worker) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.begin()
+	w.beat()
+}
+
+// startWith begins a life in which an order that got no answer is the first call that is carried out.
+func (w *worker) startWith(o startOrder) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begin()
+	w.startRun(o)
+	w.beat()
+}
+
+// begin sets the state of a new life. The caller holds mu.
+func (w *worker) begin() {
 	w.up, w.registered, w.born, w.fence, w.until = true, true, time.Now(), 0, time.Time{}
 	w.runs, w.highest, w.ends, w.endCount = map[string]*taskRun{}, map[string]int{}, nil, 0
 	w.record.add("worker %s starts, born %d", w.id, w.born.UnixMilli())
-	w.beat()
 }
 
 // crash ends the worker's process. The caller holds mu.
 func (w *worker) crash() {
 	for task, r := range w.runs {
 		w.record.add("run %d of %s on %s is lost with the worker's process", r.number, task, w.id)
+		w.record.ended(w, task)
 	}
 	w.up, w.registered, w.runs, w.ends = false, false, map[string]*taskRun{}, nil
 	w.record.add("worker %s crashes", w.id)
@@ -125,6 +163,7 @@
 	w.endCount++
 	w.ends = append(w.ends, []any{w.endCount, task, r.number, how, ""})
 	w.record.add("run %d of %s on %s ends: %s", r.number, task, w.id, how)
+	w.record.ended(w, task)
 	w.notify()
 }
 
@@ -137,7 +176,9 @@
 			w.end(task, "lapsed")
 		case !r.stopsAt.IsZero() && now.After(r.stopsAt):
 			w.end(task, "stopped")
-		case now.Sub(r.started) >= r.work:
+		case !r.failsAt.IsZero() && now.After(r.failsAt):
+			w.end(task, "failed")
+		case !r.lasts && now.Sub(r.started) >= r.work:
 			w.end(task, "done")
 		}
 	}
@@ -159,7 +200,7 @@
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	var in struct {
-		Task                             string
+		Task, TaskSpec                   string
 		Run                              int
 		UntilMs, Fence, LastSeen, WaitMs int64
 	}
@@ -183,11 +224,14 @@
 	w.advance()
 	switch r.URL.Path {
 	case "/-/run-start":
-		if w.onStart != nil && !w.onStart(in.Task, in.Run) {
-			breakOff(out)
+		order := startOrder{task: in.Task, spec: in.TaskSpec, number: in.Run, untilMs: in.UntilMs, fence: in.Fence}
+		if w.onStart != nil && !w.onStart(order) {
+			w.mu.Unlock()
+			<-r.Context().Done()
+			w.mu.Lock()
 			return
 		}
-		status, reason := w.startRun(in.Task, in.Run, in.UntilMs, in.Fence)
+		status, reason := w.startRun(order)
 		reply(out, status, map[string]any{"ClockMs": w.clock(), "Reason": reason})
 	case "/-/run-stop":
 		status, reason := w.stopRun(in.Task, in.Run, in.Fence)
@@ -209,24 +253,28 @@
 }
 
 // startRun carries out a start order. The caller holds mu.
-func (w *worker) startRun(task string, number int, untilMs, fence int64) (status int, reason string) {
+func (w *worker) startRun(o startOrder) (status int, reason string) {
 	switch {
-	case fence < w.fence:
+	case o.fence < w.fence:
 		return http.StatusConflict, "fence"
-	case untilMs < w.clock():
+	case o.untilMs < w.clock():
 		return http.StatusConflict, "late"
 	}
-	w.fence = fence
-	w.extend(untilMs)
-	if r, ok := w.runs[task]; ok && r.number == number {
+	w.fence = o.fence
+	w.extend(o.untilMs)
+	if r, ok := w.runs[o.task]; ok && r.number == o.number {
 		return http.StatusOK, ""
 	}
-	if number <= w.highest[task] {
+	if o.number <= w.highest[o.task] {
 		return http.StatusConflict, "old"
 	}
-	w.highest[task] = number
-	w.runs[task] = &taskRun{number: number, started: time.Now(), work: w.work}
-	w.record.started(w, task, number)
+	w.highest[o.task] = o.number
+	r := &taskRun{number: o.number, started: time.Now(), work: w.work, lasts: o.spec == lastingSpec}
+	if o.number == 1 && w.firstRunFailsAfter > 0 {
+		r.failsAt = r.started.Add(w.firstRunFailsAfter)
+	}
+	w.runs[o.task] = r
+	w.record.started(w, o.task, o.number)
 	return http.StatusOK, ""
 }
 
@@ -237,7 +285,7 @@
 	}
 	w.fence = fence
 	if r, ok := w.runs[task]; ok && r.number <= number && r.stopsAt.IsZero() {
-		r.stopsAt = time.Now().Add(100 * time.Millisecond)
+		r.stopsAt = time.Now().Add(stopTime)
 	}
 	w.highest[task] = max(w.highest[task], number)
 	return http.StatusOK, ""
@@ -254,7 +302,7 @@
 		w.extend(untilMs)
 	}
 	for len(w.ends) > 0 && w.ends[0][0].(int64) <= lastSeen {
-		w.record.add("end %v of %v on %s is taken note of", w.ends[0][0], w.ends[0][1], w.id)
+		w.record.add("end %v (run %v of %v: %v) on %s is taken note of", w.ends[0][0], w.ends[0][2], w.ends[0][1], w.ends[0][3], w.id)
 		w.ends = w.ends[1:]
 	}
 	born, timeout := w.born, time.After(time.Duration(waitMs)*time.Millisecond)
@@ -282,7 +330,7 @@
 	}
 	running := [][]any{}
 	for task, run := range w.runs {
-		running = append(running, []any{task, run.number, "", min(100, int(100*time.Since(run.started)/run.work)), 1000})
+		running = append(running, []any{task, run.number, "", run.percent(), 1000})
 	}
 	ends := w.ends
 	if ends == nil {
