engine: no next run elsewhere while an unanswered start may begin an earlier one

Cause: a start without a response may be carried out for seconds. Its own incarnation refuses it, a later one knows nothing of it. The planner kept the task from its next run only once the worker showed a restart, and else stopped the later run when the restart showed, which is too late if the order is the first call.

lateRunEnd answers until when a run that such a start may begin can exist at its worker, and by what; placement and the polls of the worker go by it. The task waits until a later incarnation has answered with its fencing token, the worker has listed its runs after the last time at which the order could be carried out, or that time and the longest lease are over. If the worker has confirmed the run all the same, the next one may begin there: it refuses the earlier one, and loses the later one in a crash. The start is recorded in the job at once, so that a successor knows of it. Tasks that last, which may be away for seconds only, wait as before, when a restart shows. group-withheld and group-released log the order, the bound and its basis.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -209,8 +209,9 @@
 		// A worker gets no runs until it has answered, also when none is left on it.
 		return w.registered || len(w.runs) > 0
 	}
-	if w.lastEnd > w.acknowledgedEnd || len(w.orphans) > 0 || w.registered && w.mayStartAny(p.Clock.Now()) {
-		// A worker that may carry out a start late is asked although it has no runs, since a restart breaks the poll off.
+	if w.lastEnd > w.acknowledgedEnd || len(w.orphans) > 0 || p.holdsLateStart(w, p.Clock.Now()) {
+		// A worker that may carry out a start late is asked although it has no runs, since a restart breaks the poll off, and until it has
+		// answered after the latest time at which it may have carried the start out.
 		return true
 	}
 	for _, r := range w.runs {
@@ -251,9 +252,21 @@
 		// If the last page was full, the worker may have no further ends, so a poll must not wait for one.
 		request.Wait = 0
 	}
+	request.Wait = min(request.Wait, p.maxPollWait(w, now))
 	return request
 }
 
+// maxPollWait bounds the wait of a poll so that the worker lists its runs as soon as its late starts can no longer be carried out.
+func (p *Planner) maxPollWait(w *workerState, now time.Time) time.Duration {
+	wait := pollWait
+	for _, s := range w.lateStarts {
+		if until, _ := p.lateRunEnd(w, s); now.Before(until) {
+			wait = min(wait, max(0, s.sent.Add(maxOrderDelay).Sub(now)))
+		}
+	}
+	return (wait + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
 // mayAcknowledge reports whether the ends of a worker can be acknowledged now. An acknowledgement that reaches a later incarnation makes
 // it discard ends of its own, so an end is acknowledged only until the worker has confirmed it.
 func (p *Planner) mayAcknowledge(w *workerState, now time.Time) bool {
--- a/engine/inference_test.go
+++ b/engine/inference_test.go
@@ -336,8 +336,11 @@
 		time.Sleep(500 * time.Millisecond)
 		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay = 2 * maxLease })
 		r.mustSubmit(p, "absent", 1, singleTaskStep(1), 500*time.Millisecond)
+		// The planner is lost before it can record that the start got no response.
+		r.Store.SetRefusing(true)
 		time.Sleep(20 * time.Millisecond)
 		stop()
+		r.Store.SetRefusing(false)
 		time.Sleep(2 * time.Second)
 		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay = 0 })
 		p, stop = r.startPlanner("b")
--- a/engine/load.go
+++ b/engine/load.go
@@ -153,10 +153,14 @@
 		if age >= p.lateRunBound() {
 			continue
 		}
-		p.workerByID(s.Worker).recordLateStart(lateStart{
+		late := &lateStart{
 			job: j.id(), key: groupKey{occurrence: s.Occurrence, step: s.Step, index: s.Index}, run: s.Run, sent: p.Clock.Now().Add(-age),
 			incarnation: s.Incarnation,
-		})
+		}
+		if s.Index >= 0 {
+			late.tasks = []int{s.Index}
+		}
+		p.workerByID(s.Worker).recordLateStart(late)
 	}
 }
 
@@ -166,7 +170,7 @@
 	if !ok {
 		w = &workerState{registration: Registration{ID: id}, fence: max(p.lastRevision, p.forgottenFence), runs: map[string]*run{}}
 		w.incarnation, w.incarnationSince = p.leaseNote.inherited.Incarnations[id], p.started
-		w.boundLeases(p.started.Add(p.inheritedLeaseBound(id)))
+		w.grantLeaseUntil(p.started, p.started.Add(p.inheritedLeaseBound(id)))
 		p.workers[id] = w
 		p.invalidateFleets()
 	}
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -51,7 +51,7 @@
 // clock can have, so that the bound holds however old the last reading is, for this planner and for a successor.
 func (p *Planner) grantLease(w *workerState, lease time.Duration) WorkerTime {
 	now := p.Clock.Now()
-	w.boundLeases(now.Add(p.leaseBound(lease)))
+	w.grantLeaseUntil(now, now.Add(p.leaseBound(lease)))
 	return w.earliestWorkerTime(now) + WorkerTime(lease)
 }
 
@@ -157,7 +157,7 @@
 		p.Metrics.Add(metrics.OrdersUnanswered, 1)
 		p.Log.Event("start-unanswered", "task", r.name, "run", r.number, "worker", w.id(), "try", r.startAttempts, "error", err)
 		r.unconfirmed = true
-		w.recordLateStart(lateStart{job: r.group.job.id(), key: r.group.key, run: r.number, sent: sent, incarnation: w.incarnation})
+		p.recordUnansweredStart(r, sent)
 		p.recordNoAnswer(w, sent)
 		if r.startAttempts >= maxStartAttempts {
 			r.group.job.preferOthers(p.Clock.Now(), w)
@@ -195,6 +195,7 @@
 		"doubtful", r.unconfirmed, "stopping", r.stopRequested)
 	r.phase, r.confirmedAt, r.progressedAt = runRunning, now, now
 	r.group.job.begun = true
+	r.worker.confirmLateStart(r)
 	r.worker.nextPoll = now
 	p.scheduleContact(r.worker)
 	g := r.group
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -137,13 +137,7 @@
 	if w.restartSuspectedAt.IsZero() {
 		w.restartSuspectedAt = w.restartSignAt
 	}
-	lastOrder := w.restartSuspectedAt
-	for _, r := range w.runs {
-		if r.startSentAt.After(lastOrder) {
-			lastOrder = r.startSentAt
-		}
-	}
-	until := lastOrder.Add(p.lateRunBound())
+	until := w.leaseOrderedAt.Add(p.lateRunBound())
 	if source == reportedByEntry {
 		w.boundAnyLeases(until)
 		return
@@ -164,7 +158,8 @@
 	late, ok := w.lateStarts[r.group.name()]
 	// After a sign of a restart, late polls may renew the lease of a run that a late start has begun.
 	lateRun := func(sent time.Time) bool { return w.restartSuspectedAt.Sub(sent) < p.lateRunBound() }
-	if r.incarnation == 0 || ok && lateRun(late.sent) || (r.placementChange == 0 || r.number > 1) && lateRun(p.started) {
+	mayBeLate := r.incarnation == 0 || ok && lateRun(late.sent) || (r.placementChange == 0 || r.number > 1) && lateRun(p.started)
+	if mayBeLate {
 		return w.leasesEndBy
 	}
 	return w.reportedLeasesEndBy
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -90,19 +90,23 @@
 	now, g := p.Clock.Now(), r.group
 	if r.placementChange == 0 && now.Sub(p.started) < maxOrderDelay {
 		// The earlier planner may have got no response to a start.
-		late := lateStart{job: g.job.id(), key: g.key, run: r.number, sent: p.started, incarnation: r.worker.incarnation}
+		late := &lateStart{job: g.job.id(), key: g.key, run: r.number, sent: p.started, incarnation: r.worker.incarnation, assumed: true}
 		if recorded, ok := r.worker.lateStarts[g.name()]; ok && recorded.incarnation != 0 {
 			late.incarnation = min(late.incarnation, recorded.incarnation)
+			late.assumed, late.tasks, late.confirmed = recorded.assumed, recorded.tasks, recorded.confirmed
 		}
 		r.worker.recordLateStart(late)
 	}
-	s, ok := r.worker.lateStarts[g.name()]
-	if !ok || s.run != r.number || now.Sub(s.sent) >= maxOrderDelay {
-		return
+	if s, ok := r.worker.lateStarts[g.name()]; ok && s.run == r.number && now.Sub(s.sent) < maxOrderDelay {
+		p.addLateStart(g, r.worker, s)
 	}
+}
+
+// addLateStart adds a start that got no response to the record of its job.
+func (p *Planner) addLateStart(g *group, w *workerState, s *lateStart) {
 	g.job.record.Progress.AddLateStart(workload.LateStart{
-		Occurrence: g.key.occurrence, Step: g.key.step, Index: g.key.index, Run: s.run, Worker: r.worker.id(), Incarnation: s.incarnation,
-		Sent: p.TimeOfDay().Add(-now.Sub(s.sent)),
+		Occurrence: g.key.occurrence, Step: g.key.step, Index: g.key.index, Run: s.run, Worker: w.id(), Incarnation: s.incarnation,
+		Sent: p.TimeOfDay().Add(-p.Clock.Since(s.sent)),
 	})
 }
 
--- a/engine/state.go
+++ b/engine/state.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"maps"
 	"time"
 
 	"clementinepier/workload"
@@ -220,13 +219,15 @@
 	identifiedAt, identifiedSentAt time.Time
 	nextPoll                       time.Time
 	// lateStarts has, by the name of the group, the last start order that got no response.
-	lateStarts map[string]lateStart
+	lateStarts map[string]*lateStart
 	// restartSuspectedAt is when the first sign came that the worker has restarted since it was last fenced; zero if none has.
 	restartSuspectedAt time.Time
 	// restartSignAt is when the latest such sign came. A response to an earlier call may be of the incarnation before.
 	restartSignAt time.Time
 	// leaseRenewedAt is when a poll last extended the lease.
 	leaseRenewedAt time.Time
+	// leaseOrderedAt is when an order that gives or extends a lease was last sent, by this planner or possibly by an earlier one.
+	leaseOrderedAt time.Time
 	// leasesEndBy is the time after which the leases of all incarnations of the worker have certainly ended, also those that one that only an
 	// entry reports may get from late orders. reportedLeasesEndBy, which is never later, counts the incarnations that the worker has reported.
 	leasesEndBy, reportedLeasesEndBy time.Time
@@ -253,17 +254,6 @@
 	failedJobs []*jobState
 }
 
-// lateStart is a start order that got no response, so that the worker may carry it out later.
-type lateStart struct {
-	job string
-	key groupKey
-	// run is the number of the run.
-	run  int
-	sent time.Time
-	// incarnation is the one that the order was meant for; 0 is unknown.
-	incarnation int64
-}
-
 // markUnregistered records that the store has no valid registration of the worker any more.
 func (w *workerState) markUnregistered(now time.Time) { w.registered, w.unregisteredAt = false, now }
 
@@ -318,6 +308,12 @@
 	return w.clock + WorkerTime(float64(now.Sub(w.clockAt))*(1-maxClockDrift))
 }
 
+// grantLeaseUntil records that an order sent now gives or extends a lease that may last until the given time.
+func (w *workerState) grantLeaseUntil(now, until time.Time) {
+	w.leaseOrderedAt = now
+	w.boundLeases(until)
+}
+
 // boundLeases records that leases of an incarnation that the worker has reported may last until the given time.
 func (w *workerState) boundLeases(until time.Time) {
 	w.boundAnyLeases(until)
@@ -332,38 +328,3 @@
 		w.leasesEndBy = until
 	}
 }
-
-// lateStartAge is how long late starts are kept: a restart may show as long as the order may be executed, and a run from it, whose lease late
-// polls renew, lasts for the same time and the longest lease.
-const lateStartAge = 3 * maxOrderDelay
-
-// recordLateStart records a start order that got no response. It drops entries that no run can come from any more.
-func (w *workerState) recordLateStart(s lateStart) {
-	maps.DeleteFunc(w.lateStarts, func(_ string, earlier lateStart) bool { return s.sent.Sub(earlier.sent) >= lateStartAge })
-	if w.lateStarts == nil {
-		w.lateStarts = map[string]lateStart{}
-	}
-	w.lateStarts[groupName(s.job, s.key)] = s
-}
-
-// restartSuspected reports whether there is a sign that the worker has restarted since a start was sent, and it has not been fenced
-// since. An earlier planner's start may have been meant for an incarnation that this planner has not met.
-func (w *workerState) restartSuspected(s lateStart) bool {
-	return !w.fenced && w.registration.Address != "" && (!w.restartSuspectedAt.IsZero() || s.incarnation != 0 && s.incarnation < w.incarnation)
-}
-
-// mayStartLate reports whether a start order for a run of the group that got no response may still be executed.
-func (w *workerState) mayStartLate(now time.Time, group string) bool {
-	s, ok := w.lateStarts[group]
-	return ok && now.Sub(s.sent) < maxOrderDelay
-}
-
-// mayStartAny reports whether any start order that got no response may still be executed.
-func (w *workerState) mayStartAny(now time.Time) bool {
-	for _, s := range w.lateStarts {
-		if now.Sub(s.sent) < maxOrderDelay {
-			return true
-		}
-	}
-	return false
-}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -71,6 +71,7 @@
 	EndsContradicted     Name = "inferred-ends-contradicted"
 	UnitsWaiting         Name = "units-waiting-gauge"
 	JobsIdle             Name = "jobs-idle-gauge"
+	GroupsWithheld       Name = "groups-withheld-gauge"
 	PlannerTerms         Name = "planner-terms"
 	LogLinesDropped      Name = "log-lines-dropped-gauge"
 )
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -90,6 +90,10 @@
 			}
 			continue
 		}
+		if len(u.RequiredWorkers) > 0 {
+			// Others of the step may fit elsewhere.
+			continue
+		}
 		if u.Job.Priority > 0 {
 			blocked[key] = true
 		}
@@ -245,8 +249,8 @@
 	return best
 }
 
-// bestFit places every task of the unit on one of the given workers, each on the least suspect worker with the least capacity into
-// which it fits. It returns nil if not all tasks fit.
+// bestFit places every task of the unit on one of the given workers, each on the worker that it requires, or on the least suspect one with the
+// least capacity into which it fits. It returns nil if not all tasks fit.
 func (f *Fleet) bestFit(u *Unit, workers []*Worker, capacity capacityFunc) []*Worker {
 	chosen := f.partialBestFit(u, workers, capacity)
 	if len(chosen) < len(u.Tasks) {
@@ -279,20 +283,44 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	chosen := make([]*Worker, 0, len(u.Tasks))
-	for i := 0; i < len(candidates) && len(chosen) < len(u.Tasks); {
-		candidate := &candidates[i]
-		if !s.Need.Fits(candidate.free) || s.MaxTasksPerWorker > 0 && candidate.tasks >= s.MaxTasksPerWorker {
-			i++
+	chosen := make([]*Worker, len(u.Tasks))
+	for i, task := range u.Tasks {
+		id, required := u.RequiredWorkers[task]
+		if !required {
 			continue
 		}
-		candidate.free = candidate.free.Sub(s.Need)
-		candidate.tasks++
-		chosen = append(chosen, candidate.worker)
+		at := slices.IndexFunc(candidates, func(c candidate) bool { return c.worker.ID == id })
+		if at < 0 || !candidates[at].take(s) {
+			return nil
+		}
+		chosen[i] = candidates[at].worker
+	}
+	next := 0
+	for i := range chosen {
+		for chosen[i] == nil && next < len(candidates) {
+			if candidates[next].take(s) {
+				chosen[i] = candidates[next].worker
+			} else {
+				next++
+			}
+		}
+		if chosen[i] == nil {
+			return slices.DeleteFunc(chosen, func(w *Worker) bool { return w == nil })
+		}
 	}
 	return chosen
 }
 
+// take takes the capacity of one task of the step, and reports whether there was room for it.
+func (c *candidate) take(s *workload.Step) bool {
+	if !s.Need.Fits(c.free) || s.MaxTasksPerWorker > 0 && c.tasks >= s.MaxTasksPerWorker {
+		return false
+	}
+	c.free = c.free.Sub(s.Need)
+	c.tasks++
+	return true
+}
+
 // reserve withholds the capacity that a blocked unit could already use from the units behind it, so that small work does not
 // starve a gang. It returns the number of accelerators that it reserves.
 func (f *Fleet) reserve(u *Unit) int64 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -295,3 +295,44 @@
 	fillWithBorrower(workers[0], 1)
 	is.Equal(len(plan(start, workers, urgent).Preemptions), 1)
 }
+
+// Guards against placing a task elsewhere than on the worker that it requires, and against holding up the other tasks of its step because of it.
+func TestRequiredWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		used     int64
+		required map[int]string
+		tasks    int
+		want     map[int]string
+	}{
+		"task":                          {tasks: 1, required: map[int]string{0: "w2"}, want: map[int]string{0: "w2"}},
+		"task, no room":                 {tasks: 1, required: map[int]string{0: "w2"}, used: 8},
+		"task, unknown worker":          {tasks: 1, required: map[int]string{0: "w9"}},
+		"member of a gang":              {tasks: 2, required: map[int]string{1: "w2"}, used: 4, want: map[int]string{0: "w2", 1: "w2"}},
+		"member of a gang, no room":     {tasks: 2, required: map[int]string{1: "w2"}, used: 8},
+		"both members":                  {tasks: 2, required: map[int]string{0: "w2", 1: "w1"}, want: map[int]string{0: "w2", 1: "w1"}},
+		"both members, room for one":    {tasks: 2, required: map[int]string{0: "w2", 1: "w2"}, used: 6},
+		"member of a gang, none needed": {tasks: 2, want: map[int]string{0: "w1", 1: "w1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := unit("u", 1, c.tasks, 2)
+			u.RequiredWorkers = c.required
+			got := map[int]string{}
+			for _, placement := range plan(start, []*policy.Worker{worker("w1", "r1", 0), worker("w2", "r1", c.used)}, u).Placements {
+				got[placement.Task] = placement.Worker
+			}
+			is.Equal(len(got), len(c.want))
+			for task, id := range c.want {
+				is.Equal(got[task], id)
+			}
+		})
+	}
+	is := is.New(t)
+	first := unit("u", 1, 1, 2)
+	first.RequiredWorkers = map[int]string{0: "w2"}
+	second := *first
+	second.Tasks, second.RequiredWorkers = []int{1}, nil
+	d := plan(start, []*policy.Worker{worker("w1", "r1", 0), worker("w2", "r1", 8)}, first, &second)
+	is.Equal(len(d.Placements), 1)
+	is.Equal(d.Placements[0].Task, 1)
+}
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -36,6 +36,8 @@
 	// ClosedWorkers has the ids of closed workers that the unit may use if it fits on no others, with how suspect each is. The least
 	// suspect are used first.
 	ClosedWorkers map[string]int
+	// RequiredWorkers has, by the index of a task, the id of the only worker that may run it. A unit that cannot use these waits.
+	RequiredWorkers map[int]string
 
 	// fallback is which workers the unit may use at present.
 	fallback fallback
