engine: treat a silent worker whose entry is missing as gone

Cause: from the entry on, the run was waited for until an order that is carried out as late as possible, and the longest lease after it, were over. Only an answer shortened that. The removal of the entry changed nothing.

A worker that does not answer, and of which the store has had no entry for 2.5 s, is treated as gone, as the protocol says. It may come back under its ID with an order that is still on its way, so its runs that only a late order can have begun are waited for until the last order can no longer be executed, without a lease after that. Leases granted to an incarnation that had answered are waited for as before, since a worker that is cut off loses its entry too. Tasks that last do not wait for late orders to such a worker.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -596,8 +596,11 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.phase != runRecorded && !r.startInFlight && !now.Before(p.runEndsBy(r)) {
-				p.endRun(r, EndLapsed, r.checkpoint, basisLeaseOver)
+			if r.phase == runRecorded || r.startInFlight {
+				continue
+			}
+			if until, basis := p.runEndsBy(r); !now.Before(until) {
+				p.endRun(r, EndLapsed, r.checkpoint, basis)
 			}
 		}
 	}
--- a/engine/ending.go
+++ b/engine/ending.go
@@ -25,6 +25,8 @@
 	basisReplaced endBasis = "replaced"
 	// basisLeaseOver means that every lease that was granted to the worker has ended.
 	basisLeaseOver endBasis = "lease-over"
+	// basisGone means that the worker is to be treated as gone, and that no order to it can be executed any more.
+	basisGone endBasis = "gone"
 )
 
 // inferredEnd is the end of a run that its worker has not reported.
--- a/engine/idle.go
+++ b/engine/idle.go
@@ -84,7 +84,7 @@
 			default:
 				unconfirmed++
 			}
-			if end := p.runEndsBy(r); r.phase != runRecorded && end.After(leasesEnd) {
+			if end, _ := p.runEndsBy(r); r.phase != runRecorded && end.After(leasesEnd) {
 				leasesEnd = end
 			}
 		}
--- a/engine/late_start.go
+++ b/engine/late_start.go
@@ -12,6 +12,9 @@
 const (
 	// lateStartAge is how long late starts are kept, which is longer than a run from one can last.
 	lateStartAge = 3 * maxOrderDelay
+	// entryReturnTime is how long the entry of a worker that is alive and reaches the store may be missing. The protocol says about two seconds,
+	// and that a worker whose entry is missing after that is to be treated as gone.
+	entryReturnTime = 2500 * time.Millisecond
 	// restartAnswerTime is how long a worker that seems to have restarted may take to answer before runs elsewhere are stopped because of its
 	// late starts. A worker that can be reached answers within a few milliseconds.
 	restartAnswerTime = 200 * time.Millisecond
@@ -45,6 +48,8 @@
 	basisFenced lateRunBasis = "fenced"
 	// basisListed means that the worker has listed its runs since the order can no longer be carried out.
 	basisListed lateRunBasis = "listed"
+	// basisGoneWorker means that the worker is to be treated as gone, and that the order can no longer be carried out.
+	basisGoneWorker lateRunBasis = "gone"
 	// basisLongestLease means that the longest lease bounds a run that the order has begun at the latest time.
 	basisLongestLease lateRunBasis = "longest-lease"
 	// basisNoSign means that nothing shows a restart, and that the task lasts or an earlier planner is only assumed to have got no response.
@@ -60,8 +65,12 @@
 		return time.Time{}, basisFenced
 	case w.fenced && w.identifiedSince(begunBy):
 		return time.Time{}, basisListed
+	case p.isGone(w) && p.lasts(s):
+		return time.Time{}, basisGoneWorker
 	case (s.assumed || p.lasts(s)) && !w.restartSuspected(s):
 		return time.Time{}, basisNoSign
+	case p.isGone(w):
+		return begunBy, basisGoneWorker
 	default:
 		// Orders that extend leases may be executed late as well.
 		return latest(s.sent, w.leaseOrderedAt).Add(p.lateRunBound()), basisLongestLease
@@ -74,6 +83,15 @@
 	return ok && j.record.Job.Steps[s.key.step].LongRunning
 }
 
+// isGone reports whether a worker that does not answer is to be treated as gone: the store has had no entry of it for as long as an entry can
+// be missing of a worker that is alive. It may come back under its ID.
+func (p *Planner) isGone(w *workerState) bool {
+	if w.entryMissingSince.IsZero() || w.failingSince.IsZero() && !w.lastAnswer.IsZero() && w.registration.Address != "" {
+		return false
+	}
+	return p.registrationsKnownAt.Sub(latest(w.entryMissingSince, p.registrationsKnownSince)) >= entryReturnTime
+}
+
 // replaced reports whether the worker itself has reported a later incarnation than the given one. 0 is unknown.
 func (w *workerState) replaced(incarnation int64) bool {
 	return incarnation != 0 && w.incarnation == w.reportedIncarnation && (w.incarnation > incarnation || w.supersededIncarnation == incarnation)
@@ -231,7 +249,7 @@
 	}
 	s.reported = true
 	p.Log.Event("group-withheld", "group", group, "late-run", s.run, "worker", w.id(), "born", s.incarnation, "sent", s.sent, "assumed", s.assumed,
-		"until", until, "basis", basis, "answered", w.lastAnswer)
+		"until", until, "basis", basis, "answered", w.lastAnswer, "entry-missing-since", w.entryMissingSince)
 }
 
 // reportReleased logs that a group is no longer kept from other workers, and why.
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -80,6 +80,9 @@
 // impairments (applied_late), which is before the call is given up.
 const lateOrderBound = 12*time.Second + 450*time.Millisecond
 
+// entryLifetime is how long the store keeps the entry of a worker that is gone: three liveness report intervals of 1.5 s.
+const entryLifetime = 4500 * time.Millisecond
+
 // confirmAndStopRun lets r1-w0 carry out the start of j1 that is sent again after the first one got no answer, and stops the run. The next one may
 // begin there.
 func (r *rig) confirmAndStopRun() {
--- a/engine/load.go
+++ b/engine/load.go
@@ -59,6 +59,7 @@
 		p.handleRegistration(item)
 	}
 	p.markersRevision, p.registrationsRevision, p.registrationsKnownAt = markers.revision, registrations.revision, registrations.startedAt
+	p.registrationsKnownSince = registrations.startedAt
 	p.planNeeded = true
 	return nil
 }
@@ -170,6 +171,7 @@
 	if !ok {
 		w = &workerState{registration: Registration{ID: id}, fence: max(p.lastRevision, p.forgottenFence), runs: map[string]*run{}}
 		w.incarnation, w.incarnationSince = p.leaseNote.inherited.Incarnations[id], p.started
+		w.entryMissingSince = p.Clock.Now()
 		w.grantLeaseUntil(p.started, p.started.Add(p.inheritedLeaseBound(id)))
 		p.workers[id] = w
 		p.invalidateFleets()
@@ -284,7 +286,7 @@
 				handle(e)
 			}
 			if prefix == p.RegistrationPrefix {
-				p.registrationsKnownAt = knownAsOf(start, wait, len(events) == 0)
+				p.recordRegistrationsKnown(knownAsOf(start, wait, len(events) == 0))
 			}
 		})
 	}
@@ -295,6 +297,14 @@
 	return next, err
 }
 
+// recordRegistrationsKnown records that all changes of registrations up to the given time are known.
+func (p *Planner) recordRegistrationsKnown(at time.Time) {
+	if at.Sub(p.registrationsKnownAt) > maxRegistrationAge {
+		p.registrationsKnownSince = at
+	}
+	p.registrationsKnownAt = at
+}
+
 // knownAsOf returns the time up to which a watch that began at start has reported all changes. A watch without changes gets
 // its response when its wait is over.
 func knownAsOf(start time.Time, wait time.Duration, timedOut bool) time.Time {
--- a/engine/placement_wait_test.go
+++ b/engine/placement_wait_test.go
@@ -120,6 +120,47 @@
 	})
 }
 
+// Guards against a task that waits, beside idle workers, for the late start and the longest lease of a worker that has restarted out of reach and
+// is gone: its entry is removed. The task starts elsewhere once the start can no longer be carried out, and has something running 17 s after the
+// end of the traffic, by the users' rule.
+func TestTaskStartsElsewhereOnceRestartedWorkerIsGone(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.storeEntries()
+		r.AddWorkers("r1", 4)
+		const gone = "r1-w0"
+		r.wrapWorkers = func(w engine.Workers) engine.Workers {
+			start := w.Start
+			w.Start = func(ctx context.Context, t engine.Target, o engine.StartOrder) (engine.WorkerStatus, error) {
+				if t.ID == gone {
+					r.Set(gone, func(w *site.Worker) { w.Silent = true })
+				}
+				return start(ctx, t, o)
+			}
+			return w
+		}
+		p, stop := r.startPlanner("a")
+		defer stop()
+		r.rest(10 * time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 10*time.Second)
+		submitted := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		r.Set(gone, func(w *site.Worker) {
+			w.Restart()
+			w.Silent = true
+		})
+		r.Register(r.Worker(gone))
+		time.Sleep(3500 * time.Millisecond)
+		r.Set(gone, func(w *site.Worker) { w.Replaced = true })
+		time.Sleep(entryLifetime)
+		r.Deregister(r.Worker(gone))
+		time.Sleep(time.Until(submitted.Add(lateOrderBound - 100*time.Millisecond)))
+		r.Equal(r.starts(), 0)
+		time.Sleep(time.Until(submitted.Add(17 * time.Second)))
+		r.Equal(len(r.WorkersRunning("j1")), 1)
+		r.waitForState(p, "j1", workload.StateCompleted, 10*time.Second)
+	})
+}
+
 // Guards against a task that is started again and again on a worker that leaves every start without a response, beside idle workers. The job has
 // something running 17 s after the end of the traffic, by the users' rule.
 func TestTaskMovesAwayFromWorkerThatAnswersNoStarts(t *testing.T) {
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -85,6 +85,8 @@
 	markersRevision, registrationsRevision int64
 	// registrationsKnownAt is the time up to which all changes of registrations are known.
 	registrationsKnownAt time.Time
+	// registrationsKnownSince is since when they have been known without a gap, as during an outage of the store.
+	registrationsKnownSince time.Time
 	// watches are closed when the goroutines that watch the store have ended.
 	watches []<-chan struct{}
 
--- a/engine/registration.go
+++ b/engine/registration.go
@@ -29,12 +29,18 @@
 		w.unverified, w.outdated = nil, nil
 	}
 	if item.Deleted {
+		if w, ok := p.workers[id]; ok && w.entryMissingSince.IsZero() {
+			w.entryMissingSince = p.Clock.Now()
+		}
 		if w, ok := p.workers[id]; ok && w.registered {
 			w.markUnregistered(p.Clock.Now())
 			p.Log.Event("worker-unlisted", "worker", id, "runs", len(w.runs), "revision", item.Revision)
 		}
 		return
 	}
+	if w, ok := p.workers[id]; ok {
+		w.entryMissingSince = time.Time{}
+	}
 	registration, err := p.DecodeRegistration(item.Key, item.Value)
 	if err != nil {
 		p.Log.Event("advert-unreadable", "key", item.Key, "error", err)
@@ -44,6 +50,7 @@
 		return
 	}
 	w := p.workerByID(id)
+	w.entryMissingSince = time.Time{}
 	if known := w.registration.Service; known != "" && registration.Service != known && !p.Configuration().namesService(registration.Service) ||
 		registration.Incarnation == 0 && w.incarnation != 0 {
 		p.ignoreForeignEntry(w, registration, item.Revision)
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -151,18 +151,24 @@
 	return maxOrderDelay + p.leaseBound(p.Bounds.MaxLease)
 }
 
-// runEndsBy returns the time after which the run's lease has certainly ended. A run that the worker's own incarnation has, and that no
+// runEndsBy returns the time after which the run has certainly ended, and what shows it. A run that the worker's own incarnation has, and that no
 // late order can start again, ends by the leases of that incarnation, whatever entries report.
-func (p *Planner) runEndsBy(r *run) time.Time {
+func (p *Planner) runEndsBy(r *run) (time.Time, endBasis) {
 	w := r.worker
 	late, ok := w.lateStarts[r.group.name()]
 	// After a sign of a restart, late polls may renew the lease of a run that a late start has begun.
 	lateRun := func(sent time.Time) bool { return w.restartSuspectedAt.Sub(sent) < p.lateRunBound() }
 	mayBeLate := r.incarnation == 0 || ok && lateRun(late.sent) || (r.placementChange == 0 || r.number > 1) && lateRun(p.started)
-	if mayBeLate {
-		return w.leasesEndBy
+	switch {
+	case !mayBeLate:
+		return w.reportedLeasesEndBy, basisLeaseOver
+	case p.isGone(w):
+		// Only leases that were granted to an incarnation that had answered are waited for, and the last order.
+		if until := latest(w.grantedLeasesEndBy, w.leaseOrderedAt.Add(maxOrderDelay)); until.Before(w.leasesEndBy) {
+			return until, basisGone
+		}
 	}
-	return w.reportedLeasesEndBy
+	return w.leasesEndBy, basisLeaseOver
 }
 
 // noticeRestart records that a worker has restarted whose new incarnation is not known yet: its clock has gone back.
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -58,8 +58,9 @@
 		r.checkpoint = checkpoint
 	}
 	p.Metrics.Add(metrics.Name("runs-ended-"+string(reason)), 1)
+	leasesEnd, _ := p.runEndsBy(r)
 	p.Log.Event("run-ended", "task", r.name, "run", r.number, "worker", r.worker.id(), "how", reason, "basis", basis,
-		"percent", r.percent, "after", p.Clock.Since(g.startedAt), "reason", g.reason, "answered", r.worker.lastAnswer, "leases-end", p.runEndsBy(r))
+		"percent", r.percent, "after", p.Clock.Since(g.startedAt), "reason", g.reason, "answered", r.worker.lastAnswer, "leases-end", leasesEnd)
 	p.Metrics.Add(metrics.Name("runs-ended-basis-"+string(basis)), 1)
 	p.recordInferredEnd(r, basis)
 	if reason == EndDone {
--- a/engine/state.go
+++ b/engine/state.go
@@ -172,6 +172,8 @@
 	// registered is set while the store has the worker's registration; unregisteredAt is when that ended.
 	registered     bool
 	unregisteredAt time.Time
+	// entryMissingSince is since when the store has no entry under the worker's key, of whatever writer; zero while it has one.
+	entryMissingSince time.Time
 	// fence is the fencing token of orders to the present incarnation; see raiseFence.
 	fence int64
 	// fenced is set once the present incarnation has responded to a poll with that token. It then refuses orders of earlier
@@ -228,6 +230,9 @@
 	leaseRenewedAt time.Time
 	// leaseOrderedAt is when an order that gives or extends a lease was last sent, by this planner or possibly by an earlier one.
 	leaseOrderedAt time.Time
+	// grantedLeasesEndBy is the time after which the leases have certainly ended that were granted on the clock of an incarnation that had
+	// answered, if no order is executed late.
+	grantedLeasesEndBy time.Time
 	// leasesEndBy is the time after which the leases of all incarnations of the worker have certainly ended, also those that one that only an
 	// entry reports may get from late orders. reportedLeasesEndBy, which is never later, counts the incarnations that the worker has reported.
 	leasesEndBy, reportedLeasesEndBy time.Time
@@ -311,6 +316,9 @@
 // grantLeaseUntil records that an order sent now gives or extends a lease that may last until the given time.
 func (w *workerState) grantLeaseUntil(now, until time.Time) {
 	w.leaseOrderedAt = now
+	if until.After(w.grantedLeasesEndBy) {
+		w.grantedLeasesEndBy = until
+	}
 	w.boundLeases(until)
 }
 
