standin/site: planners may wait 46 s for a lost run, not 90 s

The check of waiting jobs excuses jobs of which a run, or an order to start one, was lost: twice the time in which an order may be carried out late and of a lease that it renews. With 12.45 s for a late order this is 46 s.

--- a/standin/site/idle.go
+++ b/standin/site/idle.go
@@ -20,7 +20,7 @@
 	// roomFactor is how often a task has to fit.
 	roomFactor = 2
 	// lostRunSpan is how long planners may wait for a run that was lost: twice the time in which an order may be carried out late and a lease that it renews.
-	lostRunSpan = 90 * time.Second
+	lostRunSpan = 46 * time.Second
 )
 
 // RecordAccepted records that a caller was told that a job is accepted.
