engine: an assumed late start stays assumed for the next planner

A successor assumes, when an inherited run ends, that its predecessor may have got no response to the start, and records that in the job. The next planner took the record for a start that is known to have got none, and kept the task from its next run for 12.45 s although the start was answered.

The record has whether the start is assumed; records of earlier builds have it not, and count as known.

TestTaskDoesNotWaitForAssumedLateStartOfEarlierPlanners fails before (the job is still running after 3 s) and holds now.

--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -750,6 +750,27 @@
 	})
 }
 
+// Guards against a task that waits for a start that was answered: a successor only assumes that its predecessor may have got no response, and
+// what it records of that must not be taken for known by the next one.
+func TestTaskDoesNotWaitForAssumedLateStartOfEarlierPlanners(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(4)
+		defer func() { stop() }()
+		r.rest(30 * time.Second)
+		r.mustSubmit(p, "j1", 1, singleTaskStep(8), 2*time.Second)
+		for _, name := range []string{"b", "c"} {
+			time.Sleep(300 * time.Millisecond)
+			r.Equal(len(r.WorkersRunning("j1")), 1)
+			stop()
+			p, stop = r.startPlanner(name)
+			time.Sleep(300 * time.Millisecond)
+			r.setAll(func(w *site.Worker) { w.EndRunsOf("j1", engine.EndStopped) })
+		}
+		r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+		r.Equal(r.starts(), 3)
+	})
+}
+
 // startLate starts a job on r1-w0, which carries the start out 6 s later without an answer and drains, and waits for 4 s. The worker r2-w0 is
 // free.
 func (r *rig) startLate(p *engine.Planner, step workload.Step, work time.Duration) {
--- a/engine/load.go
+++ b/engine/load.go
@@ -156,7 +156,7 @@
 		}
 		late := &lateStart{
 			job: j.id(), key: groupKey{occurrence: s.Occurrence, step: s.Step, index: s.Index}, run: s.Run, sent: p.Clock.Now().Add(-age),
-			incarnation: s.Incarnation,
+			incarnation: s.Incarnation, assumed: s.Assumed,
 		}
 		if s.Index >= 0 {
 			late.tasks = []int{s.Index}
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -107,7 +107,7 @@
 func (p *Planner) addLateStart(g *group, w *workerState, s *lateStart) {
 	g.job.record.Progress.AddLateStart(workload.LateStart{
 		Occurrence: g.key.occurrence, Step: g.key.step, Index: g.key.index, Run: s.run, Worker: w.id(), Incarnation: s.incarnation,
-		Sent: p.TimeOfDay().Add(-p.Clock.Since(s.sent)),
+		Sent: p.TimeOfDay().Add(-p.Clock.Since(s.sent)), Assumed: s.assumed,
 	})
 }
 
--- a/workload/progress.go
+++ b/workload/progress.go
@@ -84,6 +84,8 @@
 	Incarnation int64  `cbor:"6,keyasint,omitempty"`
 	// Sent is when the order was sent at the latest, by the planner's wall clock.
 	Sent time.Time `cbor:"7,keyasint,omitzero"`
+	// Assumed is set if it is not known whether an earlier planner got a response.
+	Assumed bool `cbor:"8,keyasint,omitempty"`
 }
 
 // AddLateStart adds a late start, in place of an earlier one of the same task or gang on the same worker.
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -149,7 +149,7 @@
 	is.Equal(len(decoded.Progress.LateStarts), 0)
 
 	sent := time.UnixMilli(1700000000123)
-	first := workload.LateStart{Index: -1, Run: 1, Worker: "w", Incarnation: 7, Sent: sent}
+	first := workload.LateStart{Index: -1, Run: 1, Worker: "w", Incarnation: 7, Sent: sent, Assumed: true}
 	r.Progress.AddLateStart(first)
 	data, err := r.Encode()
 	is.NoErr(err)
