engine: the withdrawal of later runs goes by lateRunEnd

A task that lasts, whose worker seemed to have restarted out of reach, was placed elsewhere once that worker was gone, and stopped there at once because it seemed to have restarted: again and again, until its start could no longer be late. withdrawLaterRuns had kept conditions of its own, although the comment of lateRunEnd said otherwise.

--- a/engine/late_start.go
+++ b/engine/late_start.go
@@ -57,7 +57,7 @@
 )
 
 // lateRunEnd returns the time from which no run that a late start may begin exists at the worker any more, or can begin, and what shows it.
-// Placement, the withdrawal of later runs and the polls of the worker go by it.
+// Placement, the withdrawal of later runs and the polls of the worker go by it; runEndsBy is the same for runs that the planner still has.
 func (p *Planner) lateRunEnd(w *workerState, s *lateStart) (time.Time, lateRunBasis) {
 	begunBy := s.sent.Add(maxOrderDelay)
 	switch {
@@ -262,11 +262,12 @@
 }
 
 // withdrawLaterRuns stops the runs elsewhere of a group that a worker may start late, because it seems to have restarted and cannot be
-// told to refuse the order. Such a run was placed before the order was known, for instance by an earlier planner.
+// told to refuse the order. Such a run is of a task that lasts, or was placed by a planner that did not know of the order.
+// Load pattern: a worker leaves a start unanswered, is cut off and restarts behind the cut, which only its registration reports.
 func (p *Planner) withdrawLaterRuns(now time.Time) {
 	for _, w := range p.workers {
 		for _, s := range w.lateStarts {
-			if now.Sub(s.sent) >= maxOrderDelay || !w.restartSuspected(s) {
+			if until, _ := p.lateRunEnd(w, s); !now.Before(until) || now.Sub(s.sent) >= maxOrderDelay || !w.restartSuspected(s) {
 				continue
 			}
 			if w.restartSuspectedAt.IsZero() {
--- a/engine/late_start_test.go
+++ b/engine/late_start_test.go
@@ -897,6 +897,33 @@
 	}
 }
 
+// Guards against stopping a task that lasts again and again for a start that may be late, although its restarted worker is gone and the task was
+// placed again for that reason.
+func TestLastingTaskIsNotWithdrawnForWorkerThatIsGone(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.LongRunning = true
+		r.storeEntries()
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.rest(30 * time.Second)
+		r.startLate(p, lastingStep(1), time.Hour)
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.StartDelay, w.Silent = 0, true
+		})
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(500 * time.Millisecond)
+		r.Set("r1-w0", func(w *site.Worker) { w.Replaced = true })
+		r.Deregister(r.Worker("r1-w0"))
+		time.Sleep(4 * time.Second)
+		placed := r.starts()
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+		time.Sleep(5 * time.Second)
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+		r.Equal(r.starts(), placed)
+	})
+}
+
 // runWithLateStart brings j1 to run as a confirmed run of r1-w0, while the unanswered start of its first run may still be carried out, with a
 // delay. It returns when that start was about to be sent.
 func (r *rig) runWithLateStart(p *engine.Planner, delay time.Duration) time.Time {
