policy: add the inputs of decisions under load

Cause: decisions on tenant limits, worker speeds and scarce capacity need inputs that the planner knows and does not pass to package policy. Change: Unit has the remaining time, the organisation's share and whether the job exceeds its weight; Worker has a speed; Group has the organisation, deadline, remaining time and number of preemptions. Lateness and the wait for a rack go by Unit.Remaining, which is the estimate for now, so decisions are the same.

--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -86,7 +86,16 @@
 				continue
 			}
 			victim := &policy.Group{
-				Priority: j.record.Job.Priority, Guaranteed: guaranteed[j], Uses: make(map[string]workload.Resources, len(g.runs)), Handle: g,
+				Priority: j.record.Job.Priority, Guaranteed: guaranteed[j], Organisation: j.record.Job.Organisation,
+				Preemptions: j.preemptions[g.key], Uses: make(map[string]workload.Resources, len(g.runs)), Handle: g,
+			}
+			victim.Deadline, victim.Expiry = j.objectiveTimes(g.key.occurrence)
+			for _, r := range g.runs {
+				if remaining, known := r.remainingTime(now); known {
+					victim.Remaining = max(victim.Remaining, remaining)
+				} else {
+					victim.Remaining = max(victim.Remaining, g.step().Estimate)
+				}
 			}
 			for _, r := range g.runs {
 				victim.PreemptionCost += p.preemptionCost(r, now)
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -80,18 +80,14 @@
 	}
 	base := policy.Unit{
 		Job: &j.record.Job, Occurrence: k, Step: s, ReadySince: j.readySince[k][s], IdleSince: j.unplacedStepSince(k, s), Guaranteed: guaranteed && s == 0,
-		Unresponsive: currentIDs(now, j.unresponsive),
+		Unresponsive: currentIDs(now, j.unresponsive), Remaining: step.Estimate,
 	}
 	if !step.LongRunning {
 		// A task that lasts may be away for a few seconds only, so it avoids no workers.
 		base.Avoid = currentIDs(now, j.avoid)
 		base.ClosedWorkers = closed.allowedFor(j, now, latest(j.readySince[k][s], j.unplacedSince), false)
 	}
-	origin := j.accepted
-	if j.record.Job.Repeat > 0 {
-		origin = j.readySince[k][0]
-	}
-	base.Deadline, base.Expiry = origin.Add(j.record.Job.Objective), origin.Add(expiryFactor*j.record.Job.Objective)
+	base.Deadline, base.Expiry = j.objectiveTimes(k)
 	if step.MaxTasksPerWorker > 0 {
 		base.TasksByWorker = j.runsPerWorker(k, s)
 	}
@@ -124,6 +120,15 @@
 	return units
 }
 
+// objectiveTimes returns when an occurrence has to be completed to meet the job's objective, and when completing it stops being of use.
+func (j *jobState) objectiveTimes(occurrence int) (deadline, expiry time.Time) {
+	origin := j.accepted
+	if j.record.Job.Repeat > 0 {
+		origin = j.readySince[occurrence][0]
+	}
+	return origin.Add(j.record.Job.Objective), origin.Add(expiryFactor * j.record.Job.Objective)
+}
+
 // stepReady reports whether all earlier steps that the step waits for are done.
 func (j *jobState) stepReady(occurrence, step int) bool {
 	for _, before := range j.record.Job.Steps[step].After {
@@ -205,6 +210,7 @@
 		if !ok {
 			continue
 		}
+		g.job.preemptions[g.key]++
 		p.Log.Event("group-preempted", "job", g.job.id(), "priority", v.Priority, "waste", v.PreemptionCost)
 		p.Metrics.Add(metrics.GroupsPreempted, 1)
 		p.stopGroup(g, "preempted")
--- a/engine/state.go
+++ b/engine/state.go
@@ -34,6 +34,8 @@
 	unresponsive map[string]time.Time
 	// stalls counts, by task or gang, the runs that were stopped because they seemed to stall.
 	stalls map[groupKey]int
+	// preemptions counts, by task or gang, the runs that were stopped for more urgent work.
+	preemptions map[groupKey]int
 	// idleSince is since when no run of the job is at work although a task is ready or placed, zero while one is; idleReportedAt is when the
 	// reason was last logged.
 	idleSince, idleReportedAt time.Time
--- a/policy/order.go
+++ b/policy/order.go
@@ -16,8 +16,8 @@
 )
 
 func (u *Unit) timeliness(now time.Time) timeliness {
-	// The unit counts as late when its estimate no longer fits before the deadline, even if it starts now.
-	end := now.Add(u.step().Estimate)
+	// The unit counts as late when its remaining time no longer fits before the deadline, even if it starts now.
+	end := now.Add(u.Remaining)
 	switch {
 	case now.After(u.Expiry):
 		return expired
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -216,7 +216,7 @@
 	if !fits {
 		return false
 	}
-	maxWait := max(0, u.Deadline.Sub(u.ReadySince)-u.step().Estimate)
+	maxWait := max(0, u.Deadline.Sub(u.ReadySince)-u.Remaining)
 	if u.Guaranteed {
 		maxWait = min(maxWait, maxUrgentRackWait)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -35,7 +35,7 @@
 		Job: &workload.Job{ID: id, Priority: priority, Steps: []workload.Step{{
 			Tasks: n, Gang: n > 1, Need: workload.Resources{MilliCPU: 1000, MemoryMB: 100, Accelerators: accelerators}, Estimate: 2 * time.Second,
 		}}},
-		ReadySince: start, Deadline: at(5 * time.Second), Expiry: at(15 * time.Second), Avoid: map[string]bool{},
+		ReadySince: start, Deadline: at(5 * time.Second), Expiry: at(15 * time.Second), Remaining: 2 * time.Second, Avoid: map[string]bool{},
 	}
 	for i := range n {
 		u.Tasks = append(u.Tasks, i)
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -21,6 +21,12 @@
 	Deadline time.Time
 	// Expiry is when completing the job stops being of use.
 	Expiry time.Time
+	// Remaining is the expected time that each of the tasks still takes on a worker of the usual speed.
+	Remaining time.Duration
+	// Share is the organisation's part of what is in use, relative to its weight; those with less come first. 0 means that it has nothing.
+	Share float64
+	// BeyondWeight means that the organisation had submitted more jobs than its weight entitles it to when it submitted this one.
+	BeyondWeight bool
 	// Guaranteed means that the organisation's guarantee covers the job, so that work beyond a guarantee is preempted for
 	// it.
 	Guaranteed bool
@@ -113,6 +119,8 @@
 	Closed bool
 	// Quarantined means that no run was done on the worker since it was closed. It is used after others.
 	Quarantined bool
+	// Speed is how fast tasks run on the worker, relative to the usual worker; 0 means that it is not known.
+	Speed float64
 	// Victims are the groups with runs on the worker that may be preempted for more urgent or guaranteed work.
 	Victims []*Group
 }
@@ -122,6 +130,14 @@
 	Priority int
 	// Guaranteed means that the organisation's guarantee covers the group, so that it is not preempted.
 	Guaranteed bool
+	// Organisation is the organisation of the group's job; empty means none.
+	Organisation string
+	// Deadline is when the group's job has to be completed to meet its objective, and Expiry when completing it stops being of use.
+	Deadline, Expiry time.Time
+	// Remaining is the expected time until the group is done.
+	Remaining time.Duration
+	// Preemptions is how often runs of the same tasks have been preempted before.
+	Preemptions int
 	// PreemptionCost is the work that stopping the group loses, in core-seconds.
 	PreemptionCost float64
 	// Uses has the resources that the group uses, by worker id.
