engine: judge stalls by the whole gang, and count what a stop throws away

Cause: members of a gang work at the speeds of their own workers and end together. One on a fast worker reports 100 percent and waits; after 4.5 s without a further percent its gang was stopped as stalled, and the fastest worker was closed. Runs on workers that hang keep percent and checkpoint and report the processor time of a run that works.

Change: policy.Stall.Judge decides for the group. A run below 100 percent is judged as before. At 100 it has not stalled while a member makes progress or the checkpoint changes; then finished tasks of the step and the work that a stop would throw away count, unless a member does not answer or none uses processor time. The worker that is blamed is the one that the others wait for. The fifth column of Running is read where there is one; an impossible percent or figure in an entry is counted and logged, where it made the whole answer unreadable.

The stand-in's workers have speeds, hang with the progress that they have, and report processor time. TestPoll now also requires the fifth column, which it sent and ignored.

Tests: seen failing with the earlier rule in Judge: TestGangWaitsForItsSlowestMember, the same after a change of planner, TestTaskBeyondItsEstimateIsDoneInItsFirstRun, TestStalledRuns. The tests of hanging and mute workers hold before and after; the existing ones are unchanged.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -533,12 +533,7 @@
 			continue
 		}
 		p.markRunning(r, "poll", w.incarnation)
-		if running.Percent != r.percent {
-			r.percent, r.progressedAt = running.Percent, now
-		}
-		if running.Checkpoint != "" {
-			r.checkpoint = running.Checkpoint
-		}
+		p.applyProgress(now, r, running)
 	}
 	if fence != w.fence {
 		// The list may be older than a late start that the worker refuses only since it knows the present token.
--- a/engine/health.go
+++ b/engine/health.go
@@ -8,16 +8,6 @@
 )
 
 const (
-	// stallTimeout is the least time without progress after which a run is stopped. A task that runs at a third of its speed for
-	// 33 s still gains one percent every 0.35 s, and polls arrive every 2 s.
-	stallTimeout = 4500 * time.Millisecond
-	// maxEstimateFactor is how many times its estimate a task may take and still count as making progress, which workers report in whole
-	// percents.
-	maxEstimateFactor = 20
-	// maxStallDoublings bounds the doublings of the time without progress for a task that seems to stall wherever it runs.
-	maxStallDoublings = 10
-	// stalledWorkerPause is how long a worker is closed after a run has stalled on it.
-	stalledWorkerPause = 6 * time.Second
 	// failuresToQuarantine is how many jobs in a row have to fail on a worker before it is quarantined. It is low because a
 	// job has two or three attempts, and a gang loses one for each of its workers that fails everything it starts.
 	failuresToQuarantine = 1
@@ -39,18 +29,6 @@
 	gangTimeoutMargin = time.Second
 )
 
-// stopStalledGroups stops the groups in which a run has stalled.
-func (p *Planner) stopStalledGroups(now time.Time) {
-	for _, j := range p.active {
-		for _, g := range j.groups {
-			if g.stopping || g.done || g.step().LongRunning {
-				continue
-			}
-			p.stopIfStalled(now, g)
-		}
-	}
-}
-
 // concludeProbes opens the workers that have been tested for long enough. Load pattern: tasks that last or take long, in a service in
 // which most workers have failed one.
 func (p *Planner) concludeProbes(now time.Time) {
@@ -80,37 +58,6 @@
 	}
 }
 
-func (p *Planner) stopIfStalled(now time.Time, g *group) {
-	if g.key.index < 0 && g.runningSince.IsZero() {
-		if now.Sub(g.startedAt) > p.Bounds.GangTimeout+gangTimeoutMargin && g.allRunning() {
-			g.runningSince = now
-		}
-		return
-	}
-	limit := g.stallLimit()
-	for _, r := range g.runs {
-		if r.phase != runRunning || !r.worker.failingSince.IsZero() || now.Sub(r.progressedAt) < limit || r.worker.lastAnswer.Sub(r.progressedAt) < limit {
-			continue
-		}
-		r.worker.stalledUntil = now.Add(stalledWorkerPause)
-		g.job.avoidWorker(now, r.worker)
-		g.job.stalls[g.key]++
-		p.Log.Event("run-stands-still", "task", r.name, "run", r.number, "worker", r.worker.id(), "percent", r.percent, "since", now.Sub(r.progressedAt), "limit", limit)
-		p.stopGroup(g, "stalled")
-		return
-	}
-}
-
-// stallLimit returns how long a run of the group may show no progress: the time of one percent of the longest run that its estimate allows,
-// and of a poll. Estimates are rough, so a task that has stalled twice may simply take longer, and gets twice the time at each further try.
-func (g *group) stallLimit() time.Duration {
-	limit := max(stallTimeout, g.step().Estimate/100*maxEstimateFactor+pollWait+pollTimeout)
-	for range min(g.job.stalls[g.key]-1, maxStallDoublings) {
-		limit *= 2
-	}
-	return limit
-}
-
 // avoidWorker keeps the job's next runs away from a worker for a while.
 func (j *jobState) avoidWorker(now time.Time, w *workerState) {
 	if _, known := j.avoid[w.id()]; known || len(j.avoid) < maxAvoidedWorkers {
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -383,6 +383,7 @@
 func newJobState(record workload.Record, accepted time.Time) *jobState {
 	j := &jobState{
 		record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, unresponsive: map[string]time.Time{}, stalls: map[groupKey]int{},
+		longestDone: map[int]time.Duration{},
 		preemptions: map[groupKey]int{}, failedOn: map[string]bool{}, doneOn: map[string]bool{}, endedAt: map[groupKey]time.Time{},
 	}
 	j.readySince = make([][]time.Time, record.Job.Occurrences())
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -140,6 +140,7 @@
 		return
 	}
 	g.done = true
+	p.recordLongestDone(g)
 	p.recordDone(g.job, g.key)
 }
 
--- a/engine/state.go
+++ b/engine/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinepier/policy"
 	"clementinepier/workload"
 )
 
@@ -34,6 +35,8 @@
 	unresponsive map[string]time.Time
 	// stalls counts, by task or gang, the runs that were stopped because they seemed to stall.
 	stalls map[groupKey]int
+	// longestDone has, by step, the longest time that a task or gang that is done was at work.
+	longestDone map[int]time.Duration
 	// preemptions counts, by task or gang, the runs that were stopped for more urgent work.
 	preemptions map[groupKey]int
 	// idleSince is since when no run of the job is at work although a task is ready or placed, zero while one is; idleReportedAt is when the
@@ -94,6 +97,8 @@
 	startedAt time.Time
 	// runningSince is when all runs were confirmed by their workers; zero before that.
 	runningSince time.Time
+	// keptBy is why the group is kept although a run of it stands still at 100 percent, as last logged; empty if none does.
+	keptBy policy.Evidence
 }
 
 // workersIdentified reports whether all workers on which runs of the group are to be started have reported their incarnations since the group
@@ -162,7 +167,12 @@
 	percent       int
 	// progressedAt is when the percentage last changed.
 	progressedAt time.Time
-	checkpoint   string
+	// usage is the processor time that the run last used, in thousandths of a core, if usageKnown is set.
+	usage      int64
+	usageKnown bool
+	checkpoint string
+	// savedAt is when the worker first reported the present checkpoint; zero while it has reported none of this run.
+	savedAt time.Time
 	// concluded is set once the run no longer keeps its worker, which was quarantined, closed to other work.
 	concluded bool
 	ended     bool
--- a/engine/worker.go
+++ b/engine/worker.go
@@ -78,7 +78,15 @@
 	Task       string
 	Run        int
 	Checkpoint string
-	Percent    int
+	// Percent is the share of the work that is done, from 0 to 100.
+	Percent int
+	// Usage is a rough figure of what the run used last: processor time in thousandths of a core, or for a task that serves users the tail of
+	// its response times in milliseconds. It holds only if HasUsage is set; older workers report none.
+	Usage    int64
+	HasUsage bool
+	// Invalid has the impossible values of the entry, empty if there are none. PercentInvalid means that the percent is one of them.
+	Invalid        string
+	PercentInvalid bool
 }
 
 // EndReason is why a run ended.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -69,11 +69,17 @@
 	OrdersUnanswered     Name = "orders-unanswered"
 	GroupsPreempted      Name = "groups-preempted"
 	EndsContradicted     Name = "inferred-ends-contradicted"
-	UnitsWaiting         Name = "units-waiting-gauge"
-	JobsIdle             Name = "jobs-idle-gauge"
-	GroupsWithheld       Name = "groups-withheld-gauge"
-	PlannerTerms         Name = "planner-terms"
-	LogLinesDropped      Name = "log-lines-dropped-gauge"
+	// GroupsStalled counts the groups that were stopped because a run stood still.
+	GroupsStalled Name = "groups-stalled"
+	// GroupsKeptAtFullPercent is how many groups are kept although a run of theirs stands still at 100 percent.
+	GroupsKeptAtFullPercent Name = "groups-kept-at-full-percent-gauge"
+	// RunFiguresInvalid counts the entries of runs in which workers reported an impossible percent or figure.
+	RunFiguresInvalid Name = "run-figures-invalid"
+	UnitsWaiting      Name = "units-waiting-gauge"
+	JobsIdle          Name = "jobs-idle-gauge"
+	GroupsWithheld    Name = "groups-withheld-gauge"
+	PlannerTerms      Name = "planner-terms"
+	LogLinesDropped   Name = "log-lines-dropped-gauge"
 )
 
 // The histograms, all of durations.
--- a/standin/site/profile.go
+++ b/standin/site/profile.go
@@ -120,7 +120,7 @@
 	if r.workingSince.IsZero() || reason == engine.EndDone {
 		return r.checkpoint
 	}
-	progress := min(r.work, r.restored+at.Sub(r.workingSince))
+	progress := min(r.work, r.restored+time.Duration(float64(at.Sub(r.workingSince))*r.pace))
 	if reason != engine.EndStopped {
 		progress = progress.Truncate(checkpointInterval)
 	}
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -10,7 +10,10 @@
 type run struct {
 	number  int
 	started time.Time
-	work    time.Duration
+	// work is the work of the task, in time on a worker of speed 1.
+	work time.Duration
+	// speed is the worker's, and pace that of the slowest worker of the gang, once all members are present; for a single task they are equal.
+	speed, pace float64
 	// failsMidway means that the run fails after working for failsAfter.
 	failsMidway bool
 	failsAfter  time.Duration
@@ -86,6 +89,12 @@
 	ClockRate float64
 	// Fails makes every run fail at once; Stalled makes runs stop making progress.
 	Fails, Stalled bool
+	// StalledSince, unless zero, makes the runs of a stalled worker keep the progress that they had then, instead of reporting none.
+	StalledSince time.Time
+	// Speed is how much work the runs that start on the worker do in a second; 0 means 1.
+	Speed float64
+	// HidesUsage makes the worker leave out what its runs use, as older workers do.
+	HidesUsage bool
 	// Isolated keeps the worker from hearing of the ends of gang members on other workers: a member at work stays until the lease
 	// ends, one that waits ends as EndIsolated.
 	Isolated bool
@@ -101,6 +110,22 @@
 	return w.ClockRate
 }
 
+// speed returns how much work a run that starts now does in a second.
+func (w *Worker) speed() float64 {
+	if w.Speed == 0 {
+		return 1
+	}
+	return w.Speed
+}
+
+// progressTime returns the time up to which the worker's runs have made progress.
+func (w *Worker) progressTime() time.Time {
+	if w.Stalled && !w.StalledSince.IsZero() {
+		return w.StalledSince
+	}
+	return time.Now()
+}
+
 // clock returns the reading of the worker's clock.
 func (w *Worker) clock() engine.WorkerTime {
 	return engine.WorkerTime(float64(time.Since(w.start)) * w.rate())
