cmd, engine, front: explain where a job would go now

Cause: operators ask where a request or job would go now, and why; logs only tell of decisions that were made. Change: clementinepier explain asks the metrics address of any entry VM, which passes the question to the planner. The planner decides with the job among its active ones by the code of a pass (decide, split from plan) and of a submission (refusal, split from submit) and applies nothing. The answer names workers, groups that would be stopped or the reasons of a wait, and the age of the state. Not played against real processes yet.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -83,6 +83,7 @@
 	Settings *settingsGroup  `arg:"subcommand:settings" help:"settings of an entry VM"`
 	Entry    *entryCommand   `arg:"subcommand:entry" help:"run an entry VM"`
 	Front    *frontCommand   `arg:"subcommand:front" help:"run an entry VM on the users' platform"`
+	Explain  *explainCommand `arg:"subcommand:explain" help:"tell where a job would go now, and why, without submitting it"`
 	Story    *storyCommand   `arg:"subcommand:story" help:"print what saved logs tell of a job, in order"`
 	Version  *versionCommand `arg:"subcommand:version" help:"show the version"`
 }
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -43,6 +43,8 @@
 	Reason     string        `cbor:"4,keyasint,omitempty"`
 	// Waiting is the number of a queue's accepted jobs of which no task has started.
 	Waiting int `cbor:"5,keyasint,omitempty"`
+	// Explanation is the response to Explain.
+	Explanation *Explanation `cbor:"6,keyasint,omitempty"`
 }
 
 // Submit accepts a job and returns once it is stored. Submitting the same job again has no further effect.
@@ -83,10 +85,10 @@
 			result <- r
 			return
 		}
-		if step := p.impossibleStep(&job); step >= 0 {
-			p.Log.Event("job-impossible", "job", job.ID, "queue", job.Queue, "service", job.Service, "step", step,
+		if r, refused := p.refusal(&job); refused {
+			p.Log.Event("job-impossible", "job", job.ID, "queue", job.Queue, "service", job.Service, "reason", r.Reason,
 				"workers", len(p.cachedFleet(job.Service).policyWorkers))
-			result <- Result{Verdict: VerdictRefused, RetryAfter: impossibleRetryAfter, Reason: fmt.Sprintf("the workers of the service could never run step %d", step)}
+			result <- r
 			return
 		}
 		j = newJobState(workload.Record{Job: job, Progress: *workload.NewProgress(&job)}, p.Clock.Now())
@@ -114,6 +116,14 @@
 	})
 }
 
+// refusal reports whether a new job is rejected although the planner could store it, and the result for its caller.
+func (p *Planner) refusal(job *workload.Job) (Result, bool) {
+	if step := p.impossibleStep(job); step >= 0 {
+		return Result{Verdict: VerdictRefused, RetryAfter: impossibleRetryAfter, Reason: fmt.Sprintf("the workers of the service could never run step %d", step)}, true
+	}
+	return Result{}, false
+}
+
 // withdraw removes a job that was certainly not stored and reports the reason to the callers that wait for it.
 func (p *Planner) withdraw(j *jobState, outcome Result) {
 	j.withdrawn = true
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -22,6 +22,12 @@
 // plan places the waiting work that fits, and preempts running work for guaranteed work.
 func (p *Planner) plan() {
 	now := p.Clock.Now()
+	p.decide(now, func(_ []*policy.Unit, d policy.Decision) { p.applyDecision(now, d) })
+}
+
+// decide passes the decision on the waiting units of each service to apply, with the units in the order in which they were considered.
+// It stores nothing and sends no orders.
+func (p *Planner) decide(now time.Time, apply func(waiting []*policy.Unit, d policy.Decision)) {
 	conf := p.Configuration()
 	guaranteed := p.guaranteedJobs(conf)
 	units := p.readyUnits(now, conf, guaranteed)
@@ -38,7 +44,7 @@
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		waiting := byService[service]
 		mayPreempt := slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
-		p.applyDecision(now, p.currentFleet(service, now, conf, guaranteed, mayPreempt).Plan(now, waiting))
+		apply(waiting, p.currentFleet(service, now, conf, guaranteed, mayPreempt).Plan(now, waiting))
 	}
 }
 
--- a/front/peers.go
+++ b/front/peers.go
@@ -164,6 +164,7 @@
 		peer.KindWaiting: plannerHandler(v, func(ctx context.Context, p *engine.Planner, queue string) engine.Result {
 			return p.Waiting(ctx, queue)
 		}),
+		peer.KindExplain: plannerHandler(v, v.explainHere),
 		peer.KindProbe: func(context.Context, peer.Identity, []byte) (any, error) {
 			p := v.planner.Load()
 			return p != nil && p.Serves(), nil
--- a/front/receiver.go
+++ b/front/receiver.go
@@ -136,15 +136,15 @@
 	return clockwork.WithTimeout(ctx, r.Clock, max(deadline/2, deadline-replyMargin))
 }
 
-// Submit submits a job; the last part of the path is its id.
-func (r *Receiver) Submit(ctx context.Context, c Call, decode func() (workload.Job, error)) Reply {
+// prepare checks a call that submits a job, and returns the job with what its queue adds, or the reply to a rejected call.
+func (r *Receiver) prepare(c Call, decode func() (workload.Job, error)) (workload.Job, *Reply) {
 	queue, organisation, id, refused := r.authorise(c)
 	if refused != nil {
-		return *refused
+		return workload.Job{}, refused
 	}
 	if limit := r.Configuration().MaxBody; limit > 0 && c.Size > limit {
 		r.Log.Event("job-too-large", "job", id, "queue", queue.Name, "size", c.Size, "limit", limit)
-		return Reply{Outcome: OutcomeTooLarge}
+		return workload.Job{}, &Reply{Outcome: OutcomeTooLarge}
 	}
 	job, err := decode()
 	if err == nil {
@@ -155,12 +155,22 @@
 	}
 	if err != nil {
 		r.Log.Event("job-invalid", "job", id, "queue", queue.Name, "error", err)
-		return Reply{Outcome: OutcomeInvalid}
+		return workload.Job{}, &Reply{Outcome: OutcomeInvalid}
 	}
 	job.ID, job.Queue, job.Service, job.Organisation = id, queue.Name, queue.Service, organisation
 	job.Priority, job.MaxAttempts = queue.Priority, queue.MaxAttempts
 	job.Accepted = r.TimeOfDay()
 	job.Objective = queue.Objective(job.CriticalPath())
+	return job, nil
+}
+
+// Submit submits a job; the last part of the path is its id.
+func (r *Receiver) Submit(ctx context.Context, c Call, decode func() (workload.Job, error)) Reply {
+	job, refused := r.prepare(c, decode)
+	if refused != nil {
+		return *refused
+	}
+	id := job.ID
 	from := r.Clock.Now()
 	ctx, cancel := r.withReplyDeadline(ctx, c)
 	defer cancel()
@@ -170,7 +180,7 @@
 	r.Metrics.Observe(metrics.AcceptTime, r.Clock.Since(from))
 	reply := r.reply(result)
 	if reply.Outcome != OutcomeDone {
-		r.Log.Event("job-not-accepted", "job", id, "queue", queue.Name, "organisation", organisation, "outcome", reply.Outcome,
+		r.Log.Event("job-not-accepted", "job", id, "queue", job.Queue, "organisation", job.Organisation, "outcome", reply.Outcome,
 			"reason", result.Reason, "retry-after", reply.RetryAfter, "after", r.Clock.Since(from))
 		r.Metrics.Add(metrics.JobsRefused, 1)
 	}
--- a/front/vm.go
+++ b/front/vm.go
@@ -17,6 +17,7 @@
 	"clementinepier/eventlog"
 	"clementinepier/metrics"
 	"clementinepier/peer"
+	"clementinepier/workload"
 )
 
 const (
@@ -61,6 +62,8 @@
 	DecodeRegistration func(key string, value []byte) (engine.Registration, error)
 	// NewServer returns the server for callers; ready reports whether callers should stay with this entry VM.
 	NewServer func(r *Receiver, ready func() bool) Server
+	// DecodeJob decodes the body of a call that submits a job.
+	DecodeJob func(body []byte) (workload.Job, error)
 	// LinesDropped returns how many log lines were dropped because the log's reader was too slow.
 	LinesDropped func() int64
 	// Reload receives a signal when the settings file may have changed.
@@ -110,9 +113,10 @@
 	if err != nil {
 		return err
 	}
-	server := v.NewServer(v.receiver(), v.ready)
+	receiver := v.receiver()
+	server := v.NewServer(receiver, v.ready)
 	ended := []<-chan error{
-		server.Serve(listeners.callers), v.serveReady(listeners.ready), v.serveMetrics(listeners.metrics),
+		server.Serve(listeners.callers), v.serveReady(listeners.ready), v.serveMetrics(listeners.metrics, receiver),
 		v.servePeers(work, listeners.peers), v.followDocuments(work), v.watchSettings(work), v.probeUnresponsive(work),
 		v.watchReach(work),
 	}
@@ -199,13 +203,16 @@
 	}))
 }
 
-// serveMetrics serves counters and histograms in text format.
-func (v *VM) serveMetrics(listener net.Listener) <-chan error {
-	return v.serveHTTP(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+// serveMetrics serves counters and histograms in text format, and explanations under ExplainPath.
+func (v *VM) serveMetrics(listener net.Listener, r *Receiver) <-chan error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		v.metrics.SetGauge(metrics.LogLinesDropped, v.LinesDropped())
 		v.metrics.WriteText(w)
-	}))
+	})
+	mux.Handle(ExplainPath, v.explainHandler(r))
+	return v.serveHTTP(listener, mux)
 }
 
 func (v *VM) serveHTTP(listener net.Listener, handler http.Handler) <-chan error {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -31,6 +31,7 @@
 	KindState   Kind = "job-state"
 	KindEnd     Kind = "end-job"
 	KindWaiting Kind = "waiting-jobs"
+	KindExplain Kind = "explain-job"
 	// KindYield asks a planner on a small entry VM to step down in favour of a larger one.
 	KindYield Kind = "yield"
 	// KindProbe asks whether the called entry VM is the planner and can accept jobs.
