--- a/front/settings.go
+++ b/front/settings.go
@@ -30,9 +30,11 @@
 	// Cores is the CPU share that the process may use, in cores. Entry VMs with more cores are preferred as the planner.
 	Cores float64 `toml:"cores"`
 	// MaxFiles is the limit on open files and connections of the process.
-	MaxFiles int    `toml:"max-files"`
-	Bounds   Bounds `toml:"bounds"`
-	Log      struct {
+	MaxFiles int `toml:"max-files"`
+	// MaxMemoryMB is the limit on the memory of the process in megabytes (2^20 bytes); 0 means that it is not known.
+	MaxMemoryMB int    `toml:"max-memory-mb"`
+	Bounds      Bounds `toml:"bounds"`
+	Log         struct {
 		// Verbosity is the klog verbosity, 0 to 10.
 		Verbosity int `toml:"verbosity"`
 		// Budget is the maximum number of log lines of one kind per second; 0 means the default. An error of the TOML library names
@@ -94,6 +96,9 @@
 	if s.MaxFiles <= 0 {
 		add("max-files", "must be above 0")
 	}
+	if s.MaxMemoryMB < 0 {
+		add("max-memory-mb", "must not be negative")
+	}
 	for _, a := range []struct{ path, value string }{
 		{"callers-address", s.CallersAddress},
 		{"ready-address", s.ReadyAddress},
