ingress: one budget for what callers may hold of a process

Cause: the HTTP library buffers a request whole before any limit of the configuration applies, reads trailers without a bound, keeps a copy of the header for each byte beyond 4 KB that arrives alone, sets no timeout for the first request of a connection, and ends the process when a connection cannot be accepted. A job of empty steps was decoded whole.

Change: package ingress. Budget decides as pure code which connection is admitted, which request may grow and which one gives way; Conn and Transport take the place of the library's connection, with one bounded and counted buffer. Bodies are read as streams, up to the configuration's limit, before a job is decoded; decoding ends at the first step that no job can have. Counters callers-refused-REASON, gauge callers-connected-gauge, event caller-refused.

--- a/front/receiver.go
+++ b/front/receiver.go
@@ -41,8 +41,6 @@
 	Path string
 	// Key authenticates the organisation.
 	Key string
-	// Size is the length of the body in bytes.
-	Size int
 	// Deadline is how long the caller waits; 0 means that it sent no deadline.
 	Deadline time.Duration
 }
@@ -66,6 +64,8 @@
 	OutcomeInvalid Outcome = "invalid"
 	// OutcomeTooLarge means that the body is larger than the configuration allows; the job never runs.
 	OutcomeTooLarge Outcome = "too-large"
+	// OutcomeTrailerTooLarge means that the fields after a chunked body are too large; the job never runs.
+	OutcomeTrailerTooLarge Outcome = "trailer-too-large"
 	// OutcomeRefused means that the job was not accepted and never runs.
 	OutcomeRefused Outcome = "refused"
 	// OutcomeUnknown means that the call may have been carried out; the caller has to retry.
@@ -80,6 +80,12 @@
 	RetryAfter time.Duration
 }
 
+// ErrNotReceived means that a body could not be received. Nothing of the call was carried out.
+type ErrNotReceived struct{ Outcome Outcome }
+
+// Error implements error.
+func (e *ErrNotReceived) Error() string { return "body not received: " + string(e.Outcome) }
+
 // Receiver answers callers. Set the exported fields before the first call.
 type Receiver struct {
 	Clock     clockwork.Clock
@@ -136,17 +142,17 @@
 	return clockwork.WithTimeout(ctx, r.Clock, max(deadline/2, deadline-replyMargin))
 }
 
-// Submit submits a job; the last part of the path is its id.
-func (r *Receiver) Submit(ctx context.Context, c Call, decode func() (workload.Job, error)) Reply {
+// Submit submits a job; the last part of the path is its id. The function receives a body of at most the given size in bytes, 0 for no
+// limit, and decodes it.
+func (r *Receiver) Submit(ctx context.Context, c Call, receive func(limit int) (workload.Job, error)) Reply {
 	queue, organisation, id, refused := r.authorise(c)
 	if refused != nil {
 		return *refused
 	}
-	if limit := r.Configuration().MaxBody; limit > 0 && c.Size > limit {
-		r.Log.Event("job-too-large", "job", id, "queue", queue.Name, "size", c.Size, "limit", limit)
-		return Reply{Outcome: OutcomeTooLarge}
+	job, err := receive(r.Configuration().MaxBody)
+	if notReceived := (*ErrNotReceived)(nil); errors.As(err, &notReceived) {
+		return r.replyNotReceived(id, queue, notReceived)
 	}
-	job, err := decode()
 	if err == nil {
 		err = job.Validate()
 	}
@@ -177,6 +183,18 @@
 	return reply
 }
 
+// replyNotReceived returns the reply to a job whose body could not be received. If it was refused for want of room, the caller may
+// send it again.
+func (r *Receiver) replyNotReceived(id string, queue *engine.Queue, err *ErrNotReceived) Reply {
+	r.Log.Event("job-not-received", "job", id, "queue", queue.Name, "outcome", err.Outcome)
+	reply := Reply{Outcome: err.Outcome}
+	if reply.Outcome == OutcomeRefused {
+		r.Metrics.Add(metrics.JobsRefused, 1)
+		reply.RetryAfter = unavailableRetryAfter
+	}
+	return reply
+}
+
 // State returns the state of a job, or the number of waiting jobs of a queue if the path has no job id.
 func (r *Receiver) State(ctx context.Context, c Call) Reply {
 	queue, _, id, refused := r.authorise(c)
--- /dev/null
+++ b/ingress/budget.go
@@ -0,0 +1,282 @@
+// Package ingress bounds what callers may hold of a process: its memory and its descriptors, over all connections together.
+//
+// Budget decides without input and output which connection is admitted, which request may grow and which one gives way. Conn and
+// Transport apply it to the connections of the HTTP server for callers.
+package ingress
+
+import (
+	"container/list"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Reason names why a caller was refused, or why its connection was closed.
+type Reason string
+
+// The reasons, which are also the ends of the names of counters.
+const (
+	// ReasonConnections means that a new connection was closed because no open one could give way.
+	ReasonConnections Reason = "connections"
+	// ReasonIdle means that a connection without a request gave way to a new one.
+	ReasonIdle Reason = "idle"
+	// ReasonSlow means that an unfinished request gave way to another connection or request.
+	ReasonSlow Reason = "slow"
+	// ReasonMemory means that a request did not fit into the memory for callers.
+	ReasonMemory Reason = "memory"
+	// ReasonTimeout means that a request was not complete within its time.
+	ReasonTimeout Reason = "timeout"
+	// ReasonBroken means that the caller closed its connection before its request was complete.
+	ReasonBroken  Reason = "broken"
+	ReasonHeader  Reason = "header-too-large"
+	ReasonBody    Reason = "body-too-large"
+	ReasonTrailer Reason = "trailer-too-large"
+	// ReasonMalformed means that the bytes are no HTTP request.
+	ReasonMalformed Reason = "malformed"
+)
+
+// ErrRefused means that a request was refused before it was read whole. Nothing of it was carried out.
+type ErrRefused struct{ Reason Reason }
+
+// Error implements error.
+func (e *ErrRefused) Error() string { return fmt.Sprintf("request refused: %s", e.Reason) }
+
+// ReasonOf returns the reason of an ErrRefused, or "" for any other error.
+func ReasonOf(err error) Reason {
+	var refused *ErrRefused
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
+
+const (
+	// connectionMemory is the memory in bytes that each open connection is counted with: its goroutine's stack, the server's context,
+	// both buffers, a request of at most smallRequest, and bytes that the kernel has received.
+	connectionMemory = 48 << 10
+	// smallRequest is the size in bytes up to which the body of a request, and the job decoded from it, belong to connectionMemory.
+	smallRequest = 8 << 10
+	// memoryShare is the part of the process's memory that callers may hold. The garbage collector lets the heap grow to about twice
+	// of what is held, and the rest belongs to the planner.
+	memoryShare = 0.25
+	// connectionsShare is the part of the callers' memory that their connections may take, without large requests.
+	connectionsShare = 0.6
+	// descriptorShare is the part of the free descriptors that callers may have. The rest is for the store, other entry VMs, and
+	// connections to workers beyond the idle ones.
+	descriptorShare = 0.65
+	// minConnections is admitted on machines that are too small to derive a bound.
+	minConnections = 16
+	// requestPatience is how long a request may be unfinished before it gives way to others. A request of an ordinary caller arrives
+	// within a few round trips.
+	requestPatience = time.Second
+)
+
+// Budget is what callers may hold of a process. Set the exported fields before the first call of Open.
+type Budget struct {
+	// Connections bounds the open connections.
+	Connections int
+	// Memory bounds the bytes that requests hold beyond what each connection is counted with.
+	Memory int64
+
+	mu   sync.Mutex
+	open int
+	held int64
+	// idle and receiving have the accounts in these states, the one that has been in it for longest first.
+	idle, receiving list.List
+}
+
+// NewBudget returns the budget for a process with the given memory in bytes and the given number of descriptors that are in no
+// other use.
+func NewBudget(memory int64, descriptors int) *Budget {
+	total := memoryShare * float64(memory)
+	connections := min(int(descriptorShare*float64(descriptors)), int(connectionsShare*total/connectionMemory))
+	connections = max(minConnections, connections)
+	return &Budget{Connections: connections, Memory: max(smallRequest, int64(total)-int64(connections)*connectionMemory)}
+}
+
+// state is what the connection of an account does.
+type state int
+
+const (
+	// stateIdle is a connection without a request.
+	stateIdle state = iota
+	// stateReceiving is a connection whose request has begun to arrive and is not whole.
+	stateReceiving
+	// stateServing is a connection whose request is carried out, or may have been. It never gives way.
+	stateServing
+	stateClosed
+)
+
+// Account is what one connection holds of the budget.
+type Account struct {
+	budget *Budget
+	// giveWay is called when the connection has to be closed in favour of another one. It must not block.
+	giveWay func()
+	state   state
+	// since is when the state was entered.
+	since time.Time
+	held  int64
+	// position is in the list of the state; nil while serving or closed.
+	position *list.Element
+	// evicted is why the connection has to be closed; "" while it does not. It holds nothing of the budget any more.
+	evicted Reason
+}
+
+// Open admits a connection, if necessary in place of another one: of the request that has been unfinished for longest, if for more
+// than requestPatience, or of the connection that has been idle for longest. Load pattern: very many connections, of which most
+// send nothing or never finish, beside callers whose requests arrive whole.
+func (b *Budget) Open(now time.Time, giveWay func()) (*Account, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.open >= b.Connections && !b.evictUnfinished(now, nil) {
+		longest := b.idle.Front()
+		if longest == nil {
+			return nil, &ErrRefused{Reason: ReasonConnections}
+		}
+		b.evict(longest.Value.(*Account), ReasonIdle)
+	}
+	b.open++
+	a := &Account{budget: b, giveWay: giveWay}
+	a.enter(stateIdle, now)
+	return a, nil
+}
+
+// evictUnfinished makes the request give way that has been unfinished for longest, but not the one of the given account. It reports
+// whether there was one that has been unfinished for more than requestPatience.
+func (b *Budget) evictUnfinished(now time.Time, except *Account) bool {
+	for e := b.receiving.Front(); e != nil; e = e.Next() {
+		a := e.Value.(*Account)
+		if now.Sub(a.since) <= requestPatience {
+			return false
+		}
+		if a != except {
+			b.evict(a, ReasonSlow)
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Budget) evict(a *Account, reason Reason) {
+	a.evicted = reason
+	a.leave()
+	a.giveWay()
+}
+
+// Held returns the number of open connections and the bytes that their requests hold beyond what each connection is counted with.
+func (b *Budget) Held() (connections int, memory int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open, b.held
+}
+
+// enter changes the state. The budget is locked.
+func (a *Account) enter(s state, now time.Time) {
+	a.unlist()
+	a.state, a.since = s, now
+	switch s {
+	case stateIdle:
+		a.position = a.budget.idle.PushBack(a)
+	case stateReceiving:
+		a.position = a.budget.receiving.PushBack(a)
+	}
+}
+
+func (a *Account) unlist() {
+	if a.position == nil {
+		return
+	}
+	if a.state == stateIdle {
+		a.budget.idle.Remove(a.position)
+	} else {
+		a.budget.receiving.Remove(a.position)
+	}
+	a.position = nil
+}
+
+// leave gives everything back to the budget, which is locked.
+func (a *Account) leave() {
+	a.unlist()
+	a.state = stateClosed
+	a.budget.open--
+	a.budget.held -= a.held
+	a.held = 0
+}
+
+// Receive notes that a request has begun to arrive.
+func (a *Account) Receive(now time.Time) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.state == stateIdle {
+		a.enter(stateReceiving, now)
+	}
+}
+
+// Serve notes that a request is whole and will be carried out. It returns an error if the connection has to be closed instead.
+func (a *Account) Serve(now time.Time) error {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.evicted != "" {
+		return &ErrRefused{Reason: a.evicted}
+	}
+	if a.state != stateClosed {
+		a.enter(stateServing, now)
+	}
+	return nil
+}
+
+// Rest notes that a request has been answered.
+func (a *Account) Rest(now time.Time) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.state != stateClosed {
+		a.enter(stateIdle, now)
+	}
+}
+
+// Grow takes bytes from the budget, if necessary in place of requests that have been unfinished for more than requestPatience. It
+// returns an error if the bytes do not fit, or if this connection has to be closed. Load pattern: many large bodies that stop short
+// of their end, beside callers whose bodies arrive whole.
+func (a *Account) Grow(bytes int64, now time.Time) error {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.evicted != "" {
+		return &ErrRefused{Reason: a.evicted}
+	}
+	for b.held+bytes > b.Memory {
+		if !b.evictUnfinished(now, a) {
+			return &ErrRefused{Reason: ReasonMemory}
+		}
+	}
+	a.held += bytes
+	b.held += bytes
+	return nil
+}
+
+// Shrink gives bytes back to the budget.
+func (a *Account) Shrink(bytes int64) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	bytes = min(bytes, a.held)
+	a.held -= bytes
+	a.budget.held -= bytes
+}
+
+// Evicted returns why the connection has to be closed in favour of another one, or "".
+func (a *Account) Evicted() Reason {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	return a.evicted
+}
+
+// Close gives everything back to the budget.
+func (a *Account) Close() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.state != stateClosed {
+		a.leave()
+	}
+}
--- /dev/null
+++ b/ingress/transport.go
@@ -0,0 +1,110 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/jonboulle/clockwork"
+	"github.com/pkg/errors"
+
+	"clementinepier/eventlog"
+	"clementinepier/metrics"
+)
+
+const (
+	// MaxHeaderSize bounds the headers of a request in bytes. It is the limit that the users' configuration sets.
+	MaxHeaderSize = 16 << 10
+	// RequestTimeout bounds the time in which a request has to arrive.
+	RequestTimeout = 10 * time.Second
+	// acceptRetryDelay is the delay after a connection could not be accepted, as when the process has no descriptor left.
+	acceptRetryDelay = 20 * time.Millisecond
+	// closePollInterval is how often Shutdown looks whether all connections are closed.
+	closePollInterval = 10 * time.Millisecond
+)
+
+// Transport accepts the connections of callers for the HTTP server, within the budget. Set the exported fields before ListenAndServe.
+type Transport struct {
+	Listener net.Listener
+	Budget   *Budget
+	Clock    clockwork.Clock
+	Log      *eventlog.Log
+	Metrics  *metrics.Set
+
+	closing atomic.Bool
+	open    atomic.Int64
+}
+
+// New returns the transport; it is a function for the options of the server.
+func (t *Transport) New(*hertzconfig.Options) network.Transporter { return t }
+
+// ListenAndServe implements network.Transporter. Connections that cannot be accepted do not end it, since a later one may.
+func (t *Transport) ListenAndServe(serve network.OnData) error {
+	for {
+		c, err := t.Listener.Accept()
+		switch {
+		case err == nil:
+			t.admit(c, serve)
+		case t.closing.Load() || errors.Is(err, net.ErrClosed):
+			return nil
+		default:
+			t.Log.Event("caller-not-accepted", "error", err)
+			t.Clock.Sleep(acceptRetryDelay)
+		}
+	}
+}
+
+// admit serves a connection in its own goroutine, or closes it if the budget has no room.
+func (t *Transport) admit(c net.Conn, serve network.OnData) {
+	conn, err := newConn(c, t)
+	if err != nil {
+		t.refused(c.RemoteAddr(), ReasonOf(err))
+		_ = c.Close()
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// A system that does not allow it keeps its own size.
+		_ = tcp.SetReadBuffer(receiveBuffer)
+	}
+	// The server sets no timeout for the first request of a connection. An error shows at the first read.
+	_ = conn.SetReadTimeout(RequestTimeout)
+	t.open.Add(1)
+	t.gauge()
+	go func() {
+		// The server logs and answers errors itself.
+		_ = serve(context.Background(), conn)
+		t.open.Add(-1)
+		t.gauge()
+	}()
+}
+
+func (t *Transport) gauge() { t.Metrics.SetGauge(metrics.CallersConnected, t.open.Load()) }
+
+// refused counts and logs a caller that was refused or whose connection was closed.
+func (t *Transport) refused(address net.Addr, reason Reason) {
+	t.Metrics.Add(metrics.CallersRefused+metrics.Name(reason), 1)
+	connections, memory := t.Budget.Held()
+	t.Log.Event("caller-refused", "reason", reason, "address", address, "connections", connections, "memory", memory)
+}
+
+// Close implements network.Transporter.
+func (t *Transport) Close() error {
+	t.closing.Store(true)
+	return t.Listener.Close()
+}
+
+// Shutdown implements network.Transporter. It closes the listener and waits until all connections are closed or ctx ends.
+func (t *Transport) Shutdown(ctx context.Context) error {
+	err := t.Close()
+	for t.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.Clock.After(closePollInterval):
+		}
+	}
+	return err
+}
