front: bound the addresses of readiness and metrics

Cause: both accepted any number of connections, headers up to 1 MB, and idle connections without end. A crowd on the address of readiness uses up the descriptors of the process; the load balancer's own probe shares them.

Change: 16 connections each, of which the one that has been open for longest gives way to a new one; headers of 16 KB, 10 s to read and to write, 30 s idle. The peers address has the same times and headers. Its connections are not counted: a link is authenticated only after it is open, and a bound has to be above the number of entry VMs, which the settings do not tell.

--- a/front/vm.go
+++ b/front/vm.go
@@ -15,6 +15,7 @@
 
 	"clementinepier/engine"
 	"clementinepier/eventlog"
+	"clementinepier/ingress"
 	"clementinepier/metrics"
 	"clementinepier/peer"
 )
@@ -28,6 +29,14 @@
 	// termEndTimeout bounds the call that ends the planner's term.
 	termEndTimeout = 500 * time.Millisecond
 	headerTimeout  = 5 * time.Second
+	// requestTimeout bounds reading and writing on the addresses of readiness, metrics and other entry VMs, before a link between
+	// entry VMs is open. idleTimeout is longer than the pauses between probes and between readings of metrics.
+	requestTimeout = 10 * time.Second
+	idleTimeout    = 30 * time.Second
+	// maxHeaderSize bounds the headers of their requests in bytes.
+	maxHeaderSize = 16 << 10
+	// maxProbes bounds the connections to the addresses of readiness and metrics, each. One caller has a reason to use either.
+	maxProbes = 16
 )
 
 // Server is the HTTP server for callers.
@@ -192,7 +201,7 @@
 
 // serveReady serves the platform's readiness probe.
 func (v *VM) serveReady(listener net.Listener) <-chan error {
-	return v.serveHTTP(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return v.serveHTTP(v.boundProbes(listener), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !v.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -201,16 +210,24 @@
 
 // serveMetrics serves counters and histograms in text format.
 func (v *VM) serveMetrics(listener net.Listener) <-chan error {
-	return v.serveHTTP(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return v.serveHTTP(v.boundProbes(listener), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		v.metrics.SetGauge(metrics.LogLinesDropped, v.LinesDropped())
 		v.metrics.WriteText(w)
 	}))
 }
 
+// boundProbes bounds the connections to an address of which few are needed.
+func (v *VM) boundProbes(listener net.Listener) net.Listener {
+	return &ingress.Listener{Listener: listener, Budget: &ingress.Budget{Connections: maxProbes}, Clock: v.Clock}
+}
+
 func (v *VM) serveHTTP(listener net.Listener, handler http.Handler) <-chan error {
 	done := make(chan error, 1)
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderSize,
+	}
 	go func() { done <- errors.Wrap(s.Serve(listener), "serve "+listener.Addr().String()) }()
 	return done
 }
