ingress: a caller that reads no replies gives way

Cause: a connection whose reply could not be written was being served for the budget, which never gives way; callers that send requests and read no replies had their connections for 10 s at a time. The accept loop had no spare place for the new connection when the bound is below four.

Change: once the reply is being written, the request counts as unfinished; giving way ends the pending write as well.

--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -22,7 +22,7 @@
 	ReasonConnections Reason = "connections"
 	// ReasonIdle means that a connection without a request gave way to a new one.
 	ReasonIdle Reason = "idle"
-	// ReasonSlow means that an unfinished request gave way to another connection or request.
+	// ReasonSlow means that an unfinished request, or a reply that was not read, gave way to another connection or request.
 	ReasonSlow Reason = "slow"
 	// ReasonMemory means that a request did not fit into the memory for callers.
 	ReasonMemory Reason = "memory"
@@ -83,8 +83,8 @@
 	mu   sync.Mutex
 	open int
 	held int64
-	// idle and receiving have the accounts in these states, the one that has been in it for longest first.
-	idle, receiving list.List
+	// idle and unfinished have the accounts in these states, the one that has been in it for longest first.
+	idle, unfinished list.List
 }
 
 // NewBudget returns the budget for a process with the given memory in bytes and the given number of descriptors that are in no
@@ -102,8 +102,8 @@
 const (
 	// stateIdle is a connection without a request.
 	stateIdle state = iota
-	// stateReceiving is a connection whose request has begun to arrive and is not whole.
-	stateReceiving
+	// stateUnfinished is a connection whose request has begun to arrive and is not whole, or whose reply is not sent whole.
+	stateUnfinished
 	// stateServing is a connection whose request is carried out, or may have been. It never gives way.
 	stateServing
 	stateClosed
@@ -146,7 +146,7 @@
 // evictUnfinished makes the request give way that has been unfinished for longest, but not the one of the given account. It reports
 // whether there was one that has been unfinished for more than requestPatience.
 func (b *Budget) evictUnfinished(now time.Time, except *Account) bool {
-	for e := b.receiving.Front(); e != nil; e = e.Next() {
+	for e := b.unfinished.Front(); e != nil; e = e.Next() {
 		a := e.Value.(*Account)
 		if now.Sub(a.since) <= requestPatience {
 			return false
@@ -179,8 +179,8 @@
 	switch s {
 	case stateIdle:
 		a.position = a.budget.idle.PushBack(a)
-	case stateReceiving:
-		a.position = a.budget.receiving.PushBack(a)
+	case stateUnfinished:
+		a.position = a.budget.unfinished.PushBack(a)
 	}
 }
 
@@ -191,7 +191,7 @@
 	if a.state == stateIdle {
 		a.budget.idle.Remove(a.position)
 	} else {
-		a.budget.receiving.Remove(a.position)
+		a.budget.unfinished.Remove(a.position)
 	}
 	a.position = nil
 }
@@ -210,7 +210,7 @@
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	if a.state == stateIdle {
-		a.enter(stateReceiving, now)
+		a.enter(stateUnfinished, now)
 	}
 }
 
@@ -227,6 +227,15 @@
 	return nil
 }
 
+// Reply notes that a request has been carried out and its reply is being sent. A caller that does not read it may have to give way.
+func (a *Account) Reply(now time.Time) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.state == stateServing {
+		a.enter(stateUnfinished, now)
+	}
+}
+
 // Rest notes that a request has been answered.
 func (a *Account) Rest(now time.Time) {
 	a.budget.mu.Lock()
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -52,6 +52,10 @@
 	first.Rest(now)
 	open(t, b, now)
 	is.True(first.gone)
+	second.Reply(now)
+	now = now.Add(requestPatience + 1)
+	open(t, b, now)
+	is.True(second.gone) // its caller does not read the reply
 }
 
 // Guards against large bodies that stop short of their end and keep the memory from others.
@@ -117,6 +121,7 @@
 					serving[c] = true
 				}
 			},
+			"reply":  func(t *rapid.T) { c := draw(t); c.Reply(now); delete(serving, c) },
 			"rest":   func(t *rapid.T) { c := draw(t); c.Rest(now); delete(serving, c) },
 			"close":  func(t *rapid.T) { c := draw(t); c.Close(); delete(serving, c) },
 			"grow":   func(t *rapid.T) { _ = draw(t).Grow(int64(rapid.IntRange(0, 60).Draw(t, "bytes")), now) },
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -61,6 +61,8 @@
 	discardLeft int
 	// deadlinePassed is set when the connection has to give way: later deadlines do not apply.
 	deadlinePassed atomic.Bool
+	// replying is whether the reply of the handler is being written.
+	replying atomic.Bool
 }
 
 func newConn(c net.Conn, t *Transport) (*Conn, error) {
@@ -75,11 +77,14 @@
 // past is a time at which no process has run.
 var past = time.Unix(1, 0)
 
-// giveWay ends the pending and all later reads.
+// giveWay ends the pending and all later reads, and a reply that the caller does not read.
 func (c *Conn) giveWay() {
 	c.deadlinePassed.Store(true)
 	// A connection that is already closed needs no deadline.
 	_ = c.SetReadDeadline(past)
+	if c.replying.Load() {
+		_ = c.SetWriteDeadline(past)
+	}
 }
 
 // SetReadTimeout implements network.Conn.
@@ -239,6 +244,11 @@
 
 // Flush implements network.Writer. The reply to a request that the handler has got is the end of that request.
 func (c *Conn) Flush() error {
+	if c.handled {
+		c.account.Reply(c.transport.Clock.Now())
+		c.replying.Store(true)
+		defer c.replying.Store(false)
+	}
 	err := c.Writer.Flush()
 	if err == nil {
 		err = c.replies.Flush()
@@ -249,6 +259,9 @@
 		c.requestCharge = 0
 		c.account.Rest(c.transport.Clock.Now())
 	}
+	if err != nil && c.failure == "" {
+		c.failure = c.account.Evicted()
+	}
 	return err
 }
 
--- a/ingress/transport.go
+++ b/ingress/transport.go
@@ -45,7 +45,7 @@
 
 // ListenAndServe implements network.Transporter. Connections that cannot be accepted do not end it, since a later one may.
 func (t *Transport) ListenAndServe(serve network.OnData) error {
-	slots := make(chan struct{}, t.Budget.Connections+int(closingShare*float64(t.Budget.Connections)))
+	slots := make(chan struct{}, t.Budget.Connections+1+int(closingShare*float64(t.Budget.Connections)))
 	for {
 		c, err := t.Listener.Accept()
 		switch {
