api: timeout for the first request of a connection; smallest budget

Cause: the library sets no timeout for the first request of a connection, so that callers of the own interface that send nothing keep its connections for good.

Change: the listener sets the deadline; the budget has at least 8 MB for requests.

Measured: TestConnectionsAndWritesAreBounded fails without the deadline.

--- a/api/listener.go
+++ b/api/listener.go
@@ -24,6 +24,8 @@
 		<-l.slots
 		return nil, err
 	}
+	// The library sets no timeout for the first request of a connection. An error shows at the first read.
+	_ = c.SetReadDeadline(time.Now().Add(readTimeout))
 	return &limitConn{Conn: c, release: sync.OnceFunc(func() { <-l.slots })}, nil
 }
 
--- a/api/listener_test.go
+++ b/api/listener_test.go
@@ -16,7 +16,7 @@
 
 type fakeConn struct {
 	net.Conn
-	deadline time.Time
+	deadline, readDeadline time.Time
 }
 
 func (l *fakeListener) Accept() (net.Conn, error) {
@@ -30,12 +30,17 @@
 	return nil
 }
 
+func (c *fakeConn) SetReadDeadline(t time.Time) error {
+	c.readDeadline = t
+	return nil
+}
+
 func (c *fakeConn) Write(b []byte) (int, error) { return len(b), nil }
 
 func (c *fakeConn) Close() error { return nil }
 
-// Guards against more open connections than the limit, and against a connection that stays open because the caller does
-// not read the reply.
+// Guards against more open connections than the limit, and against a connection that stays open because the caller sends no
+// request, or does not read the reply.
 func TestConnectionsAndWritesAreBounded(t *testing.T) {
 	is := is.New(t)
 	inner := &fakeListener{accepted: make(chan *fakeConn, 2)}
@@ -44,7 +49,9 @@
 	is.NoErr(err)
 	_, err = first.Write([]byte("reply"))
 	is.NoErr(err)
-	is.True(!(<-inner.accepted).deadline.IsZero())
+	accepted := <-inner.accepted
+	is.True(!accepted.deadline.IsZero())
+	is.True(!accepted.readDeadline.IsZero())
 	second := make(chan net.Conn)
 	go func() {
 		c, _ := listener.Accept()
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -71,8 +71,10 @@
 	// descriptorShare is the part of the free descriptors that callers may have. The rest is for the store, other entry VMs, and
 	// connections to workers beyond the idle ones.
 	descriptorShare = 0.6
-	// minConnections is admitted on machines that are too small to derive a bound.
+	// minConnections and minMemory, in bytes, are granted on machines that are too small to derive a bound. The memory fits the largest
+	// body and the job decoded from it.
 	minConnections = 16
+	minMemory      = 8 << 20
 	// requestPatience is how long a request may be unfinished before it gives way to others. A request of an ordinary caller arrives
 	// within a few round trips.
 	requestPatience = time.Second
@@ -98,7 +100,7 @@
 	total := memoryShare * float64(memory)
 	connections := min(int(descriptorShare*float64(descriptors)), int(connectionsShare*total/connectionMemory))
 	connections = max(minConnections, connections)
-	return &Budget{Connections: connections, Memory: max(smallRequest, int64(total)-int64(connections)*connectionMemory)}
+	return &Budget{Connections: connections, Memory: max(minMemory, int64(total)-int64(connections)*connectionMemory)}
 }
 
 // state is what the connection of an account does.
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -93,7 +93,7 @@
 	is.True(int64(b.Connections)*connectionMemory+b.Memory <= 144<<20/4)
 	tiny := NewBudget(1, -10)
 	is.Equal(tiny.Connections, minConnections)
-	is.True(tiny.Memory >= smallRequest)
+	is.Equal(tiny.Memory, int64(minMemory))
 }
 
 // Guards against a budget that is exceeded, or not given back, after any order of events.
