ingress: memory of a connection that gives way counts until it is closed

Cause: the bytes of a request that had to give way were free for others at once, while its goroutine still had them.

Change: what is held by connections that are to be closed is counted apart; a request that fits once they are closed waits for at most a second, and asks every 5 ms.

TestRequestReplacesUnfinishedOnes asks for the waiting, TestBudgetHoldsForRandomCallers for the sums.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -116,7 +116,7 @@
 
 // Grow takes bytes of memory from the budget until the request is answered.
 func (r *Request) Grow(bytes int64) error {
-	if err := r.conn.account.Grow(bytes, r.conn.transport.Clock.Now()); err != nil {
+	if err := r.conn.grow(bytes); err != nil {
 		return r.refuse(ReasonOf(err))
 	}
 	r.conn.requestCharge += bytes
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -89,7 +89,8 @@
 
 	mu   sync.Mutex
 	open int
-	held int64
+	// held is what all accounts hold, of which closing belongs to those that have to be closed and are not yet.
+	held, closing int64
 	// idle and unfinished have the accounts in these states, the one that has been in it for longest first.
 	idle, unfinished list.List
 }
@@ -113,6 +114,8 @@
 	stateUnfinished
 	// stateServing is a connection whose request is carried out, or may have been. It never gives way.
 	stateServing
+	// stateClosing is a connection that has to be closed in favour of another one. It holds its memory until it is.
+	stateClosing
 	stateClosed
 )
 
@@ -127,7 +130,7 @@
 	held  int64
 	// position is in the list of the state; nil while serving or closed.
 	position *list.Element
-	// evicted is why the connection has to be closed; "" while it does not. It holds nothing of the budget any more.
+	// evicted is why the connection has to be closed; "" while it does not.
 	evicted Reason
 }
 
@@ -167,8 +170,10 @@
 }
 
 func (b *Budget) evict(a *Account, reason Reason) {
-	a.evicted = reason
-	a.leave()
+	a.unlist()
+	a.state, a.evicted = stateClosing, reason
+	b.open--
+	b.closing += a.held
 	a.giveWay()
 }
 
@@ -203,15 +208,6 @@
 	a.position = nil
 }
 
-// leave gives everything back to the budget, which is locked.
-func (a *Account) leave() {
-	a.unlist()
-	a.state = stateClosed
-	a.budget.open--
-	a.budget.held -= a.held
-	a.held = 0
-}
-
 // Receive notes that a request has begun to arrive.
 func (a *Account) Receive(now time.Time) {
 	a.budget.mu.Lock()
@@ -228,7 +224,7 @@
 	if a.evicted != "" {
 		return &ErrRefused{Reason: a.evicted}
 	}
-	if a.state != stateClosed {
+	if a.state == stateUnfinished || a.state == stateIdle {
 		a.enter(stateServing, now)
 	}
 	return nil
@@ -247,14 +243,17 @@
 func (a *Account) Rest(now time.Time) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	if a.state != stateClosed {
+	if a.state == stateUnfinished || a.state == stateServing {
 		a.enter(stateIdle, now)
 	}
 }
 
+// errPending means that memory will be free once connections that have to be closed are.
+var errPending = errors.New("memory is about to be free")
+
 // Grow takes bytes from the budget, if necessary in place of requests that have been unfinished for more than requestPatience. It
-// returns an error if the bytes do not fit, or if this connection has to be closed. Load pattern: many large bodies that stop short
-// of their end, beside callers whose bodies arrive whole.
+// returns errPending if the bytes fit once those are closed, and ErrRefused if they do not fit or this connection has to be closed. Load
+// pattern: many large bodies that stop short of their end, beside callers whose bodies arrive whole.
 func (a *Account) Grow(bytes int64, now time.Time) error {
 	b := a.budget
 	b.mu.Lock()
@@ -262,11 +261,14 @@
 	if a.evicted != "" {
 		return &ErrRefused{Reason: a.evicted}
 	}
-	for b.held+bytes > b.Memory {
+	for b.held-b.closing+bytes > b.Memory {
 		if !b.evictUnfinished(now, a) {
 			return &ErrRefused{Reason: ReasonMemory}
 		}
 	}
+	if b.held+bytes > b.Memory {
+		return errPending
+	}
 	a.held += bytes
 	b.held += bytes
 	return nil
@@ -276,9 +278,16 @@
 func (a *Account) Shrink(bytes int64) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	bytes = min(bytes, a.held)
+	a.shrink(min(bytes, a.held))
+}
+
+// shrink gives back what the account holds, or a part of it. The budget is locked.
+func (a *Account) shrink(bytes int64) {
 	a.held -= bytes
 	a.budget.held -= bytes
+	if a.state == stateClosing {
+		a.budget.closing -= bytes
+	}
 }
 
 // Evicted returns why the connection has to be closed in favour of another one, or "".
@@ -292,7 +301,13 @@
 func (a *Account) Close() {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	if a.state != stateClosed {
-		a.leave()
+	if a.state == stateClosed {
+		return
 	}
+	a.shrink(a.held)
+	a.unlist()
+	if a.state != stateClosing {
+		a.budget.open--
+	}
+	a.state = stateClosed
 }
--- a/ingress/budget_test.go
+++ b/ingress/budget_test.go
@@ -72,10 +72,14 @@
 	request.Receive(now)
 	is.Equal(ReasonOf(request.Grow(1, now)), ReasonMemory)
 	now = now.Add(requestPatience/2 + 1)
-	is.NoErr(request.Grow(50, now))
+	is.Equal(request.Grow(50, now), errPending)
 	is.True(older.gone && !younger.gone)
 	is.Equal(ReasonOf(older.Grow(1, now)), ReasonSlow)
-	older.Close() // gives back nothing more
+	is.Equal(request.Grow(50, now), errPending) // the older one is not closed yet
+	older.Shrink(10)
+	older.Close()
+	older.Close()
+	is.NoErr(request.Grow(50, now))
 	connections, memory := b.Held()
 	is.Equal(connections, 2)
 	is.Equal(memory, int64(90))
@@ -117,7 +121,7 @@
 			},
 			"receive": func(t *rapid.T) { draw(t).Receive(now) },
 			"serve": func(t *rapid.T) {
-				if c := draw(t); c.Serve(now) == nil && c.state != stateClosed {
+				if c := draw(t); c.Serve(now) == nil && c.state == stateServing {
 					serving[c] = true
 				}
 			},
@@ -130,17 +134,20 @@
 			"": func(t *rapid.T) {
 				connections, memory := b.Held()
 				var opened int
-				var held int64
+				var held, closing int64
 				for _, c := range callers {
-					if c.state != stateClosed {
+					if c.state != stateClosed && c.state != stateClosing {
 						opened++
 					}
 					held += c.held
+					if c.state == stateClosing {
+						closing += c.held
+					}
 					if c.gone && serving[c] {
 						t.Fatal("a request that is carried out has given way")
 					}
 				}
-				if opened != connections || held != memory || connections > b.Connections || memory > b.Memory || memory < 0 {
+				if opened != connections || held != memory || closing != b.closing || connections > b.Connections || memory > b.Memory || memory < 0 {
 					t.Fatalf("%d connections of %d, %d bytes of %d", connections, opened, memory, held)
 				}
 			},
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -27,6 +27,8 @@
 	// before the connection is closed.
 	discardedSize = 256 << 10
 	discardTime   = time.Second
+	// growRetryDelay is the pause before a request asks again for memory that is about to be free.
+	growRetryDelay = 5 * time.Millisecond
 )
 
 var (
@@ -186,7 +188,7 @@
 	if n > len(into) {
 		size := min(maxBuffer, max(minBuffer, 2*len(into), n))
 		if charge := int64(size - minBuffer); charge > c.bufferCharge {
-			if err := c.account.Grow(charge-c.bufferCharge, c.transport.Clock.Now()); err != nil {
+			if err := c.grow(charge - c.bufferCharge); err != nil {
 				c.failure = ReasonOf(err)
 				return io.EOF
 			}
@@ -199,6 +201,20 @@
 	return nil
 }
 
+// grow takes bytes from the budget. It waits for connections that are being closed.
+func (c *Conn) grow(bytes int64) error {
+	clock := c.transport.Clock
+	for end := clock.Now().Add(requestPatience); ; clock.Sleep(growRetryDelay) {
+		err := c.account.Grow(bytes, clock.Now())
+		switch {
+		case !errors.Is(err, errPending):
+			return err
+		case clock.Now().After(end):
+			return &ErrRefused{Reason: ReasonMemory}
+		}
+	}
+}
+
 // Skip implements network.Reader.
 func (c *Conn) Skip(n int) error {
 	if n > c.Len() {
