--- a/front/explain.go
+++ b/front/explain.go
@@ -39,9 +39,14 @@
 				return
 			}
 			call := Call{
-				Host: request.URL.Query().Get("host"), Path: request.URL.Query().Get("path"), Key: request.Header.Get("Key"), Size: len(body),
+				Host: request.URL.Query().Get("host"), Path: request.URL.Query().Get("path"), Key: request.Header.Get("Key"),
 			}
-			job, refused := r.prepare(call, func() (workload.Job, error) { return v.DecodeJob(body) })
+			job, refused := r.prepare(call, func(limit int) (workload.Job, error) {
+				if limit > 0 && len(body) > limit {
+					return workload.Job{}, &ErrNotReceived{Outcome: OutcomeTooLarge}
+				}
+				return v.DecodeJob(body)
+			})
 			if refused != nil {
 				writeExplainError(w, http.StatusUnprocessableEntity, "the call would be rejected: "+string(refused.Outcome))
 				return
--- a/front/explain_test.go
+++ b/front/explain_test.go
@@ -21,7 +21,7 @@
 // explainServer returns the handler of an entry VM that is not the planner; sent receives what it forwards.
 func explainServer(sent *engine.ExplainRequest) http.Handler {
 	conf := (&engine.Configuration{
-		Version: 1, Queues: []engine.Queue{{Name: "render", Host: "jobs.example", Prefix: "/render/", Service: "s", Priority: 1, Stretch: 2}},
+		Version: 1, MaxBody: 1000, Queues: []engine.Queue{{Name: "render", Host: "jobs.example", Prefix: "/render/", Service: "s", Priority: 1, Stretch: 2}},
 		Organisations: []engine.Organisation{{Name: "org", Keys: []string{"k1"}}},
 	}).Index()
 	v := &VM{Settings: &Settings{Name: "a"}, DecodeJob: func(body []byte) (workload.Job, error) {
@@ -52,12 +52,13 @@
 		path, key, body string
 		status          int
 	}{
-		"valid":            {"/render/j1", "k1", job, http.StatusOK},
-		"unknown queue":    {"/other/j1", "k1", job, http.StatusUnprocessableEntity},
-		"unknown key":      {"/render/j1", "k2", job, http.StatusUnprocessableEntity},
-		"no steps":         {"/render/j1", "k1", `{}`, http.StatusUnprocessableEntity},
-		"unreadable":       {"/render/j1", "k1", `{`, http.StatusUnprocessableEntity},
-		"far over a limit": {"/render/j1", "k1", strings.Repeat(" ", maxExplainedBody+1), http.StatusRequestEntityTooLarge},
+		"valid":                  {"/render/j1", "k1", job, http.StatusOK},
+		"unknown queue":          {"/other/j1", "k1", job, http.StatusUnprocessableEntity},
+		"unknown key":            {"/render/j1", "k2", job, http.StatusUnprocessableEntity},
+		"no steps":               {"/render/j1", "k1", `{}`, http.StatusUnprocessableEntity},
+		"unreadable":             {"/render/j1", "k1", `{`, http.StatusUnprocessableEntity},
+		"over the queue's limit": {"/render/j1", "k1", `{"Steps":[{"Tasks":1}]}` + strings.Repeat(" ", 1000), http.StatusUnprocessableEntity},
+		"far over a limit":       {"/render/j1", "k1", strings.Repeat(" ", maxExplainedBody+1), http.StatusRequestEntityTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -65,6 +65,7 @@
 	JournalAdopted       Name = "journal-records-adopted"
 	JobsAccepted         Name = "jobs-accepted"
 	JobsRefused          Name = "jobs-refused"
+	CallersConnected     Name = "callers-connected-gauge"
 	Polls                Name = "looks"
 	OrdersUnanswered     Name = "orders-unanswered"
 	GroupsPreempted      Name = "groups-preempted"
