engine: keep organisations within what they may have at work

Change: platform decodes both; an invalid value leaves the last valid one of its organisation in force and is logged and counted. Each pass counts what may be at work for an organisation (runs in any phase, inherited ones, starts that may be carried out late, orphans) and package policy places nothing beyond the limit. An urgent unit preempts work of its own organisation for room under the limit first. A job that could never fit is refused. Units are ordered by weighted dominant share within rank and priority, and those of jobs beyond the weight's rate come last.

--- a/engine/configuration.go
+++ b/engine/configuration.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -51,6 +52,33 @@
 	Keys []string
 	// Guaranteed is the number of accelerators that are always available to the organisation's urgent jobs.
 	Guaranteed int64
+	// Limit is the most that the organisation may have at work over all workers; an amount of 0 is no limit.
+	Limit workload.Resources
+	// Weight is the organisation's share when all workers are full, relative to the others, and the number of jobs a second that it is owed. 0
+	// means that none is set: it then counts as 1 beside others, and no job exceeds it.
+	Weight float64
+}
+
+// guaranteeExceedsLimit reports whether the organisation is guaranteed more accelerators than it may use.
+func (o *Organisation) guaranteeExceedsLimit() bool {
+	return o.Limit.Accelerators > 0 && o.Guaranteed > o.Limit.Accelerators
+}
+
+// ErrInvalidLimits means that a configuration is in force, but for limits or weights of organisations that are invalid. These keep their last
+// valid values, or none.
+type ErrInvalidLimits struct {
+	// Faults has one line for each invalid value.
+	Faults []string
+}
+
+// Add adds an invalid value of an organisation.
+func (e *ErrInvalidLimits) Add(organisation string, fault error) {
+	e.Faults = append(e.Faults, fmt.Sprintf("organisation %.80q: %.200s", organisation, fault))
+}
+
+// Error implements error.
+func (e *ErrInvalidLimits) Error() string {
+	return fmt.Sprintf("%d invalid limits or weights, the first of %s", len(e.Faults), e.Faults[0])
 }
 
 // Index prepares the configuration for lookups by key. Call it before the configuration is shared.
@@ -92,12 +120,33 @@
 	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Service == service })
 }
 
-// Guaranteed returns the number of accelerators that an organisation is guaranteed.
-func (c *Configuration) Guaranteed(organisation string) int64 {
+// organisation returns an organisation by its name, or nil.
+func (c *Configuration) organisation(name string) *Organisation {
 	for i := range c.Organisations {
-		if c.Organisations[i].Name == organisation {
-			return c.Organisations[i].Guaranteed
+		if c.Organisations[i].Name == name {
+			return &c.Organisations[i]
 		}
 	}
+	return nil
+}
+
+// hasLimits reports whether any organisation has a limit or a weight.
+func (c *Configuration) hasLimits() bool {
+	return slices.ContainsFunc(c.Organisations, func(o Organisation) bool { return o.Weight > 0 || o.Limit != workload.Resources{} })
+}
+
+// limit returns the most that an organisation may have at work; an amount of 0 is no limit.
+func (c *Configuration) limit(organisation string) workload.Resources {
+	if o := c.organisation(organisation); o != nil {
+		return o.Limit
+	}
+	return workload.Resources{}
+}
+
+// Guaranteed returns the number of accelerators that an organisation is guaranteed.
+func (c *Configuration) Guaranteed(organisation string) int64 {
+	if o := c.organisation(organisation); o != nil {
+		return o.Guaranteed
+	}
 	return 0
 }
--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -27,6 +27,7 @@
 func (p *Planner) currentFleet(service string, now time.Time, conf *Configuration, guaranteed map[*jobState]bool, mayPreempt bool) *policy.Fleet {
 	f := p.cachedFleet(service)
 	f.policyFleet.MostlyIdle = p.mostlyIdle(service)
+	f.policyFleet.Groups = f.policyFleet.Groups[:0]
 	for i, w := range f.workers {
 		used, stopping := w.used()
 		policyWorker := f.policyWorkers[i]
@@ -102,6 +103,7 @@
 				id := r.worker.id()
 				victim.Uses[id] = victim.Uses[id].Add(r.need)
 			}
+			f.policyFleet.Groups = append(f.policyFleet.Groups, victim)
 			for id := range victim.Uses {
 				if policyWorker, ok := f.byID[id]; ok {
 					policyWorker.Victims = append(policyWorker.Victims, victim)
--- a/engine/idle.go
+++ b/engine/idle.go
@@ -101,6 +101,7 @@
 	}
 	p.Log.Event("job-idle", "job", j.id(), "service", j.record.Job.Service, "since", now.Sub(j.idleSince), "unsent", unsent,
 		"unconfirmed", unconfirmed, "doubtful", doubtful, "stopping", stopping, "unreachable", unreachable, "leases-left", leasesLeft, "ready", ready, "withheld", withheld,
+		"over-limit", p.heldByLimit[j.id()],
 		"unavailable", workers.unavailable, "closed", workers.closed, "avoided", workers.avoided, "unsuitable", workers.unsuitable,
 		"full", workers.full, "free", workers.free, "registrations-age", now.Sub(p.registrationsKnownAt))
 }
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -11,9 +11,9 @@
 	"clementinepier/workload"
 )
 
-// impossibleRetryAfter is the retry delay for a job that the present workers could not run even if they were idle. It is the
-// time in which operators change the workers of a service; the planner knows of nothing that would make the job possible
-// earlier.
+// impossibleRetryAfter is the retry delay for a job that the present workers could not run even if they were idle, or that its
+// organisation's limit does not allow. It is the time in which operators change the workers of a service or a limit; the planner
+// knows of nothing that would make the job possible earlier.
 const impossibleRetryAfter = time.Minute
 
 // Verdict is the outcome of a caller's request on a job.
@@ -89,9 +89,15 @@
 			result <- Result{Verdict: VerdictRefused, RetryAfter: impossibleRetryAfter, Reason: fmt.Sprintf("the workers of the service could never run step %d", step)}
 			return
 		}
+		if step, limit := p.exceedsLimit(&job); step >= 0 {
+			p.Log.Event("job-impossible", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation, "step", step, "limit", limit)
+			result <- Result{Verdict: VerdictRefused, RetryAfter: impossibleRetryAfter, Reason: fmt.Sprintf("step %d needs more than its organisation may have at work", step)}
+			return
+		}
 		j = newJobState(workload.Record{Job: job, Progress: *workload.NewProgress(&job)}, p.Clock.Now())
 		p.waiters[j] = nil
 		p.jobs[job.ID], p.active[job.ID] = j, j
+		p.countAgainstWeight(j)
 		p.recordChange(j)
 		p.planNeeded = true
 	}
--- a/engine/load.go
+++ b/engine/load.go
@@ -1,7 +1,10 @@
 package engine
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -44,6 +47,11 @@
 	for _, item := range jobs.items {
 		p.adoptJob(item)
 	}
+	for _, j := range slices.SortedFunc(maps.Values(p.jobs), func(a, b *jobState) int {
+		return cmp.Or(a.record.Job.Accepted.Compare(b.record.Job.Accepted), cmp.Compare(a.id(), b.id()))
+	}) {
+		p.countAgainstWeight(j)
+	}
 	markers, err := p.list(ctx, markerPrefix)
 	if err != nil {
 		return err
@@ -219,6 +227,7 @@
 		if j = p.adoptJob(record); j == nil {
 			return
 		}
+		p.countAgainstWeight(j)
 		p.Log.Event("job-adopted", "job", id, "queue", j.record.Job.Queue, "age", p.Clock.Since(j.accepted))
 	}
 	p.applyMarker(j, m, markerItem)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -102,6 +102,10 @@
 	// orphanTasks counts, by task, the workers that have an orphan run of it.
 	orphanTasks map[string]int
 	breaker     *breaker.Breaker
+	// organisations has what is kept about organisations, by name.
+	organisations map[string]*organisationState
+	// heldByLimit has the ids of the jobs of which a unit waited for room under its organisation's limit in the last pass.
+	heldByLimit map[string]bool
 	// fleets caches the workers by service; it is cleared when a registration changes.
 	fleets map[string]*fleet
 
@@ -171,6 +175,7 @@
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker, p.fleets, p.orphanTasks = breaker.New(), map[string]*fleet{}, map[string]int{}
+	p.organisations, p.heldByLimit = map[string]*organisationState{}, map[string]bool{}
 	p.misdirected = map[*workerState]bool{}
 	p.leaseNote = leaseNoteState{named: map[string]bool{}}
 	// A job may fail by its own fault, so any success shows that the worker does not fail everything it starts.
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -24,12 +24,22 @@
 	now := p.Clock.Now()
 	conf := p.Configuration()
 	guaranteed := p.guaranteedJobs(conf)
+	var usage map[string]policy.Usage
+	if conf.hasLimits() {
+		usage = p.usageByOrganisation(now)
+	}
+	if p.withdrawUnsentBeyondLimits(conf, usage) {
+		usage = p.usageByOrganisation(now)
+	}
+	limits := p.limits(conf, usage)
 	units := p.readyUnits(now, conf, guaranteed)
 	p.Metrics.SetGauge(metrics.UnitsWaiting, int64(len(units)))
 	units = p.withoutPossibleRuns(now, units)
+	defer func() { p.reportLimits(now, conf, usage, limits, units) }()
 	if len(units) == 0 {
 		return
 	}
+	p.setShares(now, conf, usage, units)
 	policy.Order(now, units)
 	byService := map[string][]*policy.Unit{}
 	for _, u := range units {
@@ -38,7 +48,9 @@
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		waiting := byService[service]
 		mayPreempt := slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
-		p.applyDecision(now, p.currentFleet(service, now, conf, guaranteed, mayPreempt).Plan(now, waiting))
+		f := p.currentFleet(service, now, conf, guaranteed, mayPreempt)
+		f.Limits = limits
+		p.applyDecision(now, f.Plan(now, waiting))
 	}
 }
 
--- a/engine/state.go
+++ b/engine/state.go
@@ -47,6 +47,8 @@
 	unplacedSince time.Time
 	// endedAt is, for each task that lasts, when its last run ended.
 	endedAt map[groupKey]time.Time
+	// beyondWeight is set if the organisation had submitted more jobs than its weight entitles it to when it submitted this one.
+	beyondWeight bool
 	// maybeStored is set once the store may have the job, from a commit of this planner that got no response or from another
 	// entry VM.
 	maybeStored bool
--- a/front/follow.go
+++ b/front/follow.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"clementinepier/engine"
+	"clementinepier/metrics"
 )
 
 const (
@@ -67,7 +70,13 @@
 func (v *VM) applyDocuments(items []engine.Item) {
 	for _, item := range items {
 		known, err := v.OperatorDocuments.Apply(item)
+		var invalid *engine.ErrInvalidLimits
 		switch {
+		case errors.As(err, &invalid):
+			for _, fault := range invalid.Faults {
+				v.log.Event("organisation-limit-invalid", "key", item.Key, "revision", item.Revision, "fault", fault)
+			}
+			v.metrics.Add(metrics.LimitsRejected, int64(len(invalid.Faults)))
 		case err != nil:
 			v.log.Event("document-unreadable", "key", item.Key, "revision", item.Revision, "error", err)
 		case known:
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -72,6 +72,11 @@
 	UnitsWaiting         Name = "units-waiting-gauge"
 	JobsIdle             Name = "jobs-idle-gauge"
 	GroupsWithheld       Name = "groups-withheld-gauge"
+	OrganisationsAtLimit Name = "organisations-at-limit-gauge"
+	UnitsOverLimit       Name = "units-over-limit-gauge"
+	JobsBeyondWeight     Name = "jobs-beyond-weight-gauge"
+	GuaranteesAboveLimit Name = "guarantees-above-limit-gauge"
+	LimitsRejected       Name = "organisation-limits-rejected"
 	PlannerTerms         Name = "planner-terms"
 	LogLinesDropped      Name = "log-lines-dropped-gauge"
 )
--- /dev/null
+++ b/policy/limit.go
@@ -0,0 +1,208 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+
+	"clementinepier/workload"
+)
+
+// Usage is what may be at work for an organisation.
+type Usage struct {
+	// All has the resources of everything that is at work or may be.
+	All workload.Resources
+	// Stopping is the part of All that is about to end.
+	Stopping workload.Resources
+}
+
+// Limits holds, during one pass over all services, what organisations may have at work and what they have. A nil Limits limits nothing.
+type Limits struct {
+	organisations map[string]*allowance
+	// withheld has the units that waited for room under a limit.
+	withheld map[*Unit]bool
+}
+
+// allowance is what an organisation may still start.
+type allowance struct {
+	// limit is the most that it may have at work; an amount of 0 limits nothing.
+	limit workload.Resources
+	// left is the limit less everything that may be at work and what the pass has placed or reserved; leftAfterStops is left once the stops
+	// in progress have ended. Both may be negative, as after a limit was lowered.
+	left, leftAfterStops workload.Resources
+	// reserved is set once a unit of the organisation keeps later ones from the room that it waits for.
+	reserved bool
+}
+
+// NewLimits returns limits that bind no organisation yet.
+func NewLimits() *Limits {
+	return &Limits{organisations: map[string]*allowance{}, withheld: map[*Unit]bool{}}
+}
+
+// Set sets the limit of an organisation and what it uses at the beginning of the pass. An amount of 0 limits nothing.
+func (l *Limits) Set(organisation string, limit workload.Resources, usage Usage) {
+	left := limit.Sub(usage.All)
+	l.organisations[organisation] = &allowance{limit: limit, left: left, leftAfterStops: left.Add(usage.Stopping)}
+}
+
+// Withheld reports whether the unit waited for room under its organisation's limit during the pass.
+func (l *Limits) Withheld(u *Unit) bool { return l != nil && l.withheld[u] }
+
+// of returns the allowance of an organisation, or nil if nothing limits it.
+func (l *Limits) of(organisation string) *allowance {
+	if l == nil {
+		return nil
+	}
+	return l.organisations[organisation]
+}
+
+// fits reports whether the need fits into what is left in each resource that the limit binds.
+func (a *allowance) fits(need, left workload.Resources) bool {
+	return fitsLimit(need.MilliCPU, a.limit.MilliCPU, left.MilliCPU) && fitsLimit(need.MemoryMB, a.limit.MemoryMB, left.MemoryMB) &&
+		fitsLimit(need.Accelerators, a.limit.Accelerators, left.Accelerators)
+}
+
+func fitsLimit(need, limit, left int64) bool { return limit == 0 || need == 0 || need <= left }
+
+// take counts resources that the pass has placed or reserved.
+func (l *Limits) take(organisation string, need workload.Resources) {
+	if a := l.of(organisation); a != nil {
+		a.left, a.leftAfterStops = a.left.Sub(need), a.leftAfterStops.Sub(need)
+	}
+}
+
+// release counts a group that is preempted.
+func (l *Limits) release(g *Group) {
+	if a := l.of(g.Organisation); a != nil {
+		a.leftAfterStops = a.leftAfterStops.Add(g.total())
+	}
+}
+
+func (g *Group) total() workload.Resources {
+	var total workload.Resources
+	for _, used := range g.Uses {
+		total = total.Add(used)
+	}
+	return total
+}
+
+// need returns the resources of all tasks of the unit.
+func (u *Unit) need() workload.Resources { return u.step().Need.Times(len(u.Tasks)) }
+
+// ExceedsLimit reports whether the step could never start under the limit of its organisation: one task of it, or all tasks of a gang. An
+// amount of 0 limits nothing.
+func ExceedsLimit(s *workload.Step, limit workload.Resources) bool {
+	need := s.Need
+	if s.Gang {
+		need = need.Times(s.Tasks)
+	}
+	a := allowance{limit: limit}
+	return !a.fits(need, limit)
+}
+
+// admit reports whether the unit may start now under its organisation's limit. One that may not waits for no capacity, so none is reserved for it
+// and nothing of other organisations is preempted. Load pattern: an organisation whose own work uses up what it may have, beside work of
+// others.
+func (f *Fleet) admit(u *Unit) bool {
+	a := f.Limits.of(u.Job.Organisation)
+	if a == nil || a.fits(u.need(), a.left) {
+		return true
+	}
+	f.Limits.withheld[u] = true
+	return false
+}
+
+// awaitLimit prepares the start of a unit that admit has rejected. An urgent unit preempts groups of its own organisation until it fits under the
+// limit, and then, as any other, for capacity. Otherwise later units of the organisation do not take the room that the unit waits for; one unit
+// of an organisation at a time keeps such room. Load pattern: urgent work behind low-priority work of its own organisation, and gangs behind small
+// tasks of it.
+func (f *Fleet) awaitLimit(now time.Time, u *Unit, urgent bool, d *Decision) {
+	a, need := f.Limits.of(u.Job.Organisation), u.need()
+	if urgent && (a.fits(need, a.leftAfterStops) || f.fitsAfterPreemption(now, u) && f.preemptWithinLimit(u, a, d)) {
+		fits := false
+		u.withFallbacks(func() bool {
+			fits = f.preemptFor(now, u, d)
+			return fits
+		})
+		if fits {
+			return
+		}
+	}
+	if !a.reserved && a.fits(need, a.limit) {
+		a.reserved = true
+		f.Limits.take(u.Job.Organisation, need)
+	}
+}
+
+// fitsAfterPreemption reports whether workers would have the capacity for the unit if every group were preempted that may be for it.
+func (f *Fleet) fitsAfterPreemption(now time.Time, u *Unit) bool {
+	fits := false
+	u.withFallbacks(func() bool {
+		fits = f.findWorkers(now, u, capacityAfterStops) != nil
+		for _, workers := range f.preemptionScopes(now, u) {
+			if fits {
+				break
+			}
+			_, targets := f.selectVictims(u, workers)
+			fits = targets != nil
+		}
+		return fits
+	})
+	return fits
+}
+
+// preemptWithinLimit preempts groups of the unit's own organisation, so that the unit fits under the limit. Groups that lose the least work for
+// what they use go first. It preempts nothing and reports false if the unit would not fit all the same.
+func (f *Fleet) preemptWithinLimit(u *Unit, a *allowance, d *Decision) bool {
+	need := u.need()
+	cost := map[*Group]float64{}
+	var candidates []*Group
+	for _, g := range f.Groups {
+		if total := g.total(); g.Organisation == u.Job.Organisation && !g.Preempted && g.preemptibleBy(u) {
+			candidates = append(candidates, g)
+			cost[g] = g.PreemptionCost / (minHeld + total.Cores())
+		}
+	}
+	slices.SortFunc(candidates, func(x, y *Group) int {
+		return cmp.Or(cmp.Compare(x.urgencyRank(), y.urgencyRank()), cmp.Compare(cost[x], cost[y]), cmp.Compare(x.PreemptionCost, y.PreemptionCost),
+			cmp.Compare(x.firstWorker(), y.firstWorker()))
+	})
+	count := sort.Search(len(candidates)+1, func(n int) bool {
+		left := a.leftAfterStops
+		for _, g := range candidates[:n] {
+			left = left.Add(g.total())
+		}
+		return a.fits(need, left)
+	})
+	if count > len(candidates) {
+		return false
+	}
+	victims := slices.Clone(candidates[:count])
+	left := a.leftAfterStops
+	for _, g := range victims {
+		left = left.Add(g.total())
+	}
+	for i := len(victims) - 1; i >= 0; i-- {
+		if without := left.Sub(victims[i].total()); a.fits(need, without) {
+			left = without
+			victims = slices.Delete(victims, i, i+1)
+		}
+	}
+	for _, g := range victims {
+		f.preempt(g, d)
+	}
+	return true
+}
+
+// preempt chooses a group as a victim and counts what it releases once it has stopped.
+func (f *Fleet) preempt(g *Group, d *Decision) {
+	g.Preempted = true
+	for id, used := range g.Uses {
+		if w, ok := f.byID[id]; ok {
+			w.FreeAfterStops = w.FreeAfterStops.Add(used)
+		}
+	}
+	f.Limits.release(g)
+	d.Preemptions = append(d.Preemptions, g)
+}
--- a/policy/order.go
+++ b/policy/order.go
@@ -40,6 +40,7 @@
 		return cmp.Or(
 			cmp.Compare(a.rank(now), b.rank(now)),
 			cmp.Compare(a.Job.Priority, b.Job.Priority),
+			compareShares(a, b),
 			a.Deadline.Compare(b.Deadline),
 			cmp.Compare(a.Job.ID, b.Job.ID),
 			cmp.Compare(a.Occurrence, b.Occurrence),
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -30,6 +30,10 @@
 type Fleet struct {
 	// MostlyIdle means that under half of the service's capacity is in use. It is set before Plan.
 	MostlyIdle bool
+	// Limits has what organisations may have at work; nil means no limits. It is shared by the fleets of a pass and set before Plan.
+	Limits *Limits
+	// Groups are the groups that may be preempted, of all services. They are set before Plan.
+	Groups []*Group
 
 	workers []*Worker
 	byID    map[string]*Worker
@@ -78,6 +82,11 @@
 		if blocked[key] && (!u.step().LongRunning || len(u.ClosedWorkers) == 0) {
 			continue
 		}
+		urgent := u.Guaranteed || u.Job.Priority == 0 && u.timeliness(now) == inTime
+		if !f.admit(u) {
+			f.awaitLimit(now, u, urgent, &d)
+			continue
+		}
 		if onClosed[u.Job] && !u.step().LongRunning || f.mayWaitForOpenWorkers(u) {
 			// One attempt of a job at a time is risked there.
 			u.ClosedWorkers = nil
@@ -97,7 +106,7 @@
 		if u.Job.Priority > 0 {
 			blocked[key] = true
 		}
-		if u.Guaranteed || u.Job.Priority == 0 && u.timeliness(now) == inTime {
+		if urgent {
 			u.withFallbacks(func() bool { return f.preemptFor(now, u, &d) })
 			continue
 		}
@@ -162,6 +171,7 @@
 func (f *Fleet) allocate(w *Worker, u *Unit) {
 	need := u.step().Need
 	w.Free, w.FreeAfterStops = w.Free.Sub(need), w.FreeAfterStops.Sub(need)
+	f.Limits.take(u.Job.Organisation, need)
 	if u.TasksByWorker != nil {
 		u.TasksByWorker[w.ID]++
 	}
--- a/policy/reclaim.go
+++ b/policy/reclaim.go
@@ -39,13 +39,7 @@
 		}
 	}
 	for _, g := range bestVictims {
-		g.Preempted = true
-		for id, used := range g.Uses {
-			if w, ok := f.byID[id]; ok {
-				w.FreeAfterStops = w.FreeAfterStops.Add(used)
-			}
-		}
-		d.Preemptions = append(d.Preemptions, g)
+		f.preempt(g, d)
 	}
 	f.allocateAll(u, bestTargets)
 	return bestTargets != nil
--- a/workload/job.go
+++ b/workload/job.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -32,6 +33,23 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Times returns n times r. An amount that would overflow becomes the highest one.
+func (r Resources) Times(n int) Resources {
+	return Resources{times(r.MilliCPU, n), times(r.MemoryMB, n), times(r.Accelerators, n)}
+}
+
+func times(amount int64, n int) int64 {
+	if n > 0 && amount > math.MaxInt64/int64(n) {
+		return math.MaxInt64
+	}
+	return amount * int64(n)
+}
+
+// AtMost returns the smaller of r and limit in each resource.
+func (r Resources) AtMost(limit Resources) Resources {
+	return Resources{min(r.MilliCPU, limit.MilliCPU), min(r.MemoryMB, limit.MemoryMB), min(r.Accelerators, limit.Accelerators)}
+}
+
 // coresPerAccelerator converts accelerators to cores. The users' price rules charge an accelerator like 8 cores.
 const coresPerAccelerator = 8
 
