engine: judge limits in random plays, and lose no more work than is gained

A unit that is not guaranteed preempts work of its own organisation only if less is lost than it has.

--- a/engine/random_faults_test.go
+++ b/engine/random_faults_test.go
@@ -88,6 +88,8 @@
 	storeSilent bool
 	jobs        []*submittedJob
 	callers     sync.WaitGroup
+	// onRound and beforeJudge, if set, are called when a round was planned, and before the jobs are judged.
+	onRound, beforeJudge func()
 	// over is closed once the callers have to give up.
 	over chan struct{}
 }
@@ -204,6 +206,9 @@
 			s.pass(s.between(50*time.Second, 150*time.Second))
 		}
 		s.planRound(rested)
+		if s.onRound != nil {
+			s.onRound()
+		}
 		least := 500 * time.Millisecond
 		if rested {
 			least = 5 * time.Second
@@ -211,6 +216,9 @@
 		s.pass(s.between(least, 12*time.Second))
 	}
 	s.heal()
+	if s.beforeJudge != nil {
+		s.beforeJudge()
+	}
 	s.judge()
 }
 
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -153,7 +153,8 @@
 }
 
 // preemptWithinLimit preempts groups of the unit's own organisation, so that the unit fits under the limit. Groups that lose the least work for
-// what they use go first. It preempts nothing and reports false if the unit would not fit all the same.
+// what they use go first. It preempts nothing and reports false if the unit would not fit all the same, or if more work would be lost than the
+// unit has, unless it is guaranteed: the organisation gains nothing then, since its own work is both.
 func (f *Fleet) preemptWithinLimit(u *Unit, a *allowance, d *Decision) bool {
 	need := u.need()
 	cost := map[*Group]float64{}
@@ -189,6 +190,13 @@
 			victims = slices.Delete(victims, i, i+1)
 		}
 	}
+	lost := 0.0
+	for _, g := range victims {
+		lost += g.PreemptionCost
+	}
+	if !u.Guaranteed && lost > need.Cores()*u.Remaining.Seconds() {
+		return false
+	}
 	for _, g := range victims {
 		f.preempt(g, d)
 	}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -46,6 +46,9 @@
 	DrainBound, EvacuateBound time.Duration
 	// CancelBound is how long after RecordCancelled workers may still receive orders to start tasks of the job.
 	CancelBound time.Duration
+	// AllowanceOf returns what the organisation of a job may have at work: the highest of the limits that may have been in force at a time. nil means
+	// that there are no limits.
+	AllowanceOf func(job string, at time.Time) Allowance
 	// JudgeLostRuns makes CheckWaiting judge also while workers are dead that come back later, and jobs of which a run was lost, or an order to
 	// start one got no answer, in the last lostRunSpan.
 	JudgeLostRuns bool
@@ -616,6 +619,7 @@
 	if !used.Fits(w.Registration.Capacity) {
 		s.faults = append(s.faults, fmt.Sprintf("LIMIT: %s brings %s to %+v", o.Task, w.Registration.ID, used))
 	}
+	s.checkLimit(w, o, received)
 	if w.Registration.Draining && !received.Before(w.drainingSince.Add(s.DrainBound)) {
 		s.faults = append(s.faults, "DRAIN: "+o.Task+" starts on a draining worker")
 	}
