--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -47,7 +47,7 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		waiting := byService[service]
-		mayPreempt := slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
+		mayPreempt := limits != nil || slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
 		f := p.currentFleet(service, now, conf, guaranteed, mayPreempt)
 		f.Limits = limits
 		p.applyDecision(now, f.Plan(now, waiting))
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -28,11 +29,13 @@
 type allowance struct {
 	// limit is the most that it may have at work; an amount of 0 limits nothing.
 	limit workload.Resources
+	// usesHalf is set if half of the limit or more was in use at the beginning of the pass, not counting what is about to end.
+	usesHalf bool
 	// left is the limit less everything that may be at work and what the pass has placed or reserved; leftAfterStops is left once the stops
 	// in progress have ended. Both may be negative, as after a limit was lowered.
 	left, leftAfterStops workload.Resources
-	// reserved is set once a unit of the organisation keeps later ones from the room that it waits for.
-	reserved bool
+	// reserved is the room that one unit of the organisation waits for and keeps from later ones; zero while none does.
+	reserved workload.Resources
 }
 
 // NewLimits returns limits that bind no organisation yet.
@@ -43,7 +46,9 @@
 // Set sets the limit of an organisation and what it uses at the beginning of the pass. An amount of 0 limits nothing.
 func (l *Limits) Set(organisation string, limit workload.Resources, usage Usage) {
 	left := limit.Sub(usage.All)
-	l.organisations[organisation] = &allowance{limit: limit, left: left, leftAfterStops: left.Add(usage.Stopping)}
+	a := &allowance{limit: limit, left: left, leftAfterStops: left.Add(usage.Stopping)}
+	a.usesHalf = !a.fits(usage.All.Sub(usage.Stopping).Times(2), limit)
+	l.organisations[organisation] = a
 }
 
 // Withheld reports whether the unit waited for room under its organisation's limit during the pass.
@@ -109,17 +114,28 @@
 	if a == nil || a.fits(u.need(), a.left) {
 		return true
 	}
+	if u.overdue && a.fits(u.need(), a.left.Add(a.reserved)) {
+		// Its job has had nothing at work for too long to wait for the reservation.
+		return true
+	}
 	f.Limits.withheld[u] = true
 	return false
 }
 
 // awaitLimit prepares the start of a unit that admit has rejected. An urgent unit preempts groups of its own organisation until it fits under the
 // limit, and then, as any other, for capacity. Otherwise later units of the organisation do not take the room that the unit waits for; one unit
-// of an organisation at a time keeps such room. Load pattern: urgent work behind low-priority work of its own organisation, and gangs behind small
-// tasks of it.
+// of an organisation at a time keeps such room. A gang of more than half of the limit that has had nothing at work for too long beside idle workers
+// preempts what its organisation has at work, up to half of the limit. Load pattern: urgent work behind low-priority work of its own organisation,
+// and gangs behind small tasks of it.
 func (f *Fleet) awaitLimit(now time.Time, u *Unit, urgent bool, d *Decision) {
 	a, need := f.Limits.of(u.Job.Organisation), u.need()
-	if urgent && (a.fits(need, a.leftAfterStops) || f.fitsAfterPreemption(now, u) && f.preemptWithinLimit(u, a, d)) {
+	maxLoss := math.Inf(1)
+	if !u.Guaranteed {
+		// The organisation gains nothing if more work is lost than the unit has, since both are its own.
+		maxLoss = need.Cores() * u.Remaining.Seconds()
+	}
+	preemptible := func(g *Group) bool { return g.preemptibleBy(u) }
+	if urgent && (a.fits(need, a.leftAfterStops) || f.fitsAfterPreemption(now, u) && f.preemptWithinLimit(u, a, preemptible, maxLoss, d)) {
 		fits := false
 		u.withFallbacks(func() bool {
 			fits = f.preemptFor(now, u, d)
@@ -129,8 +145,12 @@
 			return
 		}
 	}
-	if !a.reserved && a.fits(need, a.limit) {
-		a.reserved = true
+	if a.reserved == (workload.Resources{}) && a.fits(need, a.limit) {
+		if u.overdue && !a.usesHalf && !a.fits(need, a.leftAfterStops) {
+			notMoreUrgent := func(g *Group) bool { return g.Priority >= u.Job.Priority && !g.Guaranteed }
+			f.preemptWithinLimit(u, a, notMoreUrgent, math.Inf(1), d)
+		}
+		a.reserved = need
 		f.Limits.take(u.Job.Organisation, need)
 	}
 }
@@ -153,14 +173,14 @@
 }
 
 // preemptWithinLimit preempts groups of the unit's own organisation, so that the unit fits under the limit. Groups that lose the least work for
-// what they use go first. It preempts nothing and reports false if the unit would not fit all the same, or if more work would be lost than the
-// unit has, unless it is guaranteed: the organisation gains nothing then, since its own work is both.
-func (f *Fleet) preemptWithinLimit(u *Unit, a *allowance, d *Decision) bool {
+// what they use go first. It preempts nothing and reports false if the unit would not fit all the same, or if more core-seconds would be lost than
+// maxLoss.
+func (f *Fleet) preemptWithinLimit(u *Unit, a *allowance, preemptible func(*Group) bool, maxLoss float64, d *Decision) bool {
 	need := u.need()
 	cost := map[*Group]float64{}
 	var candidates []*Group
 	for _, g := range f.Groups {
-		if total := g.total(); g.Organisation == u.Job.Organisation && !g.Preempted && g.preemptibleBy(u) {
+		if total := g.total(); g.Organisation == u.Job.Organisation && !g.Preempted && preemptible(g) {
 			candidates = append(candidates, g)
 			cost[g] = g.PreemptionCost / (minHeld + total.Cores())
 		}
@@ -194,7 +214,7 @@
 	for _, g := range victims {
 		lost += g.PreemptionCost
 	}
-	if !u.Guaranteed && lost > need.Cores()*u.Remaining.Seconds() {
+	if lost > maxLoss {
 		return false
 	}
 	for _, g := range victims {
