--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -241,7 +241,8 @@
 		for name, most := range limit {
 			total := usage[name].All.Add(placed[name])
 			for _, r := range [][3]int64{
-				{total.MilliCPU, most.MilliCPU, placed[name].MilliCPU}, {total.MemoryMB, most.MemoryMB, placed[name].MemoryMB},
+				{total.MilliCPU, most.MilliCPU, placed[name].MilliCPU},
+				{total.MemoryMB, most.MemoryMB, placed[name].MemoryMB},
 				{total.Accelerators, most.Accelerators, placed[name].Accelerators},
 			} {
 				if r[1] > 0 && r[2] > 0 && r[0] > r[1] {
