engine: test starts carried out late and placements that were not sent

Change: a test brings a late start about: its run has ended, its worker restarts behind a cut and carries a second copy of the order out. The other test slows the store, so that the placement is stored after the limit has fallen. Result: each fails without its rule (QUOTA) and passes with it.

--- a/engine/limits_test.go
+++ b/engine/limits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,24 +118,63 @@
 	}
 }
 
-// Guards against a placement that was made under a higher limit and is started under a lower one.
+// Guards against a start without a response that is forgotten once a run of it has ended: the worker restarts behind a cut, knows of no end, and
+// carries out a copy of the order beside what was started since.
+func TestLimitCountsStartThatMayBeCarriedOutLate(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.limit(engine.Organisation{Limit: workload.Resources{Accelerators: 4}})
+		time.Sleep(2 * time.Second)
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.DropStops, w.KeepsLateOrders = 100*time.Millisecond, true, true })
+		r.mustSubmit(p, "early", 1, singleTaskStep(4), 3*time.Second)
+		time.Sleep(20 * time.Millisecond)
+		// The second copy of the order is carried out later.
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay = 5 * time.Second })
+		time.Sleep(200 * time.Millisecond)
+		r.Equal(len(r.WorkersRunning("early")), 1)
+		r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.DropStops = 0, false })
+		time.Sleep(2 * time.Second)
+		r.Equal(len(r.WorkersRunning("early")), 0)
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.Silent = true
+		})
+		r.AddWorkers("r2", 1)
+		r.mustSubmit(p, "late", 1, singleTaskStep(4), 4*time.Second)
+		time.Sleep(3500 * time.Millisecond)
+		r.Equal(r.WorkersRunning("early"), []string{"r1-w0"})
+		r.Set("r1-w0", func(w *site.Worker) { w.Silent = false })
+		r.Register(r.Worker("r1-w0"))
+		r.waitForState(p, "late", workload.StateCompleted, 2*maxLease+30*time.Second)
+		r.waitForState(p, "early", workload.StateCompleted, 2*maxLease+30*time.Second)
+	})
+}
+
+// Guards against a placement that was made under a higher limit and is started under a lower one, once it is stored.
 func TestUnsentPlacementIsTakenBackWhenLimitFalls(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
+		var slow atomic.Bool
+		r.wrapStore = func(_ string, s engine.Store) engine.Store {
+			commit := s.Commit
+			s.Commit = func(ctx context.Context, txn engine.Txn) (int64, error) {
+				if slow.Load() {
+					time.Sleep(400 * time.Millisecond)
+				}
+				return commit(ctx, txn)
+			}
+			return s
+		}
 		p, stop := r.startWithWorkers(2)
 		defer stop()
 		r.limit(engine.Organisation{Limit: workload.Resources{Accelerators: 8}})
 		time.Sleep(time.Second)
-		// The starts wait for the workers to answer.
-		for _, id := range r.IDs() {
-			r.Set(id, func(w *site.Worker) { w.PollDelay = 400 * time.Millisecond })
-		}
+		slow.Store(true)
+		time.AfterFunc(100*time.Millisecond, func() {
+			r.limit(engine.Organisation{Limit: workload.Resources{Accelerators: 4}})
+		})
 		r.mustSubmit(p, "gang", 1, gangStep(2, 4), time.Second)
-		time.Sleep(20 * time.Millisecond)
-		r.limit(engine.Organisation{Limit: workload.Resources{Accelerators: 4}})
-		time.Sleep(2 * time.Second)
-		for _, id := range r.IDs() {
-			r.Set(id, func(w *site.Worker) { w.PollDelay = 0 })
-		}
+		slow.Store(false)
 		time.Sleep(3 * time.Second)
 		r.True(!r.Started("gang"))
 		r.limit(engine.Organisation{Limit: workload.Resources{Accelerators: 8}})
