engine: keep a clock that is ahead from using up an organisation's weight

Cause: the times of acceptance come from several entry VMs; one that is ahead would stop the token bucket from filling until that time. Change: a time that is ahead of the planner's counts as now; the design note says what the decisions became. Result: go test ./engine -run 'TestLimit|TestUnsent|TestMetricsOf|TestGuaranteedWork' and make lint pass.

--- a/engine/limits.go
+++ b/engine/limits.go
@@ -199,7 +199,12 @@
 func (p *Planner) countAgainstWeight(j *jobState) {
 	job := &j.record.Job
 	if o := p.Configuration().organisation(job.Organisation); o != nil && o.Weight > 0 {
-		j.beyondWeight = !p.organisation(o.Name).owed.Take(job.Accepted, o.Weight)
+		// A time that is ahead, by the clock of another entry VM, would stop the allowance from growing until then.
+		at := job.Accepted
+		if now := p.TimeOfDay(); at.After(now) {
+			at = now
+		}
+		j.beyondWeight = !p.organisation(o.Name).owed.Take(at, o.Weight)
 	}
 }
 
