engine: do not count starts that their worker refuses

Change: such a start does not count while the worker's present incarnation answers with the planner's fencing token. A restart breaks the polls off, and then it counts again.

--- a/engine/limits.go
+++ b/engine/limits.go
@@ -51,7 +51,7 @@
 			p.addOrphanUsage(usage, w, name)
 		}
 		for name, s := range w.lateStarts {
-			if until, _ := p.lateRunEnd(w, s); now.Before(until) {
+			if until, _ := p.lateRunEnd(w, s); now.Before(until) && !w.refusesNow(s) {
 				p.addLateUsage(usage, late, w, name, s)
 			}
 		}
@@ -59,6 +59,12 @@
 	return usage
 }
 
+// refusesNow reports whether the worker refuses the start if it is carried out now, unless a run of it is still there: its present incarnation has ended or
+// stopped the run, and does not obey earlier planners. Only a restart changes that, and from then on the worker does not answer or reports it.
+func (w *workerState) refusesNow(s *lateStart) bool {
+	return w.fenced && w.failingSince.IsZero() && s.incarnation != 0 && s.incarnation == w.incarnation
+}
+
 // addOrphanUsage counts a run that a worker lists and the planner did not request.
 func (p *Planner) addOrphanUsage(usage map[string]policy.Usage, w *workerState, task string) {
 	id, err := workload.ParseTaskID(task)
