--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -116,6 +116,9 @@
 	if e.Guaranteed {
 		s.print("  its organisation's guarantee covers it")
 	}
+	if e.BeyondWeight {
+		s.print("  its organisation has submitted more than its weight, so others come first")
+	}
 	for _, p := range e.Placements {
 		s.print("  %s on worker %s, rack %s%s, which answered %s", p.Task, p.Worker, p.Rack, map[bool]string{true: " (its data)"}[p.InDataRack], age(p.Answered))
 	}
@@ -136,6 +139,9 @@
 		return
 	}
 	s.print("  %d gangs or single tasks wait, %d of them because an earlier run may still begin; %d of other jobs come first", w.Units, w.Withheld, w.Ahead)
+	if w.OverLimit {
+		s.print("  its organisation has as much at work as its limit allows")
+	}
 	var counts []string
 	for _, c := range []struct {
 		n    int
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -56,6 +56,8 @@
 	// Placements has the tasks that would be started now, and Stopped the running groups that would be stopped for work that is ready.
 	Placements []ExplainedPlacement `cbor:"8,keyasint,omitempty" json:"placements,omitempty"`
 	Stopped    []ExplainedGroup     `cbor:"9,keyasint,omitempty" json:"stopped,omitempty"`
+	// BeyondWeight means that the organisation has submitted more jobs than its weight entitles it to, so that others come first.
+	BeyondWeight bool `cbor:"15,keyasint,omitempty" json:"beyond-weight"`
 	// Runs has the runs of the job that exist.
 	Runs []ExplainedRun `cbor:"10,keyasint,omitempty" json:"runs,omitempty"`
 	// Waiting says why tasks of the job wait; nil if none does.
@@ -105,6 +107,8 @@
 	Withheld int `cbor:"2,keyasint,omitempty" json:"withheld"`
 	// Ahead is the number of gangs and single tasks of other jobs that are considered before the first one that waits.
 	Ahead int `cbor:"3,keyasint,omitempty" json:"ahead"`
+	// OverLimit means that a unit of the job waits for room under its organisation's limit.
+	OverLimit bool `cbor:"10,keyasint,omitempty" json:"over-limit"`
 	// Workers counts the workers of the service by the first reason for which the first unit that waits is not placed there.
 	Unavailable int `cbor:"4,keyasint,omitempty" json:"workers-unavailable"`
 	Closed      int `cbor:"5,keyasint,omitempty" json:"workers-closed"`
@@ -137,6 +141,7 @@
 		e.StoreFailing = now.Sub(p.storeFailingSince)
 	}
 	if request.Job != nil {
+		j.beyondWeight = p.wouldBeBeyondWeight(request.Job)
 		if r, refused := p.refusal(request.Job); refused {
 			e.Course, e.Reason, e.RetryAfter = CourseRefused, r.Reason, r.RetryAfter
 			return Result{Verdict: VerdictAccepted, Explanation: e}
@@ -172,10 +177,10 @@
 	if len(units) == 0 {
 		return
 	}
-	e.Guaranteed = units[0].Guaranteed
+	e.Guaranteed, e.BeyondWeight = units[0].Guaranteed, j.beyondWeight
 	withheld := len(units) - len(p.withoutPossibleRuns(now, slices.Clone(units)))
 	placed := map[*policy.Unit]bool{}
-	p.decide(now, func(waiting []*policy.Unit, d policy.Decision) {
+	d := p.decide(now, conf, func(waiting []*policy.Unit, d policy.Decision) {
 		for _, placement := range d.Placements {
 			if placement.Unit.Job == &j.record.Job {
 				placed[placement.Unit] = true
@@ -190,6 +195,9 @@
 		}
 		e.Waiting = p.explainWait(now, j, conf, waiting, placed)
 	})
+	if e.Waiting != nil {
+		e.Waiting.OverLimit = slices.ContainsFunc(d.units, func(u *policy.Unit) bool { return u.Job == &j.record.Job && d.limits.Withheld(u) })
+	}
 	if withheld > 0 {
 		if e.Waiting == nil {
 			e.Waiting = &ExplainedWait{}
--- a/engine/explain_test.go
+++ b/engine/explain_test.go
@@ -75,3 +75,21 @@
 		r.Equal(len(r.WorkersRunning("low-a"))+len(r.WorkersRunning("low-b")), 2)
 	})
 }
+
+// Guards against an explanation that does not say that a job waits for its organisation's limit, or is refused because of it.
+func TestExplanationNamesLimit(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.limit(engine.Organisation{Limit: workload.Resources{Accelerators: 8}})
+		p, stop := r.startWithWorkers(3)
+		defer stop()
+		time.Sleep(time.Second)
+		r.mustSubmit(p, "first", 1, singleTaskStep(8), time.Minute)
+		time.Sleep(time.Second)
+		second, wide := newJob("second", 1, singleTaskStep(8)), newJob("wide", 1, gangStep(2, 8))
+		e := r.mustExplain(p, engine.ExplainRequest{Job: &second})
+		r.Equal(e.Course, engine.CourseWaits)
+		r.True(e.Waiting.OverLimit)
+		r.Equal(e.Waiting.Free, 2)
+		r.Equal(r.mustExplain(p, engine.ExplainRequest{Job: &wide}).Course, engine.CourseRefused)
+	})
+}
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -11,9 +11,9 @@
 	"clementinepier/workload"
 )
 
-// impossibleRetryAfter is the retry delay for a job that the present workers could not run even if they were idle. It is the
-// time in which operators change the workers of a service; the planner knows of nothing that would make the job possible
-// earlier.
+// impossibleRetryAfter is the retry delay for a job that the present workers could not run even if they were idle, or that its
+// organisation's limit does not allow. It is the time in which operators change the workers of a service or a limit; the planner
+// knows of nothing that would make the job possible earlier.
 const impossibleRetryAfter = time.Minute
 
 // Verdict is the outcome of a caller's request on a job.
@@ -86,7 +86,7 @@
 			return
 		}
 		if r, refused := p.refusal(&job); refused {
-			p.Log.Event("job-impossible", "job", job.ID, "queue", job.Queue, "service", job.Service, "reason", r.Reason,
+			p.Log.Event("job-impossible", "job", job.ID, "queue", job.Queue, "service", job.Service, "organisation", job.Organisation, "reason", r.Reason,
 				"workers", len(p.cachedFleet(job.Service).policyWorkers))
 			result <- r
 			return
@@ -94,6 +94,7 @@
 		j = newJobState(workload.Record{Job: job, Progress: *workload.NewProgress(&job)}, p.Clock.Now())
 		p.waiters[j] = nil
 		p.jobs[job.ID], p.active[job.ID] = j, j
+		p.countAgainstWeight(j)
 		p.recordChange(j)
 		p.planNeeded = true
 	}
@@ -121,6 +122,12 @@
 	if step := p.impossibleStep(job); step >= 0 {
 		return Result{Verdict: VerdictRefused, RetryAfter: impossibleRetryAfter, Reason: fmt.Sprintf("the workers of the service could never run step %d", step)}, true
 	}
+	if step, limit := p.exceedsLimit(job); step >= 0 {
+		return Result{
+			Verdict: VerdictRefused, RetryAfter: impossibleRetryAfter,
+			Reason: fmt.Sprintf("step %d needs more than its organisation may have at work, %+v", step, limit),
+		}, true
+	}
 	return Result{}, false
 }
 
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -21,21 +21,32 @@
 
 // plan places the waiting work that fits, and preempts running work for guaranteed work.
 func (p *Planner) plan() {
-	now := p.Clock.Now()
-	p.decide(now, func(_ []*policy.Unit, d policy.Decision) { p.applyDecision(now, d) })
+	now, conf := p.Clock.Now(), p.Configuration()
+	p.withdrawUnsentBeyondLimits(conf, p.usage(now, conf))
+	d := p.decide(now, conf, func(_ []*policy.Unit, d policy.Decision) { p.applyDecision(now, d) })
+	p.Metrics.SetGauge(metrics.UnitsWaiting, int64(d.ready))
+	p.reportLimits(now, conf, d)
+}
+
+// decided is what the decisions of a pass have gone by.
+type decided struct {
+	// ready is the number of units that could start, and units has those of them of which no earlier run may still begin.
+	ready  int
+	units  []*policy.Unit
+	usage  map[string]policy.Usage
+	limits *policy.Limits
 }
 
 // decide passes the decision on the waiting units of each service to apply, with the units in the order in which they were considered.
 // It stores nothing and sends no orders.
-func (p *Planner) decide(now time.Time, apply func(waiting []*policy.Unit, d policy.Decision)) {
-	conf := p.Configuration()
+func (p *Planner) decide(now time.Time, conf *Configuration, apply func(waiting []*policy.Unit, d policy.Decision)) decided {
 	guaranteed := p.guaranteedJobs(conf)
+	usage := p.usage(now, conf)
+	limits := p.limits(conf, usage)
 	units := p.readyUnits(now, conf, guaranteed)
-	p.Metrics.SetGauge(metrics.UnitsWaiting, int64(len(units)))
+	ready := len(units)
 	units = p.withoutPossibleRuns(now, units)
-	if len(units) == 0 {
-		return
-	}
+	p.setShares(now, conf, usage, units)
 	policy.Order(now, units)
 	byService := map[string][]*policy.Unit{}
 	for _, u := range units {
@@ -43,9 +54,12 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		waiting := byService[service]
-		mayPreempt := slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
-		apply(waiting, p.currentFleet(service, now, conf, guaranteed, mayPreempt).Plan(now, waiting))
+		mayPreempt := limits != nil || slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
+		f := p.currentFleet(service, now, conf, guaranteed, mayPreempt)
+		f.Limits = limits
+		apply(waiting, f.Plan(now, waiting))
 	}
+	return decided{ready: ready, units: units, usage: usage, limits: limits}
 }
 
 // readyUnits returns the gangs and single tasks that could start now.
@@ -87,6 +101,7 @@
 	base := policy.Unit{
 		Job: &j.record.Job, Occurrence: k, Step: s, ReadySince: j.readySince[k][s], IdleSince: j.unplacedStepSince(k, s), Guaranteed: guaranteed && s == 0,
 		Unresponsive: currentIDs(now, j.unresponsive), Remaining: step.Estimate,
+		BeyondWeight: j.beyondWeight,
 	}
 	if !step.LongRunning {
 		// A task that lasts may be away for a few seconds only, so it avoids no workers.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -79,8 +79,16 @@
 	UnitsWaiting      Name = "units-waiting-gauge"
 	JobsIdle          Name = "jobs-idle-gauge"
 	GroupsWithheld    Name = "groups-withheld-gauge"
-	PlannerTerms      Name = "planner-terms"
-	LogLinesDropped   Name = "log-lines-dropped-gauge"
+	// OrganisationsAtLimit is how many organisations have units that wait for their limits, UnitsOverLimit how many units do.
+	OrganisationsAtLimit Name = "organisations-at-limit-gauge"
+	UnitsOverLimit       Name = "units-over-limit-gauge"
+	JobsBeyondWeight     Name = "jobs-beyond-weight-gauge"
+	// GuaranteesAboveLimit is how many organisations are guaranteed more than their limits.
+	GuaranteesAboveLimit Name = "guarantees-above-limit-gauge"
+	// LimitsRejected counts the invalid limits and weights of organisations.
+	LimitsRejected  Name = "organisation-limits-rejected"
+	PlannerTerms    Name = "planner-terms"
+	LogLinesDropped Name = "log-lines-dropped-gauge"
 )
 
 // The histograms, all of durations.
