policy, engine: place work by how fast workers are

Placement did not look at speed.

Change: the planner compares the progress of the runs of one step on several workers (policy.CompareRates) and joins the comparisons per worker (policy.SpeedEstimate), running runs included, once for each step and worker. Speeds are relative to the median of the service, in classes with a margin. They age, are learned again after three surprises, belong to the worker's ID and lie in the store for a successor (clementinepier/speeds, every 20 s at most, only after a class has changed). Urgent tasks use the fastest workers, urgent gangs the workers and the rack with the fastest slowest member; other work the slowest workers on which it is in time. Packing as before within a class, and no worker is used for its speed that is more suspect.

Tests: equal workers decide exactly as before (200 random fleets); uneven workers, one that changes, restarts of workers and of the planner, an unreadable note.

--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -17,6 +17,8 @@
 	workers       []*workerState
 	policyWorkers []*policy.Worker
 	byID          map[string]*policy.Worker
+	// speedsAt is when the speeds of the workers were last brought up to date.
+	speedsAt time.Time
 }
 
 // invalidateFleets clears the cached fleets, after a change of a worker's registration.
@@ -27,6 +29,7 @@
 func (p *Planner) currentFleet(service string, now time.Time, conf *Configuration, guaranteed map[*jobState]bool, mayPreempt bool) *policy.Fleet {
 	f := p.cachedFleet(service)
 	f.policyFleet.MostlyIdle = p.mostlyIdle(service)
+	p.refreshSpeeds(now, f)
 	for i, w := range f.workers {
 		used, stopping := w.used()
 		policyWorker := f.policyWorkers[i]
--- a/engine/load.go
+++ b/engine/load.go
@@ -135,7 +135,7 @@
 					j.groups[key] = g
 				}
 				r := p.addRun(g, workload.TaskID{Job: j.id(), Occurrence: k, Step: s, Index: i}, t.Run, p.workerByID(t.Worker))
-				r.phase, r.checkpoint = runDoubtful, t.Checkpoint
+				r.phase, r.checkpoint, r.startedFrom = runDoubtful, t.Checkpoint, unknownCheckpoint
 				if j.state().Ended() {
 					r.stopRequested = true
 				}
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -18,6 +18,7 @@
 	"clementinepier/breaker"
 	"clementinepier/eventlog"
 	"clementinepier/metrics"
+	"clementinepier/policy"
 	"clementinepier/workload"
 )
 
@@ -97,6 +98,10 @@
 	workers map[string]*workerState
 	// misdirected has the workers at whose address another server has refused a call since they last answered.
 	misdirected map[*workerState]bool
+	// speeds has what is known of the speed of each worker, by its ID.
+	speeds map[string]*workerSpeed
+	// speedNote is the note of them in the store.
+	speedNote speedNoteState
 	// leaseNote is the lease note in the store.
 	leaseNote leaseNoteState
 	// orphanTasks counts, by task, the workers that have an orphan run of it.
@@ -171,8 +176,8 @@
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker, p.fleets, p.orphanTasks = breaker.New(), map[string]*fleet{}, map[string]int{}
-	p.misdirected = map[*workerState]bool{}
-	p.leaseNote = leaseNoteState{named: map[string]bool{}}
+	p.misdirected, p.speeds = map[*workerState]bool{}, map[string]*workerSpeed{}
+	p.leaseNote, p.speedNote = leaseNoteState{named: map[string]bool{}}, speedNoteState{}
 	// A job may fail by its own fault, so any success shows that the worker does not fail everything it starts.
 	p.breaker.FailureThreshold, p.breaker.InitialQuarantine, p.breaker.AnySuccessEndsQuarantine = failuresToQuarantine, firstQuarantine, true
 	done := make(chan error, 1)
@@ -319,6 +324,7 @@
 	p.moveOffDrainingWorkers(now)
 	p.deleteExpiredJobs()
 	p.reportIdleJobs(now)
+	p.syncSpeedNote(now)
 	p.scheduleAllContacts()
 	p.planNeeded = true
 }
@@ -383,7 +389,7 @@
 func newJobState(record workload.Record, accepted time.Time) *jobState {
 	j := &jobState{
 		record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, unresponsive: map[string]time.Time{}, stalls: map[groupKey]int{},
-		longestDone: map[int]time.Duration{},
+		longestDone: map[int]time.Duration{}, rates: map[int][]*policy.Rate{}, compared: map[stepWorker]bool{},
 		preemptions: map[groupKey]int{}, failedOn: map[string]bool{}, doneOn: map[string]bool{}, endedAt: map[groupKey]time.Time{},
 	}
 	j.readySince = make([][]time.Time, record.Job.Occurrences())
--- a/engine/runs.go
+++ b/engine/runs.go
@@ -63,6 +63,7 @@
 		"percent", r.percent, "after", p.Clock.Since(g.startedAt), "reason", g.reason, "answered", r.worker.lastAnswer, "leases-end", leasesEnd)
 	p.Metrics.Add(metrics.Name("runs-ended-basis-"+string(basis)), 1)
 	p.recordInferredEnd(r, basis)
+	p.measureEnd(r, reason)
 	if reason == EndDone {
 		p.recordSuccess(r)
 	}
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -249,7 +249,7 @@
 		t.Phase, t.Run, t.Worker = workload.PhasePlaced, number, w.id()
 		id := workload.TaskID{Job: j.id(), Occurrence: u.Occurrence, Step: u.Step, Index: placement.Task}
 		r := p.addRun(g, id, number, w)
-		r.checkpoint = t.Checkpoint
+		r.checkpoint, r.startedFrom = t.Checkpoint, t.Checkpoint
 		// The worker may have to report its clock first.
 		p.scheduleContact(w)
 		if p.closed(w, now) || u.Avoid[w.id()] {
--- a/engine/stall.go
+++ b/engine/stall.go
@@ -104,8 +104,11 @@
 		p.Metrics.Add(metrics.RunFiguresInvalid, 1)
 		p.Log.Event("run-figure-invalid", "task", r.name, "run", r.number, "worker", r.worker.id(), "value", status.Invalid)
 	}
-	if !status.PercentInvalid && status.Percent != r.percent {
-		r.percent, r.progressedAt = status.Percent, now
+	if !status.PercentInvalid {
+		if status.Percent != r.percent {
+			r.percent, r.progressedAt = status.Percent, now
+		}
+		p.measureRate(now, r, status.Percent)
 	}
 	if status.HasUsage {
 		r.usage, r.usageKnown = status.Usage, true
--- a/engine/state.go
+++ b/engine/state.go
@@ -37,6 +37,10 @@
 	stalls map[groupKey]int
 	// longestDone has, by step, the longest time that a task or gang that is done was at work.
 	longestDone map[int]time.Duration
+	// rates has, by step, the rates of the runs that have been measured, the newest last.
+	rates map[int][]*policy.Rate
+	// compared has the steps by which a worker was compared with others.
+	compared map[stepWorker]bool
 	// preemptions counts, by task or gang, the runs that were stopped for more urgent work.
 	preemptions map[groupKey]int
 	// idleSince is since when no run of the job is at work although a task is ready or placed, zero while one is; idleReportedAt is when the
@@ -173,6 +177,9 @@
 	checkpoint string
 	// savedAt is when the worker first reported the present checkpoint; zero while it has reported none of this run.
 	savedAt time.Time
+	// rate is the rate at which the run makes progress, and startedFrom the checkpoint with which it was started, for the speed of its worker.
+	rate        runRate
+	startedFrom string
 	// concluded is set once the run no longer keeps its worker, which was quarantined, closed to other work.
 	concluded bool
 	ended     bool
--- a/engine/store.go
+++ b/engine/store.go
@@ -124,6 +124,7 @@
 	jobPrefix    = "clementinepier/job/"
 	markerPrefix = "clementinepier/new/"
 	leaseNoteKey = "clementinepier/leases"
+	speedNoteKey = "clementinepier/speeds"
 	// termKey outlasts the terms. Its revision is the fencing token of the newest one.
 	termKey = "clementinepier/term"
 )
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -73,6 +73,11 @@
 	GroupsStalled Name = "groups-stalled"
 	// GroupsKeptAtFullPercent is how many groups are kept although a run of theirs stands still at 100 percent.
 	GroupsKeptAtFullPercent Name = "groups-kept-at-full-percent-gauge"
+	// SpeedsCompared counts the runs by which the speed of a worker was compared with that of others.
+	SpeedsCompared Name = "speeds-compared"
+	// WorkersSlow and WorkersFast are how many workers of the service last planned for are slower and faster than usual by a class or more.
+	WorkersSlow Name = "workers-slow-gauge"
+	WorkersFast Name = "workers-fast-gauge"
 	// RunFiguresInvalid counts the entries of runs in which workers reported an impossible percent or figure.
 	RunFiguresInvalid Name = "run-figures-invalid"
 	UnitsWaiting      Name = "units-waiting-gauge"
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -37,6 +37,8 @@
 	// rackNames has the racks in a fixed order, so that decisions do not depend on the iteration order of a map.
 	rackNames         []string
 	totalAccelerators int64
+	// speeds is what the present pass knows of the workers' speeds.
+	speeds speedClasses
 	// candidates is a buffer that partialBestFit reuses.
 	candidates []candidate
 }
@@ -45,13 +47,15 @@
 type candidate struct {
 	worker    *Worker
 	suspicion int
+	// speedRank ranks the worker's speed for the unit; 0 for all if they are equally fast.
+	speedRank int
 	free      workload.Resources
 	tasks     int
 }
 
 // NewFleet returns a fleet of the workers. Plan changes the workers as it places work on them.
 func NewFleet(workers []*Worker) *Fleet {
-	f := &Fleet{workers: workers, byID: map[string]*Worker{}, racks: map[string][]*Worker{}}
+	f := &Fleet{workers: workers, byID: map[string]*Worker{}, racks: map[string][]*Worker{}, speeds: speedClasses{lowest: anyClass}}
 	slices.SortFunc(f.workers, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
 	for _, w := range f.workers {
 		f.byID[w.ID] = w
@@ -69,6 +73,7 @@
 // late and not guaranteed preempts nothing: after an outage, the backlog of late work would otherwise stop most running work
 // for jobs that are worth little by then.
 func (f *Fleet) Plan(now time.Time, units []*Unit) Decision {
+	f.prepareSpeeds(now)
 	var d Decision
 	reserved := int64(0)
 	blocked := map[stepKey]bool{}
@@ -182,7 +187,7 @@
 func (f *Fleet) findWorkers(now time.Time, u *Unit, capacity capacityFunc) []*Worker {
 	s := u.step()
 	if !s.SameRack && s.DataRack == "" {
-		return f.bestFit(u, f.workers, capacity)
+		return f.fitBySpeedOnly(u, f.workers, capacity)
 	}
 	if s.DataRack != "" && !s.SameRack {
 		if chosen := f.bestFit(u, f.racks[s.DataRack], capacity); chosen != nil {
@@ -194,7 +199,7 @@
 	if f.shouldWaitForRack(now, u) {
 		return nil
 	}
-	return f.bestFit(u, f.workers, capacity)
+	return f.fitBySpeedOnly(u, f.workers, capacity)
 }
 
 // shouldWaitForRack reports whether the unit waits for capacity in a suitable rack instead of running now at a fraction of
@@ -232,18 +237,22 @@
 		}
 	}
 	var best []*Worker
-	leastFree := int64(0)
+	leastFree, bestRank := int64(0), 0
 	for _, name := range f.rackNames {
-		chosen := f.bestFit(u, f.racks[name], capacity)
+		chosen, class := f.fitBySpeed(u, f.racks[name], capacity)
 		if chosen == nil {
 			continue
 		}
+		rank := 0
+		if f.uneven() {
+			rank = f.speedRank(u, class)
+		}
 		var rackFree int64
 		for _, w := range f.racks[name] {
 			rackFree += capacity(w).Accelerators
 		}
-		if best == nil || rackFree < leastFree {
-			best, leastFree = chosen, rackFree
+		if best == nil || rank < bestRank || rank == bestRank && rackFree < leastFree {
+			best, leastFree, bestRank = chosen, rackFree, rank
 		}
 	}
 	return best
@@ -262,19 +271,24 @@
 // partialBestFit is like bestFit, but places as many tasks as fit.
 func (f *Fleet) partialBestFit(u *Unit, workers []*Worker, capacity capacityFunc) []*Worker {
 	s := u.step()
-	candidates := f.candidates[:0]
+	candidates, uneven := f.candidates[:0], f.uneven()
 	for _, w := range workers {
-		if !u.mayUse(w) || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
+		if w.speedClass < f.speeds.lowest || !u.mayUse(w) || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 			continue
 		}
 		if available := capacity(w); s.Need.Fits(available) {
-			candidates = append(candidates, candidate{worker: w, suspicion: u.suspicion(w), free: available, tasks: u.TasksByWorker[w.ID]})
+			c := candidate{worker: w, suspicion: u.suspicion(w), free: available, tasks: u.TasksByWorker[w.ID]}
+			if uneven {
+				f.rankSpeed(u, &c)
+			}
+			candidates = append(candidates, c)
 		}
 	}
 	f.candidates = candidates
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(
 			cmp.Compare(a.suspicion, b.suspicion),
+			cmp.Compare(a.speedRank, b.speedRank),
 			cmp.Compare(a.free.Accelerators, b.free.Accelerators),
 			cmp.Compare(a.free.MilliCPU, b.free.MilliCPU),
 			cmp.Compare(a.free.MemoryMB, b.free.MemoryMB),
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -121,6 +121,8 @@
 	Quarantined bool
 	// Speed is how fast tasks run on the worker, relative to the usual worker; 0 means that it is not known.
 	Speed float64
+	// speedClass is the class of Speed, as of the present pass.
+	speedClass int
 	// Victims are the groups with runs on the worker that may be preempted for more urgent or guaranteed work.
 	Victims []*Group
 }
