engine: build the stall decision only for groups in which a run stands still

Cause: each tick built the inputs of Judge for every group at work. Change: a group is judged only if a run of it shows no progress within the limit, as Judge requires anyway.

--- a/engine/stall.go
+++ b/engine/stall.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"clementinepier/metrics"
@@ -44,11 +45,15 @@
 		}
 		return false
 	}
-	stall := p.stallOf(now, g)
+	limit := g.stallLimit()
+	if !slices.ContainsFunc(g.runs, func(r *run) bool { return r.stands(limit) }) {
+		g.keptBy = ""
+		return false
+	}
+	stall := p.stallOf(now, g, limit)
 	at, evidence := stall.Judge(now)
 	if at < 0 {
 		if evidence == "" {
-			g.keptBy = ""
 			return false
 		}
 		if g.keptBy != evidence {
@@ -68,10 +73,16 @@
 	return false
 }
 
+// stands reports whether the worker of the run has shown no progress of it for at least the given time. Few runs do, so that the others need no
+// decision.
+func (r *run) stands(limit time.Duration) bool {
+	return r.phase == runRunning && r.worker.failingSince.IsZero() && r.worker.lastAnswer.Sub(r.progressedAt) >= limit
+}
+
 // stallOf returns what the decision whether a group has stalled needs.
-func (p *Planner) stallOf(now time.Time, g *group) policy.Stall {
+func (p *Planner) stallOf(now time.Time, g *group, limit time.Duration) policy.Stall {
 	s := policy.Stall{
-		Limit: g.stallLimit(), Ran: now.Sub(g.runningSince), LongestDone: g.job.longestDone[g.key.step],
+		Limit: limit, Ran: now.Sub(g.runningSince), LongestDone: g.job.longestDone[g.key.step],
 		Checkpoints: g.step().Checkpoints, Runs: make([]policy.RunProgress, len(g.runs)),
 	}
 	if g.runningSince.IsZero() {
