engine: tasks away from their data tell no speed

Cause: a task whose data is in another rack takes several times as long, so the workers of that rack counted as slow once such a task had been compared. Sums over maps also depended on their order in the last digit. Change: such runs are not measured; workers are compared in a fixed order; a worker of which nothing is known any more has no speed. Test: TestTasksAwayFromTheirDataTellNoSpeed, seen failing before (4 workers counted as slow).

--- a/engine/speed.go
+++ b/engine/speed.go
@@ -35,7 +35,7 @@
 // run has done its share.
 func (p *Planner) measureRate(now time.Time, r *run, percent int) {
 	m := &r.rate
-	if m.ended || r.group.runningSince.IsZero() || r.group.step().LongRunning {
+	if m.ended || r.group.runningSince.IsZero() || r.group.step().LongRunning || r.awayFromData() {
 		return
 	}
 	if !m.measuring {
@@ -52,6 +52,12 @@
 	p.setRate(now, r, percent)
 }
 
+// awayFromData reports whether the run takes longer than others because its data is in another rack.
+func (r *run) awayFromData() bool {
+	rack := r.group.step().DataRack
+	return rack != "" && r.worker.registration.Rack != rack
+}
+
 // setRate sets the rate of a run that has reached a percent just now.
 func (p *Planner) setRate(now time.Time, r *run, percent int) {
 	m := &r.rate
@@ -141,6 +147,7 @@
 	for i, speed := range policy.RelativeSpeeds(now, estimates) {
 		known := p.speeds[f.workers[i].id()]
 		if known == nil {
+			f.policyWorkers[i].Speed = 0
 			continue
 		}
 		class := policy.SpeedClass(speed, known.class)
--- a/engine/speed_test.go
+++ b/engine/speed_test.go
@@ -108,6 +108,31 @@
 	})
 }
 
+// Guards against workers that count as slow because tasks ran there away from their data.
+func TestTasksAwayFromTheirDataTellNoSpeed(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.AddWorkers("r1", 4)
+		r.AddWorkers("r2", 4)
+		p, stop := r.startPlanner("a")
+		defer stop()
+		for i := range 4 {
+			// A task away from its data takes three times as long.
+			r.setSpeed("r2-w"+strconv.Itoa(i), 0.33)
+		}
+		for i := range 3 {
+			step := singleTaskStep(4)
+			step.Tasks, step.DataRack, step.Estimate = 16, "r1", 30*time.Second
+			r.mustSubmit(p, "j"+strconv.Itoa(i), 2, step, 5*time.Second)
+			r.waitForState(p, "j"+strconv.Itoa(i), workload.StateCompleted, 40*time.Second)
+		}
+		time.Sleep(2 * time.Second)
+		r.mustSubmit(p, "last", 2, singleTaskStep(1), time.Second)
+		r.True(r.Worker("r2-w0").Starts > 0)
+		r.True(p.Metrics.Get(metrics.SpeedsCompared) > 0)
+		r.Equal(p.Metrics.Get(metrics.WorkersSlow), int64(0))
+	})
+}
+
 // Guards against a planner that fails, or plans by impossible speeds, because of a note that it cannot read.
 func TestUnreadableSpeedNoteIsIgnored(t *testing.T) {
 	for name, value := range map[string][]byte{"no CBOR": []byte("x"), "other type": {0xa1, 0x01, 0xa1, 0x61, 'w', 0x61, 'x'}, "empty": {}} {
--- a/policy/speed.go
+++ b/policy/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -97,7 +98,8 @@
 		return 0, 0, false
 	}
 	bases, total := make([]weighted, 0, len(byWorker)), 0.0
-	for other, logs := range byWorker {
+	for _, other := range slices.Sorted(maps.Keys(byWorker)) {
+		logs := byWorker[other]
 		l, v := known(other)
 		b := weighted{value: mean(logs) - l, weight: 1 / (v + taskVariance/float64(len(logs)))}
 		bases, total = append(bases, b), total+b.weight
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -119,7 +119,8 @@
 	Closed bool
 	// Quarantined means that no run was done on the worker since it was closed. It is used after others.
 	Quarantined bool
-	// Speed is how fast tasks run on the worker, relative to the usual worker; 0 means that it is not known.
+	// Speed is how fast tasks run on the worker, relative to the usual worker, as the speed of its class (see ClassSpeed); 0 means that it is not
+	// known.
 	Speed float64
 	// speedClass is the class of Speed, as of the present pass.
 	speedClass int
