policy: rank speed classes once for each choice of workers

The rank of a class was computed for each candidate, and the class of a gang's slowest member was returned beside the workers. Now ranks are computed once per choice, and the rank of a rack from the workers chosen there, for single tasks too. Decisions on equal workers are the same (TestEqualWorkersDecideAsWithoutSpeeds).

--- a/policy/placement.go
+++ b/policy/placement.go
@@ -187,7 +187,7 @@
 func (f *Fleet) findWorkers(now time.Time, u *Unit, capacity capacityFunc) []*Worker {
 	s := u.step()
 	if !s.SameRack && s.DataRack == "" {
-		return f.fitBySpeedOnly(u, f.workers, capacity)
+		return f.fitBySpeed(u, f.workers, capacity)
 	}
 	if s.DataRack != "" && !s.SameRack {
 		if chosen := f.bestFit(u, f.racks[s.DataRack], capacity); chosen != nil {
@@ -199,7 +199,7 @@
 	if f.shouldWaitForRack(now, u) {
 		return nil
 	}
-	return f.fitBySpeedOnly(u, f.workers, capacity)
+	return f.fitBySpeed(u, f.workers, capacity)
 }
 
 // shouldWaitForRack reports whether the unit waits for capacity in a suitable rack instead of running now at a fraction of
@@ -239,14 +239,11 @@
 	var best []*Worker
 	leastFree, bestRank := int64(0), 0
 	for _, name := range f.rackNames {
-		chosen, class := f.fitBySpeed(u, f.racks[name], capacity)
+		chosen := f.fitBySpeed(u, f.racks[name], capacity)
 		if chosen == nil {
 			continue
 		}
-		rank := 0
-		if f.uneven() {
-			rank = f.speedRank(u, class)
-		}
+		rank := f.rackRank(u, chosen)
 		var rackFree int64
 		for _, w := range f.racks[name] {
 			rackFree += capacity(w).Accelerators
@@ -271,17 +268,15 @@
 // partialBestFit is like bestFit, but places as many tasks as fit.
 func (f *Fleet) partialBestFit(u *Unit, workers []*Worker, capacity capacityFunc) []*Worker {
 	s := u.step()
-	candidates, uneven := f.candidates[:0], f.uneven()
+	candidates, ranks := f.candidates[:0], f.speedRanks(u)
 	for _, w := range workers {
 		if w.speedClass < f.speeds.lowest || !u.mayUse(w) || s.Label != "" && !slices.Contains(w.Labels, s.Label) {
 			continue
 		}
 		if available := capacity(w); s.Need.Fits(available) {
-			c := candidate{worker: w, suspicion: u.suspicion(w), free: available, tasks: u.TasksByWorker[w.ID]}
-			if uneven {
-				f.rankSpeed(u, &c)
-			}
-			candidates = append(candidates, c)
+			candidates = append(candidates, candidate{
+				worker: w, suspicion: u.suspicion(w), speedRank: ranks[w.speedClass+maxSpeedClass], free: available, tasks: u.TasksByWorker[w.ID],
+			})
 		}
 	}
 	f.candidates = candidates
--- a/policy/speed_placement.go
+++ b/policy/speed_placement.go
@@ -19,14 +19,11 @@
 // anyClass lets a unit use workers of all classes.
 const anyClass = math.MinInt
 
-// class returns the speed class of the worker.
-func (w *Worker) class() int { return SpeedClass(w.Speed, 0) }
-
 // prepareSpeeds begins a pass.
 func (f *Fleet) prepareSpeeds(now time.Time) {
 	f.speeds = speedClasses{now: now, lowest: anyClass, present: f.speeds.present[:0]}
 	for _, w := range f.workers {
-		w.speedClass = w.class()
+		w.speedClass = SpeedClass(w.Speed, 0)
 		if w.Usable && !slices.Contains(f.speeds.present, w.speedClass) {
 			f.speeds.present = append(f.speeds.present, w.speedClass)
 		}
@@ -52,12 +49,28 @@
 	return class
 }
 
-// fitBySpeed is like bestFit, but gives a gang, whose slowest member decides, workers of a class that suits it, and returns the lowest class in use.
-// Within that it takes the slower ones first, so that faster ones stay free. It uses no worker that is more suspect for its speed.
-func (f *Fleet) fitBySpeed(u *Unit, workers []*Worker, capacity capacityFunc) ([]*Worker, int) {
+// speedRanks returns the rank of each class for the unit, by the class and maxSpeedClass; all are 0 if the workers are equally fast.
+func (f *Fleet) speedRanks(u *Unit) (ranks [2*maxSpeedClass + 1]int) {
+	if !f.uneven() {
+		return ranks
+	}
+	for _, class := range f.speeds.present {
+		if f.speeds.lowest == anyClass {
+			ranks[class+maxSpeedClass] = f.speedRank(u, class)
+		} else {
+			// The slowest member decides, so faster ones stay free.
+			ranks[class+maxSpeedClass] = class
+		}
+	}
+	return ranks
+}
+
+// fitBySpeed is like bestFit, but gives a gang, whose slowest member decides, the workers of the classes that suit it best. It uses no worker that
+// is more suspect for its speed.
+func (f *Fleet) fitBySpeed(u *Unit, workers []*Worker, capacity capacityFunc) []*Worker {
 	chosen := f.bestFit(u, workers, capacity)
 	if chosen == nil || !f.uneven() || len(u.Tasks) < 2 || len(u.RequiredWorkers) > 0 {
-		return chosen, 0
+		return chosen
 	}
 	classes := slices.Clone(f.speeds.present)
 	slices.SortStableFunc(classes, func(a, b int) int { return f.speedRank(u, a) - f.speedRank(u, b) })
@@ -66,10 +79,22 @@
 	for _, class := range classes {
 		f.speeds.lowest = class
 		if suited := f.bestFit(u, workers, capacity); suited != nil && u.highestSuspicion(suited) <= suspicion {
-			return suited, class
+			return suited
 		}
 	}
-	return chosen, classes[len(classes)-1]
+	return chosen
+}
+
+// rackRank ranks the workers that a unit would use in a rack by the slowest of them; 0 if all workers are equally fast.
+func (f *Fleet) rackRank(u *Unit, chosen []*Worker) int {
+	if !f.uneven() {
+		return 0
+	}
+	slowest := maxSpeedClass
+	for _, w := range chosen {
+		slowest = min(slowest, w.speedClass)
+	}
+	return f.speedRank(u, slowest)
 }
 
 // highestSuspicion returns that of the most suspect of the workers.
@@ -80,18 +105,3 @@
 	}
 	return highest
 }
-
-// fitBySpeedOnly is fitBySpeed without the class.
-func (f *Fleet) fitBySpeedOnly(u *Unit, workers []*Worker, capacity capacityFunc) []*Worker {
-	chosen, _ := f.fitBySpeed(u, workers, capacity)
-	return chosen
-}
-
-// rankSpeed ranks a candidate by its speed.
-func (f *Fleet) rankSpeed(u *Unit, c *candidate) {
-	if f.speeds.lowest != anyClass {
-		c.speedRank = c.worker.speedClass
-		return
-	}
-	c.speedRank = f.speedRank(u, c.worker.speedClass)
-}
