policy: choose what gives way by what that costs callers

Cause: victims were chosen by the work that a stop loses. A stop could make a job late while another one had time, and could throw away more than the urgent job needed. Replayed in virtual time, a burst of urgent gangs over a full service starts one gang 8 times. Urgent work whose data is in a full rack, with nothing but preemptible work, stopped work in other racks and waited on: 6 of 6 jobs were late. Change: the cost of a stop counts earlier stops, and the work left if the stop makes its job late. For urgent work beyond a guarantee nothing gives way if that costs callers more, by their objectives, than it gains; such work reserves capacity. Work that gave way waits before it starts again, by what it lost and at least the time of a stop, doubled each time, within half of its slack, and not in a mostly idle service. Work with its data in one rack makes room there. Guaranteed work has no limit. A task that reports 100 percent counts with its whole estimate. Logs and metrics: group-preempted says for which job and at what cost; preemption-withheld, restart-delayed; core-seconds-preempted, preemptions-withheld, restarts-delayed. No rule on refusals is added: see docs/design/too-little-room.md.

--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -26,7 +26,7 @@
 // be stopped only if preemption may be necessary.
 func (p *Planner) currentFleet(service string, now time.Time, conf *Configuration, guaranteed map[*jobState]bool, mayPreempt bool) *policy.Fleet {
 	f := p.cachedFleet(service)
-	f.policyFleet.MostlyIdle = p.mostlyIdle(service)
+	f.policyFleet.MostlyIdle, f.policyFleet.StopTime = p.mostlyIdle(service), p.Bounds.StopGrace
 	for i, w := range f.workers {
 		used, stopping := w.used()
 		policyWorker := f.policyWorkers[i]
@@ -86,12 +86,12 @@
 				continue
 			}
 			victim := &policy.Group{
-				Priority: j.record.Job.Priority, Guaranteed: guaranteed[j], Organisation: j.record.Job.Organisation,
-				Preemptions: j.preemptions[g.key], Uses: make(map[string]workload.Resources, len(g.runs)), Handle: g,
+				Priority: j.record.Job.Priority, Guaranteed: guaranteed[j], Organisation: j.record.Job.Organisation, Objective: j.record.Job.Objective,
+				Preemptions: j.preemptions[g.key].count, Uses: make(map[string]workload.Resources, len(g.runs)), Handle: g,
 			}
 			victim.Deadline, victim.Expiry = j.objectiveTimes(g.key.occurrence)
 			for _, r := range g.runs {
-				if remaining, known := r.remainingTime(now); known {
+				if remaining, known := r.remainingTime(now); known && remaining > 0 {
 					victim.Remaining = max(victim.Remaining, remaining)
 				} else {
 					victim.Remaining = max(victim.Remaining, g.step().Estimate)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -383,7 +383,7 @@
 func newJobState(record workload.Record, accepted time.Time) *jobState {
 	j := &jobState{
 		record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, unresponsive: map[string]time.Time{}, stalls: map[groupKey]int{},
-		preemptions: map[groupKey]int{}, failedOn: map[string]bool{}, doneOn: map[string]bool{}, endedAt: map[groupKey]time.Time{},
+		preemptions: map[groupKey]preemptions{}, preemptionWithheld: map[groupKey]bool{}, failedOn: map[string]bool{}, doneOn: map[string]bool{}, endedAt: map[groupKey]time.Time{},
 	}
 	j.readySince = make([][]time.Time, record.Job.Occurrences())
 	for k := range j.readySince {
--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -100,6 +100,7 @@
 		for i := range base.Tasks {
 			base.Tasks[i] = i
 		}
+		j.preemptions[groupKey{k, s, -1}].describe(&base)
 		return append(units, &base)
 	}
 	for i := range tasks {
@@ -111,6 +112,7 @@
 		}
 		u := base
 		u.Tasks = []int{i}
+		j.preemptions[groupKey{k, s, i}].describe(&u)
 		if step.LongRunning {
 			u.IdleSince = latest(j.readySince[k][s], j.endedAt[groupKey{k, s, i}])
 			u.ClosedWorkers = closed.allowedFor(j, now, u.IdleSince, true)
@@ -205,16 +207,8 @@
 
 // applyDecision stops the groups to preempt and places the units.
 func (p *Planner) applyDecision(now time.Time, d policy.Decision) {
-	for _, v := range d.Preemptions {
-		g, ok := v.Handle.(*group)
-		if !ok {
-			continue
-		}
-		g.job.preemptions[g.key]++
-		p.Log.Event("group-preempted", "job", g.job.id(), "priority", v.Priority, "waste", v.PreemptionCost)
-		p.Metrics.Add(metrics.GroupsPreempted, 1)
-		p.stopGroup(g, "preempted")
-	}
+	p.preempt(now, d.Preemptions)
+	p.reportWaits(now, d)
 	placements := map[*policy.Unit][]policy.Placement{}
 	var units []*policy.Unit
 	for _, placement := range d.Placements {
@@ -231,11 +225,7 @@
 // placeUnit records the placement of a unit's runs, and starts them once the record is stored.
 func (p *Planner) placeUnit(now time.Time, u *policy.Unit, placements []policy.Placement) {
 	j := p.jobs[u.Job.ID]
-	key := groupKey{occurrence: u.Occurrence, step: u.Step, index: u.Tasks[0]}
-	step := &u.Job.Steps[u.Step]
-	if step.Gang {
-		key.index = -1
-	}
+	key := groupKeyOf(u)
 	g := &group{job: j, key: key, startedAt: now}
 	j.groups[key] = g
 	number := 0
--- a/engine/state.go
+++ b/engine/state.go
@@ -34,8 +34,10 @@
 	unresponsive map[string]time.Time
 	// stalls counts, by task or gang, the runs that were stopped because they seemed to stall.
 	stalls map[groupKey]int
-	// preemptions counts, by task or gang, the runs that were stopped for more urgent work.
-	preemptions map[groupKey]int
+	// preemptions has, by task or gang, the runs that were stopped for more urgent work.
+	preemptions map[groupKey]preemptions
+	// preemptionWithheld has the tasks and gangs for which it was logged that no room is made.
+	preemptionWithheld map[groupKey]bool
 	// idleSince is since when no run of the job is at work although a task is ready or placed, zero while one is; idleReportedAt is when the
 	// reason was last logged.
 	idleSince, idleReportedAt time.Time
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -68,12 +68,18 @@
 	Polls                Name = "looks"
 	OrdersUnanswered     Name = "orders-unanswered"
 	GroupsPreempted      Name = "groups-preempted"
-	EndsContradicted     Name = "inferred-ends-contradicted"
-	UnitsWaiting         Name = "units-waiting-gauge"
-	JobsIdle             Name = "jobs-idle-gauge"
-	GroupsWithheld       Name = "groups-withheld-gauge"
-	PlannerTerms         Name = "planner-terms"
-	LogLinesDropped      Name = "log-lines-dropped-gauge"
+	// CoreSecondsPreempted is the work that preemptions have thrown away, in core-seconds; an accelerator counts as 8 cores.
+	CoreSecondsPreempted Name = "core-seconds-preempted"
+	// PreemptionsWithheld counts the units for which no room was made, since that would cost other callers more.
+	PreemptionsWithheld Name = "preemptions-withheld"
+	// RestartsDelayed counts the preempted units that waited before they started again.
+	RestartsDelayed  Name = "restarts-delayed"
+	EndsContradicted Name = "inferred-ends-contradicted"
+	UnitsWaiting     Name = "units-waiting-gauge"
+	JobsIdle         Name = "jobs-idle-gauge"
+	GroupsWithheld   Name = "groups-withheld-gauge"
+	PlannerTerms     Name = "planner-terms"
+	LogLinesDropped  Name = "log-lines-dropped-gauge"
 )
 
 // The histograms, all of durations.
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -30,6 +30,8 @@
 type Fleet struct {
 	// MostlyIdle means that under half of the service's capacity is in use. It is set before Plan.
 	MostlyIdle bool
+	// StopTime is how long the stop of a run may take. It is set before Plan.
+	StopTime time.Duration
 
 	workers []*Worker
 	byID    map[string]*Worker
@@ -78,6 +80,10 @@
 		if blocked[key] && (!u.step().LongRunning || len(u.ClosedWorkers) == 0) {
 			continue
 		}
+		if f.waitsForCalm(now, u) {
+			d.Delayed = append(d.Delayed, u)
+			continue
+		}
 		if onClosed[u.Job] && !u.step().LongRunning || f.mayWaitForOpenWorkers(u) {
 			// One attempt of a job at a time is risked there.
 			u.ClosedWorkers = nil
@@ -97,8 +103,7 @@
 		if u.Job.Priority > 0 {
 			blocked[key] = true
 		}
-		if u.Guaranteed || u.Job.Priority == 0 && u.timeliness(now) == inTime {
-			u.withFallbacks(func() bool { return f.preemptFor(now, u, &d) })
+		if f.makeRoom(now, u, &d) {
 			continue
 		}
 		if f.mayReserve(now, u, reserved) {
--- a/policy/reclaim.go
+++ b/policy/reclaim.go
@@ -13,9 +13,20 @@
 // zero.
 const minHeld = 0.1
 
+// makeRoom preempts groups for a unit that is guaranteed, or urgent and still in time. It reports false if the unit may preempt nothing, or nothing
+// that is worth it; such a unit may reserve capacity.
+func (f *Fleet) makeRoom(now time.Time, u *Unit, d *Decision) bool {
+	if !u.Guaranteed && (u.Job.Priority > 0 || u.timeliness(now) != inTime) {
+		return false
+	}
+	withheld := len(d.Withheld)
+	u.withFallbacks(func() bool { return f.preemptFor(now, u, d) })
+	return len(d.Withheld) == withheld
+}
+
 // preemptFor preempts groups for a unit that is guaranteed, or urgent and still in time. The unit may arrive while work of
 // other organisations uses the capacity that its organisation's guarantee covers. Of the possible sets of victims it takes
-// the one that loses the least work. If the unit fits once the stops that are already in progress have ended, it preempts
+// the one that costs the least to stop. If the unit fits once the stops that are already in progress have ended, it preempts
 // nothing, so that no unit causes preemptions twice. It reports whether the unit fits after the stops.
 func (f *Fleet) preemptFor(now time.Time, u *Unit, d *Decision) bool {
 	if chosen := f.findWorkers(now, u, capacityAfterStops); chosen != nil {
@@ -26,20 +37,23 @@
 	var bestTargets []*Worker
 	lowestCost := 0.0
 	for _, workers := range f.preemptionScopes(now, u) {
-		victims, targets := f.selectVictims(u, workers)
+		victims, targets := f.selectVictims(now, u, workers)
 		if targets == nil {
 			continue
 		}
 		cost := 0.0
 		for _, g := range victims {
-			cost += g.PreemptionCost
+			cost += g.StopCost
 		}
 		if bestTargets == nil || cost < lowestCost {
 			bestVictims, bestTargets, lowestCost = victims, targets, cost
 		}
 	}
+	if !u.Guaranteed && d.costsMoreThanGain(bestVictims, u) {
+		return false
+	}
 	for _, g := range bestVictims {
-		g.Preempted = true
+		g.Preempted, g.PreemptedFor = true, u
 		for id, used := range g.Uses {
 			if w, ok := f.byID[id]; ok {
 				w.FreeAfterStops = w.FreeAfterStops.Add(used)
@@ -58,11 +72,16 @@
 	}
 }
 
-// preemptionScopes returns the sets of workers within which groups may be preempted for the unit: each rack by itself while
-// the unit waits for a rack, otherwise the whole fleet.
+// preemptionScopes returns the sets of workers within which groups may be preempted for the unit. While the unit waits for a rack, these are the
+// rack with its data, or each rack by itself if it needs only one rack; otherwise the whole fleet. Load pattern: demand that moves to data in a
+// full rack.
 func (f *Fleet) preemptionScopes(now time.Time, u *Unit) [][]*Worker {
-	if !u.step().SameRack || !f.shouldWaitForRack(now, u) {
+	step := u.step()
+	switch {
+	case !step.SameRack && step.DataRack == "" || !f.shouldWaitForRack(now, u):
 		return [][]*Worker{f.workers}
+	case step.DataRack != "":
+		return [][]*Worker{f.racks[step.DataRack]}
 	}
 	scopes := make([][]*Worker, 0, len(f.rackNames))
 	for _, name := range f.rackNames {
@@ -73,7 +92,7 @@
 
 // selectVictims returns the groups to preempt so that the unit fits on the workers, and the workers for its tasks. The
 // workers are nil if the unit does not fit even when every group that may be preempted is.
-func (f *Fleet) selectVictims(u *Unit, workers []*Worker) ([]*Group, []*Worker) {
+func (f *Fleet) selectVictims(now time.Time, u *Unit, workers []*Worker) ([]*Group, []*Worker) {
 	// held has the accelerators of each candidate on these workers, plus minHeld per worker.
 	held := map[*Group]float64{}
 	for _, w := range workers {
@@ -88,11 +107,12 @@
 	}
 	candidates := make([]*Group, 0, len(held))
 	for g := range held {
+		g.StopCost = g.stopCost(now)
 		candidates = append(candidates, g)
 	}
 	slices.SortFunc(candidates, func(a, b *Group) int {
-		return cmp.Or(cmp.Compare(a.urgencyRank(), b.urgencyRank()), cmp.Compare(a.PreemptionCost/held[a], b.PreemptionCost/held[b]),
-			cmp.Compare(a.PreemptionCost, b.PreemptionCost), cmp.Compare(a.firstWorker(), b.firstWorker()))
+		return cmp.Or(cmp.Compare(a.urgencyRank(), b.urgencyRank()), cmp.Compare(a.StopCost/held[a], b.StopCost/held[b]),
+			cmp.Compare(a.StopCost, b.StopCost), cmp.Compare(a.firstWorker(), b.firstWorker()))
 	})
 	released := map[string]workload.Resources{}
 	capacityAfterPreemption := func(w *Worker) workload.Resources { return w.FreeAfterStops.Add(released[w.ID]) }
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -30,6 +30,11 @@
 	// Guaranteed means that the organisation's guarantee covers the job, so that work beyond a guarantee is preempted for
 	// it.
 	Guaranteed bool
+	// Preemptions is how often runs of the unit were preempted, and PreemptedAt is when they last were.
+	Preemptions int
+	PreemptedAt time.Time
+	// ThrownAway is for how long runs of the unit have worked in vain before they were preempted.
+	ThrownAway time.Duration
 	// IdleSince is since when the unit could have started while no run of the job was at work or being started; zero while one is. Each task
 	// that lasts counts by itself.
 	IdleSince time.Time
@@ -134,6 +139,8 @@
 	Organisation string
 	// Deadline is when the group's job has to be completed to meet its objective, and Expiry when completing it stops being of use.
 	Deadline, Expiry time.Time
+	// Objective is the time within which the group's job has to be completed after its acceptance.
+	Objective time.Duration
 	// Remaining is the expected time until the group is done.
 	Remaining time.Duration
 	// Preemptions is how often runs of the same tasks have been preempted before.
@@ -142,8 +149,11 @@
 	PreemptionCost float64
 	// Uses has the resources that the group uses, by worker id.
 	Uses map[string]workload.Resources
-	// Preempted is set once the group has been chosen as a victim.
-	Preempted bool
+	// Preempted is set once the group has been chosen as a victim, and PreemptedFor is the unit that needs its capacity.
+	Preempted    bool
+	PreemptedFor *Unit
+	// StopCost is what it costs to stop the group, in core-seconds; see stopCost. It is set while victims are chosen.
+	StopCost float64
 	// Handle identifies the group to the caller.
 	Handle any
 }
@@ -162,4 +172,8 @@
 	Placements []Placement
 	// Preemptions are the groups to stop.
 	Preemptions []*Group
+	// Withheld has the units for which no group is stopped although that would give them room.
+	Withheld []Withheld
+	// Delayed has the units that were preempted and wait before they start again; see waitsForCalm.
+	Delayed []*Unit
 }
