--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -142,6 +142,12 @@
 	if w.OverLimit {
 		s.print("  its organisation has as much at work as its limit allows")
 	}
+	if w.Delayed {
+		s.print("  work of it was stopped for more urgent work, and waits before it starts again")
+	}
+	if w.CostsMore {
+		s.print("  running work could give way to it, which would cost other callers more than it gains")
+	}
 	var counts []string
 	for _, c := range []struct {
 		n    int
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -53,7 +53,7 @@
 	RetryAfter time.Duration `cbor:"6,keyasint,omitempty" json:"retry-after,omitempty"`
 	// Guaranteed means that the organisation's guarantee covers the job.
 	Guaranteed bool `cbor:"7,keyasint,omitempty" json:"guaranteed"`
-	// Placements has the tasks that would be started now, and Stopped the running groups that would be stopped for work that is ready.
+	// Placements has the tasks that would be started now, and Stopped the running groups that would be stopped for the job.
 	Placements []ExplainedPlacement `cbor:"8,keyasint,omitempty" json:"placements,omitempty"`
 	Stopped    []ExplainedGroup     `cbor:"9,keyasint,omitempty" json:"stopped,omitempty"`
 	// BeyondWeight means that the organisation has submitted more jobs than its weight entitles it to, so that others come first.
@@ -109,7 +109,12 @@
 	Ahead int `cbor:"3,keyasint,omitempty" json:"ahead"`
 	// OverLimit means that a unit of the job waits for room under its organisation's limit.
 	OverLimit bool `cbor:"10,keyasint,omitempty" json:"over-limit"`
-	// Workers counts the workers of the service by the first reason for which the first unit that waits is not placed there.
+	// Delayed means that a unit was preempted and waits before it starts again. CostsMore means that running work could give way to a unit, and
+	// that this would cost other callers more than it gains.
+	Delayed   bool `cbor:"11,keyasint,omitempty" json:"delayed"`
+	CostsMore bool `cbor:"12,keyasint,omitempty" json:"costs-more"`
+	// Unavailable and the counts after it are the workers of the service, each by the first reason for which the first unit that waits is not
+	// placed there.
 	Unavailable int `cbor:"4,keyasint,omitempty" json:"workers-unavailable"`
 	Closed      int `cbor:"5,keyasint,omitempty" json:"workers-closed"`
 	Avoided     int `cbor:"6,keyasint,omitempty" json:"workers-avoided"`
@@ -191,9 +196,15 @@
 			return
 		}
 		for _, g := range d.Preemptions {
-			e.addStopped(g)
+			if g.PreemptedFor.Job == &j.record.Job {
+				e.addStopped(g)
+			}
 		}
 		e.Waiting = p.explainWait(now, j, conf, waiting, placed)
+		if e.Waiting != nil {
+			e.Waiting.Delayed = slices.ContainsFunc(d.Delayed, func(u *policy.Unit) bool { return u.Job == &j.record.Job })
+			e.Waiting.CostsMore = slices.ContainsFunc(d.Withheld, func(w policy.Withheld) bool { return w.Unit.Job == &j.record.Job })
+		}
 	})
 	if e.Waiting != nil {
 		e.Waiting.OverLimit = slices.ContainsFunc(d.units, func(u *policy.Unit) bool { return u.Job == &j.record.Job && d.limits.Withheld(u) })
@@ -207,7 +218,7 @@
 	switch {
 	case len(placed) > 0:
 		e.Course = CourseStarts
-	case len(e.Stopped) > 0 && e.Waiting != nil && (e.Guaranteed || j.record.Job.Priority == 0):
+	case len(e.Stopped) > 0:
 		e.Course = CoursePreempts
 	default:
 		e.Course = CourseWaits
--- a/engine/state.go
+++ b/engine/state.go
@@ -41,8 +41,10 @@
 	rates map[int][]*policy.Rate
 	// compared has the steps by which a worker was compared with others.
 	compared map[stepWorker]bool
-	// preemptions counts, by task or gang, the runs that were stopped for more urgent work.
-	preemptions map[groupKey]int
+	// preemptions has, by task or gang, the runs that were stopped for more urgent work.
+	preemptions map[groupKey]preemptions
+	// preemptionWithheld has the tasks and gangs for which it was logged that no room is made.
+	preemptionWithheld map[groupKey]bool
 	// idleSince is since when no run of the job is at work although a task is ready or placed, zero while one is; idleReportedAt is when the
 	// reason was last logged.
 	idleSince, idleReportedAt time.Time
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -69,7 +69,13 @@
 	Polls                Name = "looks"
 	OrdersUnanswered     Name = "orders-unanswered"
 	GroupsPreempted      Name = "groups-preempted"
-	EndsContradicted     Name = "inferred-ends-contradicted"
+	// CoreSecondsPreempted is the work that preemptions have thrown away, in core-seconds; an accelerator counts as 8 cores.
+	CoreSecondsPreempted Name = "core-seconds-preempted"
+	// PreemptionsWithheld counts the units for which no room was made, since that would cost other callers more.
+	PreemptionsWithheld Name = "preemptions-withheld"
+	// RestartsDelayed counts the preempted units that waited before they started again.
+	RestartsDelayed  Name = "restarts-delayed"
+	EndsContradicted Name = "inferred-ends-contradicted"
 	// GroupsStalled counts the groups that were stopped because a run stood still.
 	GroupsStalled Name = "groups-stalled"
 	// GroupsKeptAtFullPercent is how many groups are kept although a run of theirs stands still at 100 percent.
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -127,7 +127,7 @@
 // of an organisation at a time keeps such room. A gang of more than half of the limit that has had nothing at work for too long beside idle workers
 // preempts what its organisation has at work, up to half of the limit. Load pattern: urgent work behind low-priority work of its own organisation,
 // and gangs behind small tasks of it.
-func (f *Fleet) awaitLimit(now time.Time, u *Unit, urgent bool, d *Decision) {
+func (f *Fleet) awaitLimit(now time.Time, u *Unit, d *Decision) {
 	a, need := f.Limits.of(u.Job.Organisation), u.need()
 	maxLoss := math.Inf(1)
 	if !u.Guaranteed {
@@ -135,7 +135,7 @@
 		maxLoss = need.Cores() * u.Remaining.Seconds()
 	}
 	preemptible := func(g *Group) bool { return g.preemptibleBy(u) }
-	if urgent && (a.fits(need, a.leftAfterStops) || f.fitsAfterPreemption(now, u) && f.preemptWithinLimit(u, a, preemptible, maxLoss, d)) {
+	if u.mayPreempt(now) && (a.fits(need, a.leftAfterStops) || f.fitsAfterPreemption(now, u) && f.preemptWithinLimit(u, a, preemptible, maxLoss, d)) {
 		fits := false
 		u.withFallbacks(func() bool {
 			fits = f.preemptFor(now, u, d)
@@ -155,7 +155,8 @@
 	}
 }
 
-// fitsAfterPreemption reports whether workers would have the capacity for the unit if every group were preempted that may be for it.
+// fitsAfterPreemption reports whether workers would have the capacity for the unit if groups were preempted that may be for it, and whose stop costs
+// no more than it gains.
 func (f *Fleet) fitsAfterPreemption(now time.Time, u *Unit) bool {
 	fits := false
 	u.withFallbacks(func() bool {
@@ -164,8 +165,9 @@
 			if fits {
 				break
 			}
-			_, targets := f.selectVictims(u, workers)
-			fits = targets != nil
+			victims, targets := f.selectVictims(now, u, workers)
+			cost, gain := u.weighStops(victims)
+			fits = targets != nil && cost <= gain
 		}
 		return fits
 	})
@@ -218,14 +220,14 @@
 		return false
 	}
 	for _, g := range victims {
-		f.preempt(g, d)
+		f.preempt(g, u, d)
 	}
 	return true
 }
 
-// preempt chooses a group as a victim and counts what it releases once it has stopped.
-func (f *Fleet) preempt(g *Group, d *Decision) {
-	g.Preempted = true
+// preempt chooses a group as a victim for the unit and counts what it releases once it has stopped.
+func (f *Fleet) preempt(g *Group, u *Unit, d *Decision) {
+	g.Preempted, g.PreemptedFor = true, u
 	for id, used := range g.Uses {
 		if w, ok := f.byID[id]; ok {
 			w.FreeAfterStops = w.FreeAfterStops.Add(used)
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -34,6 +34,8 @@
 	Limits *Limits
 	// Groups are the groups that may be preempted, of all services. They are set before Plan.
 	Groups []*Group
+	// StopTime is how long the stop of a run may take. It is set before Plan.
+	StopTime time.Duration
 
 	workers []*Worker
 	byID    map[string]*Worker
@@ -87,9 +89,12 @@
 		if blocked[key] && (!u.step().LongRunning || len(u.ClosedWorkers) == 0) {
 			continue
 		}
-		urgent := u.Guaranteed || u.Job.Priority == 0 && u.timeliness(now) == inTime
+		if f.waitsForCalm(now, u) {
+			d.Delayed = append(d.Delayed, u)
+			continue
+		}
 		if !f.admit(u) {
-			f.awaitLimit(now, u, urgent, &d)
+			f.awaitLimit(now, u, &d)
 			continue
 		}
 		if onClosed[u.Job] && !u.step().LongRunning || f.mayWaitForOpenWorkers(u) {
@@ -111,8 +116,7 @@
 		if u.Job.Priority > 0 {
 			blocked[key] = true
 		}
-		if urgent {
-			u.withFallbacks(func() bool { return f.preemptFor(now, u, &d) })
+		if f.makeRoom(now, u, &d) {
 			continue
 		}
 		if f.mayReserve(now, u, reserved) {
