engine: explain a job that is accepted already as it is

Cause: a call that repeats an accepted job was explained as a new one that waits, without a reason. Change: the accepted job is explained, as a repeated submission has no effect. Result: the extended test was seen failing (waits instead of under-way), and passes.

--- a/engine/explain.go
+++ b/engine/explain.go
@@ -131,12 +131,18 @@
 }
 
 func (p *Planner) explain(request ExplainRequest) Result {
-	j, known := p.jobs[request.ID]
+	id := request.ID
 	if request.Job != nil {
-		j, known = newJobState(workload.Record{Job: *request.Job, Progress: *workload.NewProgress(request.Job)}, p.Clock.Now()), true
+		id = request.Job.ID
 	}
-	if !known {
+	// Submitting a job again has no effect, so one that is accepted already is explained as it is.
+	j, accepted := p.jobs[id]
+	switch {
+	case accepted:
+	case request.Job == nil:
 		return Result{Verdict: VerdictAbsent}
+	default:
+		j = newJobState(workload.Record{Job: *request.Job, Progress: *workload.NewProgress(request.Job)}, p.Clock.Now())
 	}
 	now, conf := p.Clock.Now(), p.Configuration()
 	e := &Explanation{
@@ -145,14 +151,14 @@
 	if !p.storeFailingSince.IsZero() {
 		e.StoreFailing = now.Sub(p.storeFailingSince)
 	}
-	if request.Job != nil {
+	if accepted {
+		e.State = j.state()
+	} else {
 		j.beyondWeight = p.wouldBeBeyondWeight(request.Job)
 		if r, refused := p.refusal(request.Job); refused {
 			e.Course, e.Reason, e.RetryAfter = CourseRefused, r.Reason, r.RetryAfter
 			return Result{Verdict: VerdictAccepted, Explanation: e}
 		}
-	} else {
-		e.State = j.state()
 	}
 	p.explainCourse(e, now, j)
 	return Result{Verdict: VerdictAccepted, State: e.State, Explanation: e}
@@ -186,24 +192,8 @@
 	withheld := len(units) - len(p.withoutPossibleRuns(now, slices.Clone(units)))
 	placed := map[*policy.Unit]bool{}
 	d := p.decide(now, conf, func(waiting []*policy.Unit, d policy.Decision) {
-		for _, placement := range d.Placements {
-			if placement.Unit.Job == &j.record.Job {
-				placed[placement.Unit] = true
-				e.addPlacement(now, p, placement)
-			}
-		}
-		if !slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job == &j.record.Job }) {
-			return
-		}
-		for _, g := range d.Preemptions {
-			if g.PreemptedFor.Job == &j.record.Job {
-				e.addStopped(g)
-			}
-		}
-		e.Waiting = p.explainWait(now, j, conf, waiting, placed)
-		if e.Waiting != nil {
-			e.Waiting.Delayed = slices.ContainsFunc(d.Delayed, func(u *policy.Unit) bool { return u.Job == &j.record.Job })
-			e.Waiting.CostsMore = slices.ContainsFunc(d.Withheld, func(w policy.Withheld) bool { return w.Unit.Job == &j.record.Job })
+		if slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job == &j.record.Job }) {
+			p.explainDecision(e, now, j, conf, waiting, d, placed)
 		}
 	})
 	if e.Waiting != nil {
@@ -225,6 +215,28 @@
 	}
 }
 
+// explainDecision adds what the decision on the job's service means for the job. It adds the units that are placed to placed.
+func (p *Planner) explainDecision(e *Explanation, now time.Time, j *jobState, conf *Configuration, waiting []*policy.Unit, d policy.Decision,
+	placed map[*policy.Unit]bool,
+) {
+	for _, placement := range d.Placements {
+		if placement.Unit.Job == &j.record.Job {
+			placed[placement.Unit] = true
+			e.addPlacement(now, p, placement)
+		}
+	}
+	for _, g := range d.Preemptions {
+		if g.PreemptedFor.Job == &j.record.Job {
+			e.addStopped(g)
+		}
+	}
+	e.Waiting = p.explainWait(now, j, conf, waiting, placed)
+	if e.Waiting != nil {
+		e.Waiting.Delayed = slices.ContainsFunc(d.Delayed, func(u *policy.Unit) bool { return u.Job == &j.record.Job })
+		e.Waiting.CostsMore = slices.ContainsFunc(d.Withheld, func(w policy.Withheld) bool { return w.Unit.Job == &j.record.Job })
+	}
+}
+
 // explainWait says why units of the job are not placed; nil if all are. waiting has the units of the service in the order of the decision.
 func (p *Planner) explainWait(now time.Time, j *jobState, conf *Configuration, waiting []*policy.Unit, placed map[*policy.Unit]bool) *ExplainedWait {
 	var wait *ExplainedWait
--- a/engine/explain_test.go
+++ b/engine/explain_test.go
@@ -39,6 +39,8 @@
 		under := r.mustExplain(p, engine.ExplainRequest{ID: "j1"})
 		r.Equal(under.Course, engine.CourseUnderWay)
 		r.Equal(under.State, workload.StateRunning)
+		again := r.mustExplain(p, engine.ExplainRequest{Job: &job})
+		r.Equal(again.Course, engine.CourseUnderWay)
 		explained, actual := map[string]string{}, map[string]string{}
 		for _, placement := range e.Placements {
 			explained[placement.Task] = placement.Worker
