policy, engine: findings of the review of limits, room and speeds

Causes, each seen in a test or a measured pass: an urgent unit for which no room is made searched for victims again for each unit in each pass (350 workers, 1,000 gangs: 3.0 s a pass); the same under a limit, since the costly question came first; a guaranteed job waited for the room that an overdue gang of its own organisation keeps under the limit; a gang that never fits beside tasks that last kept such room for ever; a unit that fits on a worker that is set aside still counted as held back, and reserved room a second time; work without an objective weighed most. The note of speeds could bring in ages that overflow, and speeds of workers that are gone were forgotten only with a write. Change: the cost of making room is kept by the shape of units during a pass; the cheap question goes first; guaranteed units pass their organisation's reservation; Usage has what lasts; the rest as named. waitsForCalm is now waitsAfterPreemption.

--- a/engine/limits.go
+++ b/engine/limits.go
@@ -50,6 +50,9 @@
 		for _, r := range w.runs {
 			u := usage[r.group.job.record.Job.Organisation]
 			u.All = u.All.Add(r.need)
+			if r.group.step().LongRunning {
+				u.Lasting = u.Lasting.Add(r.need)
+			}
 			if (r.stopRequested || r.group.done) && w.failingSince.IsZero() {
 				u.Stopping = u.Stopping.Add(r.need)
 			}
@@ -148,7 +151,7 @@
 				break
 			}
 			used = used.Sub(g.step().Need.Times(len(g.runs)))
-			p.stopGroup(g, "its organisation's limit was lowered")
+			p.stopGroup(g, "its organisation is above its limit")
 		}
 	}
 }
--- a/engine/speed_note.go
+++ b/engine/speed_note.go
@@ -19,6 +19,8 @@
 	maxNotedWorkers = 4096
 	// maxNotedLog bounds the logarithm of a speed that is read from the store.
 	maxNotedLog = 3.0
+	// maxNotedAge bounds the age in seconds of an observation that is read from the store. Nothing of one that is older counts.
+	maxNotedAge = 24 * 60 * 60
 	// notedUnits is the number of units of a noted figure in 1.
 	notedUnits = 100
 	// minLeft is the share of what was observed below which a worker is forgotten.
@@ -51,11 +53,14 @@
 	// inFlight is set while a read or a write is in flight; nextAt is the earliest time of the next one.
 	inFlight bool
 	nextAt   time.Time
+	// prunedAt is when workers that were last observed long ago were last forgotten.
+	prunedAt time.Time
 }
 
 // syncSpeedNote reads the note of an earlier planner, or writes a new one if it is time.
 func (p *Planner) syncSpeedNote(now time.Time) {
 	n := &p.speedNote
+	p.forgetSpeeds(now)
 	if n.inFlight || now.Before(n.nextAt) || !p.storeFailingSince.IsZero() || n.read && !n.changed {
 		return
 	}
@@ -67,6 +72,15 @@
 	p.writeSpeedNote(now)
 }
 
+// forgetSpeeds forgets workers that were last observed long ago.
+func (p *Planner) forgetSpeeds(now time.Time) {
+	if now.Sub(p.speedNote.prunedAt) < speedNoteInterval {
+		return
+	}
+	p.speedNote.prunedAt = now
+	maps.DeleteFunc(p.speeds, func(_ string, known *workerSpeed) bool { return known.Left(now) < minLeft })
+}
+
 func (p *Planner) readSpeedNote() {
 	p.call(classRead, func() func() {
 		ctx, cancel := context.WithTimeout(p.ctx, loadTimeout)
@@ -99,18 +113,18 @@
 		if known, ok := p.speeds[id]; ok && known.Precision > 0 {
 			continue
 		}
+		age := time.Duration(min(max(0, noted.Age), maxNotedAge)) * time.Second
 		log := max(-maxNotedLog, min(maxNotedLog, float64(noted.Log)/notedUnits))
 		p.speeds[id] = &workerSpeed{class: policy.SpeedClass(math.Exp(log), noted.Class), SpeedEstimate: policy.SpeedEstimate{
-			Log: log, Precision: min(policy.MaxPrecision, max(0, float64(noted.Precision))), Observed: now.Add(-time.Duration(max(0, noted.Age)) * time.Second),
+			Log: log, Precision: min(policy.MaxPrecision, max(0, float64(noted.Precision))), Observed: now.Add(-age),
 		}}
 	}
 	p.planNeeded = true
 	p.Log.Event("speed-note-loaded", "workers", len(note.Workers), "revision", item.Revision)
 }
 
-// currentSpeedNote returns the note to write, and forgets workers that were last observed long ago.
+// currentSpeedNote returns the note to write.
 func (p *Planner) currentSpeedNote(now time.Time) speedNote {
-	maps.DeleteFunc(p.speeds, func(_ string, known *workerSpeed) bool { return known.Left(now) < minLeft })
 	ids := slices.Sorted(maps.Keys(p.speeds))
 	if len(ids) > maxNotedWorkers {
 		slices.SortStableFunc(ids, func(a, b string) int { return cmp.Compare(math.Abs(p.speeds[b].Log), math.Abs(p.speeds[a].Log)) })
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -14,8 +14,8 @@
 type Usage struct {
 	// All has the resources of everything that is at work or may be.
 	All workload.Resources
-	// Stopping is the part of All that is about to end.
-	Stopping workload.Resources
+	// Stopping is the part of All that is about to end, and Lasting the part of tasks that last, which do not end by themselves.
+	Stopping, Lasting workload.Resources
 }
 
 // Limits holds, during one pass over all services, what organisations may have at work and what they have. A nil Limits limits nothing.
@@ -31,6 +31,8 @@
 	limit workload.Resources
 	// usesHalf is set if half of the limit or more was in use at the beginning of the pass, not counting what is about to end.
 	usesHalf bool
+	// lasting is the part of the use that does not end by itself, so that no unit waits for it.
+	lasting workload.Resources
 	// left is the limit less everything that may be at work and what the pass has placed or reserved; leftAfterStops is left once the stops
 	// in progress have ended. Both may be negative, as after a limit was lowered.
 	left, leftAfterStops workload.Resources
@@ -46,7 +48,7 @@
 // Set sets the limit of an organisation and what it uses at the beginning of the pass. An amount of 0 limits nothing.
 func (l *Limits) Set(organisation string, limit workload.Resources, usage Usage) {
 	left := limit.Sub(usage.All)
-	a := &allowance{limit: limit, left: left, leftAfterStops: left.Add(usage.Stopping)}
+	a := &allowance{limit: limit, left: left, leftAfterStops: left.Add(usage.Stopping), lasting: usage.Lasting}
 	a.usesHalf = !a.fits(usage.All.Sub(usage.Stopping).Times(2), limit)
 	l.organisations[organisation] = a
 }
@@ -106,6 +108,18 @@
 	return !a.fits(need, limit)
 }
 
+// passesReservation reports whether the unit need not wait for the room that its organisation keeps for another unit: it is owed the capacity, or its
+// job has had nothing at work for too long. Load pattern: guaranteed work behind an overdue gang of its own organisation.
+func (u *Unit) passesReservation() bool { return u.Guaranteed || u.overdue }
+
+// leftAfterStopsFor returns what is left for the unit once the stops in progress have ended.
+func (a *allowance) leftAfterStopsFor(u *Unit) workload.Resources {
+	if u.passesReservation() {
+		return a.leftAfterStops.Add(a.reserved)
+	}
+	return a.leftAfterStops
+}
+
 // admit reports whether the unit may start now under its organisation's limit. One that may not waits for no capacity, so none is reserved for it
 // and nothing of other organisations is preempted. Load pattern: an organisation whose own work uses up what it may have, beside work of
 // others.
@@ -114,8 +128,7 @@
 	if a == nil || a.fits(u.need(), a.left) {
 		return true
 	}
-	if u.overdue && a.fits(u.need(), a.left.Add(a.reserved)) {
-		// Its job has had nothing at work for too long to wait for the reservation.
+	if u.passesReservation() && a.fits(u.need(), a.left.Add(a.reserved)) {
 		return true
 	}
 	f.Limits.withheld[u] = true
@@ -135,7 +148,7 @@
 		maxLoss = need.Cores() * u.Remaining.Seconds()
 	}
 	preemptible := func(g *Group) bool { return g.preemptibleBy(u) }
-	if u.mayPreempt(now) && (a.fits(need, a.leftAfterStops) || f.fitsAfterPreemption(now, u) && f.preemptWithinLimit(u, a, preemptible, maxLoss, d)) {
+	if u.mayPreempt(now) && f.preemptForLimit(now, u, a, preemptible, maxLoss, d) {
 		fits := false
 		u.withFallbacks(func() bool {
 			fits = f.preemptFor(now, u, d)
@@ -145,16 +158,35 @@
 			return
 		}
 	}
-	if a.reserved == (workload.Resources{}) && a.fits(need, a.limit) {
-		if u.overdue && !a.usesHalf && !a.fits(need, a.leftAfterStops) {
+	if a.reserved == (workload.Resources{}) && a.fits(need, a.limit.Sub(a.lasting)) {
+		if u.overdue && !a.usesHalf && !a.fits(need, a.leftAfterStopsFor(u)) {
 			notMoreUrgent := func(g *Group) bool { return g.Priority >= u.Job.Priority && !g.Guaranteed }
-			f.preemptWithinLimit(u, a, notMoreUrgent, math.Inf(1), d)
+			victims, _ := f.victimsWithinLimit(u, a, notMoreUrgent, math.Inf(1))
+			for _, g := range victims {
+				f.preempt(g, u, d)
+			}
 		}
 		a.reserved = need
 		f.Limits.take(u.Job.Organisation, need)
 	}
 }
 
+// preemptForLimit makes the unit fit under the limit of its organisation, if necessary by preempting groups of it. It preempts nothing and reports false
+// if the unit would not fit all the same, neither under the limit nor on the workers, or if more core-seconds would be lost than maxLoss.
+func (f *Fleet) preemptForLimit(now time.Time, u *Unit, a *allowance, preemptible func(*Group) bool, maxLoss float64, d *Decision) bool {
+	if a.fits(u.need(), a.leftAfterStopsFor(u)) {
+		return true
+	}
+	victims, ok := f.victimsWithinLimit(u, a, preemptible, maxLoss)
+	if !ok || !f.fitsAfterPreemption(now, u) {
+		return false
+	}
+	for _, g := range victims {
+		f.preempt(g, u, d)
+	}
+	return true
+}
+
 // fitsAfterPreemption reports whether workers would have the capacity for the unit if groups were preempted that may be for it, and whose stop costs
 // no more than it gains.
 func (f *Fleet) fitsAfterPreemption(now time.Time, u *Unit) bool {
@@ -174,17 +206,16 @@
 	return fits
 }
 
-// preemptWithinLimit preempts groups of the unit's own organisation, so that the unit fits under the limit. Groups that lose the least work for
-// what they use go first. It preempts nothing and reports false if the unit would not fit all the same, or if more core-seconds would be lost than
-// maxLoss.
-func (f *Fleet) preemptWithinLimit(u *Unit, a *allowance, preemptible func(*Group) bool, maxLoss float64, d *Decision) bool {
+// victimsWithinLimit returns groups of the unit's own organisation whose stop makes the unit fit under the limit. Groups that lose the least work for
+// what they use go first. It reports false if the unit would not fit all the same, or if more core-seconds would be lost than maxLoss.
+func (f *Fleet) victimsWithinLimit(u *Unit, a *allowance, preemptible func(*Group) bool, maxLoss float64) ([]*Group, bool) {
 	need := u.need()
 	cost := map[*Group]float64{}
 	var candidates []*Group
 	for _, g := range f.Groups {
-		if total := g.total(); g.Organisation == u.Job.Organisation && !g.Preempted && preemptible(g) {
+		if g.Organisation == u.Job.Organisation && !g.Preempted && preemptible(g) {
 			candidates = append(candidates, g)
-			cost[g] = g.PreemptionCost / (minHeld + total.Cores())
+			cost[g] = g.PreemptionCost / (minHeld + g.total().Cores())
 		}
 	}
 	slices.SortFunc(candidates, func(x, y *Group) int {
@@ -192,17 +223,17 @@
 			cmp.Compare(x.firstWorker(), y.firstWorker()))
 	})
 	count := sort.Search(len(candidates)+1, func(n int) bool {
-		left := a.leftAfterStops
+		left := a.leftAfterStopsFor(u)
 		for _, g := range candidates[:n] {
 			left = left.Add(g.total())
 		}
 		return a.fits(need, left)
 	})
 	if count > len(candidates) {
-		return false
+		return nil, false
 	}
 	victims := slices.Clone(candidates[:count])
-	left := a.leftAfterStops
+	left := a.leftAfterStopsFor(u)
 	for _, g := range victims {
 		left = left.Add(g.total())
 	}
@@ -217,12 +248,9 @@
 		lost += g.PreemptionCost
 	}
 	if lost > maxLoss {
-		return false
+		return nil, false
 	}
-	for _, g := range victims {
-		f.preempt(g, u, d)
-	}
-	return true
+	return victims, true
 }
 
 // preempt chooses a group as a victim for the unit and counts what it releases once it has stopped.
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -275,3 +275,41 @@
 	huge.Tasks, huge.Need.MemoryMB = 20_000, 1<<62
 	is.True(policy.ExceedsLimit(&huge, workload.Resources{MemoryMB: 1 << 42}))
 }
+
+// Guards against a guaranteed job that waits because an overdue gang of its own organisation keeps the room under the limit.
+func TestGuaranteedUnitPassesReservationUnderLimit(t *testing.T) {
+	is := is.New(t)
+	gang := unit("gang", 1, 6, 1)
+	gang.IdleSince = start
+	units := []*policy.Unit{gang}
+	for i := range 4 {
+		u := unit("guaranteed", 0, 1, 1)
+		u.Guaranteed, u.Tasks = true, []int{i}
+		units = append(units, u)
+	}
+	ownedBy("a", units...)
+	f := policy.NewFleet(emptyWorkers(10))
+	f.MostlyIdle = true
+	f.Limits = limited(workload.Resources{Accelerators: 8}, policy.Usage{All: workload.Resources{Accelerators: 3}})
+	now := at(3 * time.Second)
+	policy.Order(now, units)
+	started := 0
+	for _, p := range f.Plan(now, units).Placements {
+		is.Equal(p.Unit.Job.ID, "guaranteed")
+		started++
+	}
+	is.Equal(started, 4)
+}
+
+// Guards against a gang that keeps room under the limit beside tasks that last, with which it never fits: nothing else of its organisation started.
+func TestGangThatNeverFitsBesideLastingTasksReservesNothing(t *testing.T) {
+	is := is.New(t)
+	lasting := workload.Resources{Accelerators: 4}
+	units := []*policy.Unit{unit("gang", 1, 6, 1)}
+	for i := range 4 {
+		units = append(units, unit(fmt.Sprintf("small%d", i), 1, 1, 1))
+	}
+	ownedBy("a", units...)
+	d := planWithin(start, limited(workload.Resources{Accelerators: 8}, policy.Usage{All: lasting, Lasting: lasting}), emptyWorkers(10), nil, units...)
+	is.Equal(len(d.Placements), 4)
+}
--- a/policy/placement.go
+++ b/policy/placement.go
@@ -45,6 +45,8 @@
 	totalAccelerators int64
 	// speeds is what the present pass knows of the workers' speeds.
 	speeds speedClasses
+	// withheldCosts has, by the shape of units, what it would have cost in this pass to make room for one.
+	withheldCosts map[unitShape]float64
 	// candidates is a buffer that partialBestFit reuses.
 	candidates []candidate
 }
@@ -80,6 +82,7 @@
 // for jobs that are worth little by then.
 func (f *Fleet) Plan(now time.Time, units []*Unit) Decision {
 	f.prepareSpeeds(now)
+	f.withheldCosts = map[unitShape]float64{}
 	var d Decision
 	reserved := int64(0)
 	blocked := map[stepKey]bool{}
@@ -89,7 +92,7 @@
 		if blocked[key] && (!u.step().LongRunning || len(u.ClosedWorkers) == 0) {
 			continue
 		}
-		if f.waitsForCalm(now, u) {
+		if f.waitsAfterPreemption(now, u) {
 			d.Delayed = append(d.Delayed, u)
 			continue
 		}
--- a/policy/reclaim.go
+++ b/policy/reclaim.go
@@ -25,7 +25,15 @@
 		return false
 	}
 	withheld := len(d.Withheld)
-	u.withFallbacks(func() bool { return f.preemptFor(now, u, d) })
+	fits := false
+	u.withFallbacks(func() bool {
+		fits = f.preemptFor(now, u, d)
+		return fits
+	})
+	if fits {
+		// What was withheld at a nearer fallback is not needed.
+		d.Withheld = d.Withheld[:withheld]
+	}
 	return len(d.Withheld) == withheld
 }
 
@@ -38,6 +46,10 @@
 		f.allocateAll(u, chosen)
 		return true
 	}
+	if cost, gain := f.withheldCost(u), u.boundOnCost(); cost > gain {
+		d.Withheld = append(d.Withheld, Withheld{Unit: u, Cost: cost, Gain: gain})
+		return false
+	}
 	var bestVictims []*Group
 	var bestTargets []*Worker
 	lowestCost := 0.0
@@ -56,6 +68,7 @@
 	}
 	if cost, gain := u.weighStops(bestVictims); cost > gain {
 		d.Withheld = append(d.Withheld, Withheld{Unit: u, Cost: cost, Gain: gain})
+		f.recordWithheldCost(u, cost)
 		return false
 	}
 	for _, g := range bestVictims {
--- a/policy/room.go
+++ b/policy/room.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"clementinepier/workload"
 )
 
 const (
@@ -34,12 +36,54 @@
 // has no bound, nor that of one without an estimate. Load pattern: many small urgent jobs beyond a guarantee, beside long gangs.
 func (u *Unit) weighStops(victims []*Group) (cost, gain float64) {
 	for _, g := range victims {
-		cost += weigh(g.StopCost, g.Objective)
+		if g.Objective > 0 {
+			// Nobody waits for a job without an objective.
+			cost += weigh(g.StopCost, g.Objective)
+		}
 	}
+	return cost, u.boundOnCost()
+}
+
+// boundOnCost returns what it may cost others at most to make room for the unit.
+func (u *Unit) boundOnCost() float64 {
 	if u.Guaranteed || u.Remaining <= 0 {
-		return cost, math.Inf(1)
+		return math.Inf(1)
+	}
+	return u.gain()
+}
+
+// unitShape is what the cost of making room for a unit depends on, beside the workers that it may use.
+type unitShape struct {
+	need             workload.Resources
+	tasks, perWorker int
+	sameRack         bool
+	label, dataRack  string
+}
+
+func (u *Unit) shape() unitShape {
+	s := u.step()
+	return unitShape{s.Need, len(u.Tasks), s.MaxTasksPerWorker, s.SameRack, s.Label, s.DataRack}
+}
+
+// usesPreferredWorkers reports whether the unit may use the same workers as others of its shape.
+func (u *Unit) usesPreferredWorkers() bool {
+	return u.fallback == preferredWorkers && len(u.RequiredWorkers) == 0
+}
+
+// withheldCost returns what it would have cost in this pass to make room for a unit of the same shape, or 0 if none was withheld. Without it, the
+// search for victims would be made for each waiting unit in each pass. Load pattern: a thousand urgent gangs over a service full of work that is worth
+// more.
+func (f *Fleet) withheldCost(u *Unit) float64 {
+	if !u.usesPreferredWorkers() {
+		return 0
+	}
+	return f.withheldCosts[u.shape()]
+}
+
+func (f *Fleet) recordWithheldCost(u *Unit, cost float64) {
+	if u.usesPreferredWorkers() {
+		f.withheldCosts[u.shape()] = cost
 	}
-	return cost, u.gain()
 }
 
 // stopCost returns what it costs to stop the group now, in core-seconds: the work that has to be done again, and all work that is left if the
@@ -68,11 +112,11 @@
 	return sum
 }
 
-// waitsForCalm reports whether the unit, which was preempted, waits before it starts again: for as long as its runs have worked in vain, for the
+// waitsAfterPreemption reports whether the unit, which was preempted, waits before it starts again: for as long as its runs have worked in vain, for the
 // time of a stop at least, which doubles each time, but for no more than half of the time after which it could not be in time. Load pattern: a
 // burst of urgent gangs over a full service, with gaps in which the same work would be started and stopped again. The urgent gangs find its room
 // free meanwhile.
-func (f *Fleet) waitsForCalm(now time.Time, u *Unit) bool {
+func (f *Fleet) waitsAfterPreemption(now time.Time, u *Unit) bool {
 	if u.Preemptions == 0 || u.Guaranteed || u.overdue || f.MostlyIdle {
 		return false
 	}
--- a/policy/room_test.go
+++ b/policy/room_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"clementinepier/policy"
+	"clementinepier/workload"
 )
 
 // fillWithWork gives all free capacity of the worker to a group of the given priority that has run for 2 s, can be in time and has 8 s of work left.
@@ -164,3 +165,64 @@
 		is.Equal(len(d.Withheld)+len(d.Delayed), 0)
 	}
 }
+
+// Guards against a search for victims for each of many urgent gangs for which no room is made: a pass over 350 full workers and 1,000 gangs took 3 s.
+func TestSearchForVictimsIsNotRepeatedForUnitsOfOneShape(t *testing.T) {
+	is := is.New(t)
+	var workers []*policy.Worker
+	for i := range 350 {
+		w := worker(fmt.Sprintf("w%03d", i), "r1", 0)
+		fillWithWork(w, 2).PreemptionCost = 10000
+		workers = append(workers, w)
+	}
+	var units []*policy.Unit
+	for i := range 1000 {
+		u := unit(fmt.Sprintf("u%04d", i), 0, 5, 8)
+		u.Job.Objective = 5 * time.Second
+		units = append(units, u)
+	}
+	// A unit that gains more than the others still gets room.
+	valuable := unit("valuable", 0, 5, 8)
+	valuable.Job.Objective, valuable.Job.Priority = 5*time.Second, 0
+	valuable.Remaining, valuable.Deadline = 4*time.Hour, at(5*time.Hour)
+	units = append(units, valuable)
+	allocations := testing.AllocsPerRun(1, func() {
+		d := plan(start, workers, units...)
+		is.Equal(len(d.Withheld), 1000)
+		is.Equal(len(d.Preemptions), 5)
+		for _, g := range d.Preemptions {
+			is.Equal(g.PreemptedFor, valuable)
+			g.Preempted = false
+		}
+		for _, w := range workers {
+			w.FreeAfterStops = w.Free
+		}
+	})
+	// Each search allocates tables of all groups, some 70 allocations here.
+	is.True(allocations < 20*1000)
+}
+
+// Guards against room that is made twice: a unit that finds room on a worker that is set aside is not held back, and reserves nothing.
+func TestUnitThatFitsOnClosedWorkerIsNotWithheld(t *testing.T) {
+	is := is.New(t)
+	full, closed := worker("w1", "r1", 0), worker("w2", "r1", 0)
+	fillWithWork(full, 2).PreemptionCost = 10000
+	closed.Closed = true
+	// The stop of a run on the closed worker is in progress.
+	closed.Free = workload.Resources{}
+	u := unit("urgent", 0, 1, 8)
+	u.Job.Objective, u.ClosedWorkers, u.IdleSince = 5*time.Second, map[string]int{"w2": 0}, start
+	d := plan(start, []*policy.Worker{full, closed}, u)
+	is.Equal(len(d.Withheld), 0)
+	is.Equal(len(d.Preemptions), 0)
+}
+
+// Guards against work without an objective that is spared at the cost of work that is wanted in time.
+func TestWorkWithoutObjectiveGivesWay(t *testing.T) {
+	is := is.New(t)
+	w := worker("w1", "r1", 0)
+	fillWithWork(w, 2).Objective = 0
+	u := unit("urgent", 0, 1, 8)
+	u.Job.Objective = 5 * time.Second
+	is.Equal(len(plan(start, []*policy.Worker{w}, u).Preemptions), 1)
+}
--- a/policy/speed.go
+++ b/policy/speed.go
@@ -180,6 +180,7 @@
 		return 0
 	}
 	at := math.Log(speed) / math.Log(speedClassStep)
+	before = max(-maxSpeedClass, min(maxSpeedClass, before))
 	if math.Abs(at-float64(before)) < classBorder {
 		return before
 	}
--- a/policy/unit.go
+++ b/policy/unit.go
@@ -177,6 +177,6 @@
 	Preemptions []*Group
 	// Withheld has the units for which no group is stopped although that would give them room.
 	Withheld []Withheld
-	// Delayed has the units that were preempted and wait before they start again; see waitsForCalm.
+	// Delayed has the units that were preempted and wait before they start again; see waitsAfterPreemption.
 	Delayed []*Unit
 }
