--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -138,7 +138,13 @@
 	if w == nil {
 		return
 	}
-	s.print("  %d gangs or single tasks wait, %d of them because an earlier run may still begin; %d of other jobs come first", w.Units, w.Withheld, w.Ahead)
+	s.print("  gangs or single tasks that wait: %d", w.Units)
+	if w.Withheld > 0 {
+		s.print("  of these, %d wait because an earlier run may still begin", w.Withheld)
+	}
+	if w.Ahead > 0 {
+		s.print("  gangs or single tasks of other jobs that come first: %d", w.Ahead)
+	}
 	if w.OverLimit {
 		s.print("  its organisation has as much at work as its limit allows")
 	}
@@ -164,6 +170,9 @@
 			counts = append(counts, fmt.Sprintf("%d %s", c.n, c.text))
 		}
 	}
+	if len(counts) == 0 && w.Units > w.Withheld {
+		counts = append(counts, "none is known")
+	}
 	if len(counts) > 0 {
 		s.print("  workers for the first of them: %s", strings.Join(counts, ", "))
 	}
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -125,7 +125,8 @@
 	if step, limit := p.exceedsLimit(job); step >= 0 {
 		return Result{
 			Verdict: VerdictRefused, RetryAfter: impossibleRetryAfter,
-			Reason: fmt.Sprintf("step %d needs more than its organisation may have at work, %+v", step, limit),
+			Reason: fmt.Sprintf("step %d needs more than its organisation may have at work: %d thousandths of a core, %d MB, %d accelerators; 0 is no limit",
+				step, limit.MilliCPU, limit.MemoryMB, limit.Accelerators),
 		}, true
 	}
 	return Result{}, false
