front: synchronise the count of reads in a test

TestUnchangedHolderIsNotReadAgain read a variable that the elector's goroutine writes; go test -race ./front failed 4 of 4. The count is atomic now and the checks are as before. Measured: go test -race -count=4 ./front -run TestUnchangedHolder passes.

--- a/front/election_test.go
+++ b/front/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,9 +73,10 @@
 		store := site.Engine()
 		_, err := engine.Claim(context.Background(), store, clock, engine.Holder{VM: "b", Address: "10.0.0.2:7000", Boot: "1"}, time.Hour)
 		is.NoErr(err)
-		reads, get := 0, store.Get
+		var reads atomic.Int64
+		get := store.Get
 		store.Get = func(ctx context.Context, key string) (engine.Item, error) {
-			reads++
+			reads.Add(1)
 			return get(ctx, key)
 		}
 		v := &VM{Settings: &Settings{Name: "a", Cores: 1, PeersAddress: "10.0.0.1:7000"}, Clock: clock, Store: store, recheck: make(chan struct{}, 1)}
@@ -82,12 +84,12 @@
 		defer cancel()
 		ended := v.elect(ctx)
 		time.Sleep(10 * time.Second)
-		is.Equal(reads, 1)
+		is.Equal(reads.Load(), int64(1))
 		is.Equal(v.holder.Load().VM, "b")
 		// A VM whose call to the planner failed reads the key again.
 		v.recheckHolder()
 		time.Sleep(time.Second)
-		is.Equal(reads, 2)
+		is.Equal(reads.Load(), int64(2))
 		is.NoErr(<-ended)
 	})
 }
