ingress, api: a panic of the HTTP library ends one connection, not the process

Cause: a request target with a scheme and no host (GET a: without Host, with an empty Host, GET http: in HTTP/1.0) makes Hertz panic in Engine.ServeHTTP before any middleware, and connections' goroutines had no recover. One such request ended an entry VM on the users' platform, and on the own interface.

Change: Hertz's PanicHandler answers 400 and closes the connection; a handler of the own interface that panics gets 500. What panics elsewhere on a connection is recovered in the transports, which give its place back and log a short stack; reason panic counts it.

--- a/api/api.go
+++ b/api/api.go
@@ -13,11 +13,12 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/jonboulle/clockwork"
+	"k8s.io/klog/v2"
 
 	"clementinepier/bundle"
 	"clementinepier/config"
+	"clementinepier/ingress"
 	"clementinepier/job"
 	"clementinepier/message"
 	"clementinepier/trace"
@@ -102,7 +103,7 @@
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithHandleMethodNotAllowed(true),
 		server.WithRedirectTrailingSlash(false),
-		server.WithTransport(standard.NewTransporter),
+		server.WithTransport(newTransport),
 		server.WithMaxHeaderBytes(a.MaxHeaderSize+extraHeaderSize),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout),
@@ -110,12 +111,25 @@
 		server.WithExitWaitTime(time.Second),
 		hertzconfig.Option{F: func(o *hertzconfig.Options) { o.NoDefaultServerHeader = true }},
 	)
+	a.server.PanicHandler = a.handlePanic
 	a.registerRoutes()
 	done := make(chan error, 1)
 	go func() { done <- a.server.Run() }()
 	return done
 }
 
+// handlePanic answers when a call panicked, so that the process continues to serve others. The library itself panics on a request target
+// that has a scheme and no host, before a handler is called; whether a handler that panicked has carried out its call is not known.
+func (a *API) handlePanic(_ context.Context, c *app.RequestContext) {
+	klog.ErrorS(nil, "A call panicked", "method", string(c.Method()), "target-size", len(c.Request.RequestURI()), "stack", ingress.Stack())
+	c.SetConnectionClose()
+	if len(c.Handlers()) > 0 {
+		c.AbortWithStatus(http.StatusInternalServerError)
+		return
+	}
+	a.writeError(c, http.StatusBadRequest, job.CodeBadRequest, "the request target cannot be used")
+}
+
 // Shutdown closes the listener and waits for the replies that are being written.
 func (a *API) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
 
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -435,6 +435,9 @@
 	is.Equal(r.Code, job.CodeBadRequest)
 	is.Equal(f.call("GET", message.PathStatus+"?"+strings.Repeat("x", maxHeader), nil).Status, 431)
 	f.sendRaw("GET /api/v1/status HTTP/1.1\r\n\r\n", 400) // no Host
+	for _, request := range []string{"GET a: HTTP/1.1\r\n\r\n", "GET a: HTTP/1.1\r\nHost:\r\n\r\n", "GET http: HTTP/1.0\r\n\r\n"} {
+		f.sendRaw(request, 400) // the library panics
+	}
 	// Pipelined calls: a body must not be parsed as the next call, nor the next call read as part of the body.
 	pipelined := fmt.Sprintf("POST /api/v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer token-a\r\nContent-Length: %d\r\n\r\n%s", len(validBody), validBody)
 	f.sendRaw(strings.Repeat(pipelined, 3), 200, 200, 200)
--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -37,6 +37,8 @@
 	ReasonTrailer Reason = "trailer-too-large"
 	// ReasonMalformed means that the bytes are no HTTP request.
 	ReasonMalformed Reason = "malformed"
+	// ReasonPanic means that the server panicked while it read the request, which the handler has not got.
+	ReasonPanic Reason = "panic"
 )
 
 // Counter returns the name of the counter of callers that were refused for this reason.
--- a/ingress/transport.go
+++ b/ingress/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -26,8 +27,16 @@
 	closingShare = 0.25
 	// closePollInterval is how often Shutdown looks whether all connections are closed.
 	closePollInterval = 10 * time.Millisecond
+	// maxStackSize bounds the stack of a panic in the log, in bytes. The first frames tell where it was.
+	maxStackSize = 2 << 10
 )
 
+// Stack returns the first frames of the calling goroutine, for the log.
+func Stack() string {
+	stack := debug.Stack()
+	return string(stack[:min(len(stack), maxStackSize)])
+}
+
 // Transport accepts the connections of callers for the HTTP server, within the budget. Set the exported fields before ListenAndServe.
 type Transport struct {
 	Listener net.Listener
@@ -84,12 +93,27 @@
 	t.gauge()
 	go func() {
 		defer closed()
+		defer func() {
+			t.open.Add(-1)
+			t.gauge()
+		}()
+		defer t.recoverPanic(conn)
 		serve(conn)
-		t.open.Add(-1)
-		t.gauge()
 	}()
 }
 
+// recoverPanic closes the connection of a request on which the server panicked outside the handler, so that the process continues to
+// serve others.
+func (t *Transport) recoverPanic(conn *Conn) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	t.Log.Event("connection-panicked", "address", conn.RemoteAddr(), "reason", value, "stack", Stack())
+	conn.report(ReasonPanic)
+	_ = conn.Close()
+}
+
 func (t *Transport) gauge() { t.Metrics.SetGauge(metrics.CallersConnected, t.open.Load()) }
 
 // refused counts and logs a caller that was refused or whose connection was closed.
