ingress: bound the lines of a header

Cause: Hertz keeps more than 60 bytes for each line of a header, beside the header itself and not counted in the budget; 15.6 KB in lines of three bytes took some 300 KB for each connection, which its context kept.

Change: more than 256 lines are refused before they are parsed: 431, or a closed connection for a later request, where the library reads its first four bytes apart and writes no reply.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/pkg/errors"
 )
@@ -17,6 +18,9 @@
 	// MaxHeaderSize; it is the limit on trailers.
 	minBuffer = 8 << 10
 	maxBuffer = MaxHeaderSize + minBuffer
+	// maxHeaderLines bounds the lines of a header with the request line. The library keeps more than 60 bytes for each line, so that short
+	// lines take many times their size. Ordinary callers send some ten.
+	maxHeaderLines = 256
 	// replyBuffer fits the replies to callers, so that each is one write.
 	replyBuffer = 1 << 10
 	// receiveBuffer is the size of the kernel's buffer of received bytes, which count as the process's memory as well.
@@ -58,6 +62,10 @@
 	receiving, handled bool
 	// refusedByServer is set once the server itself has refused the request; reported once a refusal is counted.
 	refusedByServer, reported bool
+	// headerTaken is whether the header of the request was taken; until then headerScanned is how many of the buffered bytes were looked at,
+	// and headerLines how many of its lines these have. lineStart is where the last line begins, from the start of the header on.
+	headerTaken                           bool
+	headerScanned, headerLines, lineStart int
 	// discardOnly is set once the request is refused; discardLeft is how many further bytes are read then.
 	discardOnly bool
 	discardLeft int
@@ -173,9 +181,33 @@
 		}
 		c.end += got
 	}
+	if !c.headerTaken && !c.discardOnly && c.hasManyHeaderLines() {
+		c.refusedByServer, c.failure = true, ReasonHeader
+		return nil, errs.ErrHeaderTooLarge
+	}
 	return c.buffer[c.start : c.start+n], nil
 }
 
+// hasManyHeaderLines reports whether the header has more than maxHeaderLines in what is buffered. It ends at the first empty line.
+func (c *Conn) hasManyHeaderLines() bool {
+	header := c.buffer[c.start:c.end]
+	for c.headerScanned < len(header) && c.headerLines <= maxHeaderLines {
+		i := bytes.IndexByte(header[c.headerScanned:], '\n')
+		if i < 0 {
+			c.headerScanned = len(header)
+			break
+		}
+		line := header[c.lineStart : c.headerScanned+i]
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			break
+		}
+		c.headerLines++
+		c.headerScanned += i + 1
+		c.lineStart = c.headerScanned
+	}
+	return c.headerLines > maxHeaderLines
+}
+
 // reserve makes room for n bytes from the start of the buffer on.
 func (c *Conn) reserve(n int) error {
 	if n > maxBuffer {
@@ -221,6 +253,8 @@
 		return errSkip
 	}
 	c.start += n
+	// The library takes a header at once.
+	c.headerTaken = true
 	return nil
 }
 
@@ -270,7 +304,8 @@
 		err = c.replies.Flush()
 	}
 	if c.handled {
-		c.handled, c.receiving = false, false
+		c.handled, c.receiving, c.headerTaken = false, false, false
+		c.headerScanned, c.headerLines, c.lineStart = 0, 0, 0
 		c.account.Shrink(c.requestCharge)
 		c.requestCharge = 0
 		c.account.Rest(c.transport.Clock.Now())
