ingress: do not submit a chunked job that has not arrived whole

Cause: io.EOF was taken for the end of a chunked body, and the connection gives it as well when the caller leaves or the time ends. A job behind whose last chunk the end of the trailer never came was submitted.

Change: such a body is refused as broken or timed out.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -64,7 +64,8 @@
 		}
 		n, err := stream.Read(into)
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) && (chunked || len(body) == size) {
+		// A chunked body also ends with EOF where the connection does.
+		if errors.Is(err, io.EOF) && (chunked && r.conn.failure == "" || len(body) == size) {
 			return body, nil
 		}
 		if err != nil {
