ingress: a request has its time from its first byte on

Cause: the first request of a connection had 10 s from the accepted connection on, so one opened ahead was cut; and one to three bytes of a later request had the idle time of 75 s, and then 10 s more.

Change: 75 s without a request, also before the first one; 10 s from the first byte of each request, which the server cannot extend.

Measured: TestRequestTimeRunsFromItsFirstByte failed in 5 of 6 cases before, TestServerDoesNotExtendTheTimeOfARequest ended after 19 s in place of 10 s; both pass now.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -140,7 +140,7 @@
 	r.context.Response.Header.Set("Connection", "close")
 	r.conn.discardOnly, r.conn.discardLeft = true, discardedSize
 	// An error shows at the next read.
-	_ = r.conn.SetReadTimeout(discardTime)
+	_ = r.conn.limitReads(discardTime)
 	r.conn.report(reason)
 	return &ErrRefused{Reason: reason}
 }
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -97,8 +97,16 @@
 	}
 }
 
-// SetReadTimeout implements network.Conn.
+// SetReadTimeout implements network.Conn. A request that has begun to arrive keeps its time, RequestTimeout from its first byte.
 func (c *Conn) SetReadTimeout(t time.Duration) error {
+	if c.receiving {
+		return nil
+	}
+	return c.limitReads(t)
+}
+
+// limitReads sets the time for all reads from now on.
+func (c *Conn) limitReads(t time.Duration) error {
 	var deadline time.Time
 	if t > 0 {
 		deadline = time.Now().Add(t)
@@ -148,6 +156,8 @@
 	if !c.receiving {
 		c.receiving = true
 		c.account.Receive(c.transport.Clock.Now())
+		// An error shows at the next read.
+		_ = c.limitReads(RequestTimeout)
 	}
 }
 
--- a/ingress/transport.go
+++ b/ingress/transport.go
@@ -19,7 +19,7 @@
 const (
 	// MaxHeaderSize bounds the headers of a request in bytes. It is the limit that the users' configuration sets.
 	MaxHeaderSize = 16 << 10
-	// RequestTimeout bounds the time in which a request has to arrive.
+	// RequestTimeout bounds the time in which a request has to arrive, from its first byte on.
 	RequestTimeout = 10 * time.Second
 	// acceptRetryDelay is the delay after a connection could not be accepted, as when the process has no descriptor left.
 	acceptRetryDelay = 20 * time.Millisecond
@@ -44,6 +44,8 @@
 	Clock    clockwork.Clock
 	Log      *eventlog.Log
 	Metrics  *metrics.Set
+	// IdleTimeout bounds the time for which a connection has no request, before its first one too.
+	IdleTimeout time.Duration
 
 	closing atomic.Bool
 	open    atomic.Int64
@@ -88,7 +90,7 @@
 		_ = tcp.SetReadBuffer(receiveBuffer)
 	}
 	// The server sets no timeout for the first request of a connection. An error shows at the first read.
-	_ = conn.SetReadTimeout(RequestTimeout)
+	_ = conn.SetReadTimeout(t.IdleTimeout)
 	t.open.Add(1)
 	t.gauge()
 	go func() {
--- a/ingress/transport_test.go
+++ b/ingress/transport_test.go
@@ -15,7 +15,7 @@
 
 func newTestTransport() *Transport {
 	t := &Transport{
-		Budget: &Budget{Connections: 2, Memory: 1 << 20}, Clock: clockwork.NewRealClock(), Metrics: &metrics.Set{},
+		Budget: &Budget{Connections: 2, Memory: 1 << 20}, Clock: clockwork.NewRealClock(), Metrics: &metrics.Set{}, IdleTimeout: 75 * time.Second,
 	}
 	t.Listener = closedListener{}
 	return t
@@ -47,3 +47,75 @@
 		is.NoErr(transport.Shutdown(ctx))
 	})
 }
+
+// waitRead is when a read ended, after the connection was accepted, and whether it got its bytes.
+type waitRead struct {
+	after time.Duration
+	whole bool
+}
+
+// Guards against connections opened ahead that are cut before their first request, and against requests that begin and never go on.
+func TestRequestTimeRunsFromItsFirstByte(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// sent is the bytes of the caller, each with the time from the accepted connection on.
+		sent []time.Duration
+		// earlier is whether the connection had a request before.
+		earlier bool
+		want    waitRead
+	}{
+		{"nothing", nil, false, waitRead{75 * time.Second, false}},
+		{"nothing after a request", nil, true, waitRead{75 * time.Second, false}},
+		{"opened ahead", []time.Duration{60 * time.Second, 61 * time.Second, 62 * time.Second, 69 * time.Second}, false, waitRead{69 * time.Second, true}},
+		{"one byte", []time.Duration{5 * time.Second}, false, waitRead{15 * time.Second, false}},
+		{"one byte after a request", []time.Duration{5 * time.Second}, true, waitRead{15 * time.Second, false}},
+		{"one byte after another", []time.Duration{0, 9 * time.Second, 11 * time.Second, 12 * time.Second}, true, waitRead{10 * time.Second, false}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				transport := newTestTransport()
+				caller, server := net.Pipe()
+				from := time.Now()
+				result := make(chan waitRead, 1)
+				transport.admit(server, func(conn *Conn) {
+					if test.earlier {
+						is.NoErr(conn.SetReadTimeout(transport.IdleTimeout)) // as the server does
+					}
+					_, err := conn.Peek(4)
+					result <- waitRead{time.Since(from), err == nil}
+					_ = conn.Close()
+				}, func() {})
+				for _, at := range test.sent {
+					time.Sleep(time.Until(from.Add(at)))
+					_, _ = caller.Write([]byte("G")) // fails once the connection is closed
+				}
+				is.Equal(<-result, test.want)
+			})
+		})
+	}
+}
+
+// Guards against a later deadline of the server that gives a request which has begun more time.
+func TestServerDoesNotExtendTheTimeOfARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := newTestTransport()
+		caller, server := net.Pipe()
+		from := time.Now()
+		ended := make(chan time.Duration, 1)
+		transport.admit(server, func(conn *Conn) {
+			_, err := conn.Peek(1)
+			is.NoErr(err)
+			time.Sleep(9 * time.Second)
+			is.NoErr(conn.SetReadTimeout(RequestTimeout))
+			_, err = conn.Peek(2)
+			is.True(err != nil)
+			ended <- time.Since(from)
+			_ = conn.Close()
+		}, func() {})
+		_, err := caller.Write([]byte("G"))
+		is.NoErr(err)
+		is.Equal(<-ended, RequestTimeout)
+	})
+}
