ingress: any reply ends when its connection gives way

Cause: giving way set the deadline of writes only during the reply of a handler, so that a 100 Continue or an error reply that the caller does not read stayed for 10 s, and a write set its deadline anew.

Change: giving way always ends the pending write, later ones have 0.5 s, and accepting ends when the transport closes.

Measured: TestAnyReplyEndsWhenItsConnectionGivesWay and TestCloseEndsAcceptingWhileNoDescriptorIsFree failed before and pass now, with -race too.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -27,6 +27,8 @@
 	receiveBuffer = 32 << 10
 	// writeTimeout bounds one write, so that a caller that reads no replies does not keep its connection.
 	writeTimeout = 10 * time.Second
+	// giveWayTimeout bounds a write of a connection that has to give way. A caller that reads gets its refusal.
+	giveWayTimeout = 500 * time.Millisecond
 	// discardedSize is how much of a refused body is read and discarded, for at most discardTime, so that the caller can read the reply
 	// before the connection is closed.
 	discardedSize = 256 << 10
@@ -69,10 +71,8 @@
 	// discardOnly is set once the request is refused; discardLeft is how many further bytes are read then.
 	discardOnly bool
 	discardLeft int
-	// deadlinePassed is set when the connection has to give way: later deadlines do not apply.
+	// deadlinePassed is set when the connection has to give way: later deadlines of reads do not apply, and writes have a shorter one.
 	deadlinePassed atomic.Bool
-	// replying is whether the reply of the handler is being written.
-	replying atomic.Bool
 }
 
 func newConn(c net.Conn, t *Transport) (*Conn, error) {
@@ -87,14 +87,12 @@
 // past is a time at which no process has run.
 var past = time.Unix(1, 0)
 
-// giveWay ends the pending and all later reads, and a reply that the caller does not read.
+// giveWay ends the pending and all later reads, and a pending write. Later writes have giveWayTimeout.
 func (c *Conn) giveWay() {
 	c.deadlinePassed.Store(true)
 	// A connection that is already closed needs no deadline.
 	_ = c.SetReadDeadline(past)
-	if c.replying.Load() {
-		_ = c.SetWriteDeadline(past)
-	}
+	_ = c.SetWriteDeadline(past)
 }
 
 // SetReadTimeout implements network.Conn. A request that has begun to arrive keeps its time, RequestTimeout from its first byte.
@@ -306,8 +304,6 @@
 func (c *Conn) Flush() error {
 	if c.handled {
 		c.account.Reply(c.transport.Clock.Now())
-		c.replying.Store(true)
-		defer c.replying.Store(false)
 	}
 	err := c.Writer.Flush()
 	if err == nil {
@@ -364,5 +360,10 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
+	if c.deadlinePassed.Load() {
+		if err := c.SetWriteDeadline(time.Now().Add(giveWayTimeout)); err != nil {
+			return 0, err
+		}
+	}
 	return c.Write(data)
 }
--- a/ingress/transport.go
+++ b/ingress/transport.go
@@ -48,11 +48,16 @@
 	IdleTimeout time.Duration
 
 	closing atomic.Bool
-	open    atomic.Int64
+	// closed is closed once closing is set.
+	closed chan struct{}
+	open   atomic.Int64
 }
 
 // New returns the transport; it is a function for the options of the server.
-func (t *Transport) New(*hertzconfig.Options) network.Transporter { return t }
+func (t *Transport) New(*hertzconfig.Options) network.Transporter {
+	t.closed = make(chan struct{})
+	return t
+}
 
 // ListenAndServe implements network.Transporter. Connections that cannot be accepted do not end it, since a later one may.
 func (t *Transport) ListenAndServe(serve network.OnData) error {
@@ -62,7 +67,12 @@
 		switch {
 		case err == nil:
 			// A connection that gives way has its descriptor until its goroutine has run, which takes no longer than one write.
-			slots <- struct{}{}
+			select {
+			case slots <- struct{}{}:
+			case <-t.closed:
+				_ = c.Close()
+				return nil
+			}
 			t.admit(c, func(conn *Conn) {
 				// The server logs and answers errors itself.
 				_ = serve(context.Background(), conn)
@@ -127,7 +137,9 @@
 
 // Close implements network.Transporter.
 func (t *Transport) Close() error {
-	t.closing.Store(true)
+	if t.closing.CompareAndSwap(false, true) && t.closed != nil {
+		close(t.closed)
+	}
 	return t.Listener.Close()
 }
 
--- a/ingress/transport_test.go
+++ b/ingress/transport_test.go
@@ -119,3 +119,80 @@
 		is.Equal(<-ended, RequestTimeout)
 	})
 }
+
+// Guards against a reply of the server itself, as 100 Continue, that keeps the place of a connection that has to give way.
+func TestAnyReplyEndsWhenItsConnectionGivesWay(t *testing.T) {
+	for _, earlier := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			transport := newTestTransport()
+			_, server := net.Pipe() // the caller reads nothing
+			conn, err := newConn(server, transport)
+			is.NoErr(err)
+			from := time.Now()
+			if earlier {
+				conn.giveWay()
+			}
+			ended := make(chan time.Duration, 1)
+			go func() {
+				_, err := rawWriter{conn: conn}.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+				is.True(err != nil)
+				ended <- time.Since(from)
+			}()
+			synctest.Wait()
+			conn.giveWay()
+			is.True(<-ended <= time.Second)
+			is.NoErr(conn.Close())
+		})
+	}
+}
+
+// endlessListener accepts connections whose peers do nothing, until it is closed.
+type endlessListener struct {
+	net.Listener
+	closed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l endlessListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	default:
+		_, server := net.Pipe()
+		return server, nil
+	}
+}
+
+// Close implements net.Listener.
+func (l endlessListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Guards against a transport that waits for connections to close and does not notice that it has to end.
+func TestCloseEndsAcceptingWhileNoDescriptorIsFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := newTestTransport()
+		transport.Listener = endlessListener{closed: make(chan struct{})}
+		release, ended := make(chan struct{}), make(chan error, 1)
+		accepting := transport.New(nil)
+		go func() {
+			ended <- accepting.ListenAndServe(func(_ context.Context, conn any) error {
+				<-release
+				return conn.(*Conn).Close()
+			})
+		}()
+		time.Sleep(time.Minute) // as many connections as may be open do not end
+		is.NoErr(transport.Close())
+		synctest.Wait()
+		select {
+		case err := <-ended:
+			is.NoErr(err)
+		default:
+			t.Error("the transport still accepts connections")
+		}
+		close(release)
+	})
+}
