--- a/ingress/body.go
+++ b/ingress/body.go
@@ -64,7 +64,8 @@
 		}
 		n, err := stream.Read(into)
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) && (chunked || len(body) == size) {
+		// A chunked body also ends with EOF where the connection does.
+		if errors.Is(err, io.EOF) && (chunked && r.conn.failure == "" || len(body) == size) {
 			return body, nil
 		}
 		if err != nil {
@@ -139,7 +140,7 @@
 	r.context.Response.Header.Set("Connection", "close")
 	r.conn.discardOnly, r.conn.discardLeft = true, discardedSize
 	// An error shows at the next read.
-	_ = r.conn.SetReadTimeout(discardTime)
+	_ = r.conn.limitReads(discardTime)
 	r.conn.report(reason)
 	return &ErrRefused{Reason: reason}
 }
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	errs "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/pkg/errors"
 )
@@ -17,12 +18,17 @@
 	// MaxHeaderSize; it is the limit on trailers.
 	minBuffer = 8 << 10
 	maxBuffer = MaxHeaderSize + minBuffer
+	// maxHeaderLines bounds the lines of a header with the request line. The library keeps more than 60 bytes for each line, so that short
+	// lines take many times their size. Ordinary callers send some ten.
+	maxHeaderLines = 256
 	// replyBuffer fits the replies to callers, so that each is one write.
 	replyBuffer = 1 << 10
 	// receiveBuffer is the size of the kernel's buffer of received bytes, which count as the process's memory as well.
 	receiveBuffer = 32 << 10
 	// writeTimeout bounds one write, so that a caller that reads no replies does not keep its connection.
 	writeTimeout = 10 * time.Second
+	// giveWayTimeout bounds a write of a connection that has to give way. A caller that reads gets its refusal.
+	giveWayTimeout = 500 * time.Millisecond
 	// discardedSize is how much of a refused body is read and discarded, for at most discardTime, so that the caller can read the reply
 	// before the connection is closed.
 	discardedSize = 256 << 10
@@ -58,13 +64,15 @@
 	receiving, handled bool
 	// refusedByServer is set once the server itself has refused the request; reported once a refusal is counted.
 	refusedByServer, reported bool
+	// headerTaken is whether the header of the request was taken; until then headerScanned is how many of the buffered bytes were looked at,
+	// and headerLines how many of its lines these have. lineStart is where the last line begins, from the start of the header on.
+	headerTaken                           bool
+	headerScanned, headerLines, lineStart int
 	// discardOnly is set once the request is refused; discardLeft is how many further bytes are read then.
 	discardOnly bool
 	discardLeft int
-	// deadlinePassed is set when the connection has to give way: later deadlines do not apply.
+	// deadlinePassed is set when the connection has to give way: later deadlines of reads do not apply, and writes have a shorter one.
 	deadlinePassed atomic.Bool
-	// replying is whether the reply of the handler is being written.
-	replying atomic.Bool
 }
 
 func newConn(c net.Conn, t *Transport) (*Conn, error) {
@@ -79,18 +87,24 @@
 // past is a time at which no process has run.
 var past = time.Unix(1, 0)
 
-// giveWay ends the pending and all later reads, and a reply that the caller does not read.
+// giveWay ends the pending and all later reads, and a pending write. Later writes have giveWayTimeout.
 func (c *Conn) giveWay() {
 	c.deadlinePassed.Store(true)
 	// A connection that is already closed needs no deadline.
 	_ = c.SetReadDeadline(past)
-	if c.replying.Load() {
-		_ = c.SetWriteDeadline(past)
-	}
+	_ = c.SetWriteDeadline(past)
 }
 
-// SetReadTimeout implements network.Conn.
+// SetReadTimeout implements network.Conn. A request that has begun to arrive keeps its time, RequestTimeout from its first byte.
 func (c *Conn) SetReadTimeout(t time.Duration) error {
+	if c.receiving {
+		return nil
+	}
+	return c.limitReads(t)
+}
+
+// limitReads sets the time for all reads from now on.
+func (c *Conn) limitReads(t time.Duration) error {
 	var deadline time.Time
 	if t > 0 {
 		deadline = time.Now().Add(t)
@@ -140,6 +154,8 @@
 	if !c.receiving {
 		c.receiving = true
 		c.account.Receive(c.transport.Clock.Now())
+		// An error shows at the next read.
+		_ = c.limitReads(RequestTimeout)
 	}
 }
 
@@ -173,9 +189,33 @@
 		}
 		c.end += got
 	}
+	if !c.headerTaken && !c.discardOnly && c.hasManyHeaderLines() {
+		c.refusedByServer, c.failure = true, ReasonHeader
+		return nil, errs.ErrHeaderTooLarge
+	}
 	return c.buffer[c.start : c.start+n], nil
 }
 
+// hasManyHeaderLines reports whether the header has more than maxHeaderLines in what is buffered. It ends at the first empty line.
+func (c *Conn) hasManyHeaderLines() bool {
+	header := c.buffer[c.start:c.end]
+	for c.headerScanned < len(header) && c.headerLines <= maxHeaderLines {
+		i := bytes.IndexByte(header[c.headerScanned:], '\n')
+		if i < 0 {
+			c.headerScanned = len(header)
+			break
+		}
+		line := header[c.lineStart : c.headerScanned+i]
+		if len(line) == 0 || len(line) == 1 && line[0] == '\r' {
+			break
+		}
+		c.headerLines++
+		c.headerScanned += i + 1
+		c.lineStart = c.headerScanned
+	}
+	return c.headerLines > maxHeaderLines
+}
+
 // reserve makes room for n bytes from the start of the buffer on.
 func (c *Conn) reserve(n int) error {
 	if n > maxBuffer {
@@ -221,6 +261,8 @@
 		return errSkip
 	}
 	c.start += n
+	// The library takes a header at once.
+	c.headerTaken = true
 	return nil
 }
 
@@ -262,15 +304,14 @@
 func (c *Conn) Flush() error {
 	if c.handled {
 		c.account.Reply(c.transport.Clock.Now())
-		c.replying.Store(true)
-		defer c.replying.Store(false)
 	}
 	err := c.Writer.Flush()
 	if err == nil {
 		err = c.replies.Flush()
 	}
 	if c.handled {
-		c.handled, c.receiving = false, false
+		c.handled, c.receiving, c.headerTaken = false, false, false
+		c.headerScanned, c.headerLines, c.lineStart = 0, 0, 0
 		c.account.Shrink(c.requestCharge)
 		c.requestCharge = 0
 		c.account.Rest(c.transport.Clock.Now())
@@ -319,5 +360,10 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
+	if c.deadlinePassed.Load() {
+		if err := c.SetWriteDeadline(time.Now().Add(giveWayTimeout)); err != nil {
+			return 0, err
+		}
+	}
 	return c.Write(data)
 }
