policy: only the least urgent work waits after a preemption

Cause: a gang of the middle priority that waited after a preemption lost its room to less urgent work, for which it may not preempt. Change: a unit waits only if no less urgent unit is ready. The new test was seen failing.

--- a/policy/placement.go
+++ b/policy/placement.go
@@ -45,6 +45,8 @@
 	totalAccelerators int64
 	// speeds is what the present pass knows of the workers' speeds.
 	speeds speedClasses
+	// lowestPriority is the priority of the least urgent unit of the pass.
+	lowestPriority int
 	// withheldCosts has, by the shape of units, what it would have cost in this pass to make room for one.
 	withheldCosts map[unitShape]float64
 	// candidates is a buffer that partialBestFit reuses.
@@ -83,6 +85,7 @@
 func (f *Fleet) Plan(now time.Time, units []*Unit) Decision {
 	f.prepareSpeeds(now)
 	f.withheldCosts = map[unitShape]float64{}
+	f.lowestPriority = lowestPriority(units)
 	var d Decision
 	reserved := int64(0)
 	blocked := map[stepKey]bool{}
--- a/policy/room.go
+++ b/policy/room.go
@@ -115,9 +115,9 @@
 // waitsAfterPreemption reports whether the unit, which was preempted, waits before it starts again: for as long as its runs have worked in vain, for the
 // time of a stop at least, which doubles each time, but for no more than half of the time after which it could not be in time. Load pattern: a
 // burst of urgent gangs over a full service, with gaps in which the same work would be started and stopped again. The urgent gangs find its room
-// free meanwhile.
+// free meanwhile. Only the least urgent work waits, since less urgent work would take the room of any other.
 func (f *Fleet) waitsAfterPreemption(now time.Time, u *Unit) bool {
-	if u.Preemptions == 0 || u.Guaranteed || u.overdue || f.MostlyIdle {
+	if u.Preemptions == 0 || u.Guaranteed || u.overdue || f.MostlyIdle || u.Job.Priority < f.lowestPriority {
 		return false
 	}
 	wait := max(u.ThrownAway, f.StopTime<<min(u.Preemptions-1, maxWaitDoublings))
@@ -125,6 +125,15 @@
 	return now.Sub(u.PreemptedAt) < min(wait, slack/2)
 }
 
+// lowestPriority returns the priority of the least urgent unit; higher numbers are less urgent.
+func lowestPriority(units []*Unit) int {
+	lowest := 0
+	for _, u := range units {
+		lowest = max(lowest, u.Job.Priority)
+	}
+	return lowest
+}
+
 // LostTime returns for how long each run of the group would have worked in vain if it were stopped now.
 func (g *Group) LostTime() time.Duration {
 	cores := g.cores()
--- a/policy/room_test.go
+++ b/policy/room_test.go
@@ -226,3 +226,18 @@
 	u.Job.Objective = 5 * time.Second
 	is.Equal(len(plan(start, []*policy.Worker{w}, u).Preemptions), 1)
 }
+
+// Guards against a gang that waits after a preemption and loses its room to less urgent work, for which it may not preempt.
+func TestPreemptedUnitDoesNotWaitForLessUrgentWork(t *testing.T) {
+	is := is.New(t)
+	preempted := unit("preempted", 1, 2, 8)
+	preempted.Preemptions, preempted.PreemptedAt, preempted.ThrownAway = 2, start, 20*time.Second
+	preempted.Deadline, preempted.Expiry = at(60*time.Second), at(180*time.Second)
+	less := unit("less-urgent", 2, 1, 1)
+	less.Deadline, less.Expiry = at(60*time.Second), at(180*time.Second)
+	workers := []*policy.Worker{worker("w1", "r1", 0), worker("w2", "r1", 0)}
+	d := plan(at(time.Second), workers, preempted, less)
+	is.Equal(len(d.Delayed), 0)
+	is.Equal(len(d.Placements), 2)
+	is.Equal(d.Placements[0].Unit, preempted)
+}
