ingress: keep the time for discarding a refused body

Cause: since requests have their time from their first byte, bytes read after the reply to a refused request set 10 s in place of 1 s. Measured: the case 'unused large body' of TestRequestsOutsideTheLimitsAreRefused took 10.0 s before; it has no check of its time yet.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -154,8 +154,10 @@
 	if !c.receiving {
 		c.receiving = true
 		c.account.Receive(c.transport.Clock.Now())
-		// An error shows at the next read.
-		_ = c.limitReads(RequestTimeout)
+		if !c.discardOnly {
+			// An error shows at the next read.
+			_ = c.limitReads(RequestTimeout)
+		}
 	}
 }
 
