ingress: check the time for which a refused body is discarded

Cause: that time rose from 1 s to 10 s for a while, and no test saw it. Change: a test in virtual time.

--- a/ingress/transport_test.go
+++ b/ingress/transport_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
 
@@ -196,3 +197,35 @@
 		close(release)
 	})
 }
+
+// Guards against a refused body that is read for longer than it takes the caller to read the reply.
+func TestRefusedBodyIsDiscardedForAShortTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := newTestTransport()
+		caller, server := net.Pipe()
+		ended := make(chan time.Duration, 1)
+		transport.admit(server, func(conn *Conn) {
+			_, err := conn.Peek(1)
+			is.NoErr(err)
+			is.NoErr(conn.Skip(1))
+			conn.handled = true
+			refusedAt := time.Now()
+			is.Equal(ReasonOf((&Request{context: app.NewContext(0), conn: conn}).refuse(ReasonBody)), ReasonBody)
+			is.NoErr(conn.Flush())
+			for err == nil {
+				if _, err = conn.Peek(1); err == nil {
+					is.NoErr(conn.Skip(1))
+				}
+			}
+			ended <- time.Since(refusedAt)
+			_ = conn.Close()
+		}, func() {})
+		var err error
+		for err == nil {
+			_, err = caller.Write([]byte("G"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(<-ended, discardTime)
+	})
+}
