--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -70,7 +70,7 @@
 // leaves are the subcommands that can be run, without the groups that contain them.
 var leaves = []string{
 	"key new", "bundle check", "bundle sign", "bundle review", "bundle show", "bundle roll", "domain out", "domain back",
-	"domain list", "request submit", "request show", "request result", "request cancel", "status", "settings check", "entry", "front", "story", "version",
+	"domain list", "request submit", "request show", "request result", "request cancel", "status", "settings check", "entry", "front", "explain", "story", "version",
 }
 
 // Guards against a subcommand without help, and against examples and exit codes that do not match the program.
--- a/cmd/front.go
+++ b/cmd/front.go
@@ -8,7 +8,9 @@
 
 type frontCommand struct {
 	Settings string `arg:"--settings,env:CLEMENTINEPIER_NODE_FILE,required" placeholder:"FILE" help:"settings file"`
-	Check    bool   `arg:"--check" help:"report every fault of the settings file and end"`
+	// MaxMemoryMB takes the place of the setting, so that the command line of a machine can tell its size.
+	MaxMemoryMB int  `arg:"--max-memory-mb" placeholder:"MB" help:"memory of the process in megabytes (2^20 bytes), in place of the setting max-memory-mb"`
+	Check       bool `arg:"--check" help:"report every fault of the settings file and end"`
 }
 
 func (*frontCommand) example() string { return "front --settings front.toml" }
@@ -18,6 +20,12 @@
 	if err != nil {
 		return err
 	}
+	if c.MaxMemoryMB < 0 {
+		return exitf(ExitUsage, "--max-memory-mb must not be negative")
+	}
+	if c.MaxMemoryMB > 0 {
+		loaded.MaxMemoryMB = c.MaxMemoryMB
+	}
 	if c.Check {
 		s.print("settings are valid: entry VM %s in failure domain %s, callers on %s, store on %s",
 			loaded.Name, loaded.FailureDomain, loaded.CallersAddress, loaded.StoreAddress)
