--- a/front/settings_test.go
+++ b/front/settings_test.go
@@ -20,7 +20,7 @@
 	values := map[string]string{
 		"{{Node|json}}": `"front-a-1"`, "{{Zone|json}}": `"a"`, "{{Listen.Front|json}}": `"10.1.0.19:8521"`,
 		"{{Listen.Ready|json}}": `"10.1.0.19:8523"`, "{{Ip}}": "10.1.0.19", "{{PortRange.0}}": "7000",
-		"{{platform.Address|json}}": `"10.200.1.7:8524"`, "{{Limits.CpuShare}}": "0.4", "{{Limits.MaxFds}}": "4100", "{{Limits.MemoryMb}}": "284", "{{Bounds.GraceS}}": "6",
+		"{{platform.Address|json}}": `"10.200.1.7:8524"`, "{{Limits.CpuShare}}": "0.4", "{{Limits.MaxFds}}": "4100", "{{Bounds.GraceS}}": "6",
 		"{{Bounds.MaxHoldMs}}": "10000", "{{Bounds.StopGraceMs}}": "400", "{{Bounds.GangTimeoutMs}}": "3000",
 		"{{Bounds.status_s}}": "120", "{{Bounds.ConfigApplyMs}}": "2000", "{{platform.MinTtlMs}}": "1000",
 	}
@@ -58,7 +58,7 @@
 		"no cores at all":  {"cores = 0.4", "", []string{"cores"}},
 		"no time to apply": {`apply-time = "2000ms"`, "", []string{"bounds.apply-time"}},
 		"no open files":    {"max-files = 4100", "", []string{"max-files"}},
-		"negative memory":  {"max-memory-mb = 284", "max-memory-mb = -1", []string{"max-memory-mb"}},
+		"negative memory":  {"max-files = 4100", "max-files = 4100\nmax-memory-mb = -1", []string{"max-memory-mb"}},
 		"no shutdown time": {`shutdown-grace = "6s"`, `shutdown-grace = "-1s"`, []string{"bounds.shutdown-grace"}},
 	} {
 		t.Run(name, func(t *testing.T) {
