policy, engine, ingress: plainer names and comments

Cause: the last read-through found Limits.Withheld beside Decision.Withheld, which means something else, and things that "tell". Change: Limits.Holds; comments reworded. Nothing else changes.

--- a/cmd/front.go
+++ b/cmd/front.go
@@ -8,7 +8,7 @@
 
 type frontCommand struct {
 	Settings string `arg:"--settings,env:CLEMENTINEPIER_NODE_FILE,required" placeholder:"FILE" help:"settings file"`
-	// MaxMemoryMB takes the place of the setting, so that the command line of a machine can tell its size.
+	// MaxMemoryMB takes the place of the setting, so that a deploy file can pass the size of the machine.
 	MaxMemoryMB int  `arg:"--max-memory-mb" placeholder:"MB" help:"memory of the process in megabytes (2^20 bytes), in place of the setting max-memory-mb"`
 	Check       bool `arg:"--check" help:"report every fault of the settings file and end"`
 }
--- a/engine/explain.go
+++ b/engine/explain.go
@@ -19,7 +19,7 @@
 	Job *workload.Job `cbor:"2,keyasint,omitempty"`
 }
 
-// Course is what would happen to a job, or happens to it, as an explanation tells it.
+// Course is what would happen to a job, or happens to it, as an explanation reports it.
 type Course string
 
 // The courses.
@@ -197,7 +197,7 @@
 		}
 	})
 	if e.Waiting != nil {
-		e.Waiting.OverLimit = slices.ContainsFunc(d.units, func(u *policy.Unit) bool { return u.Job == &j.record.Job && d.limits.Withheld(u) })
+		e.Waiting.OverLimit = slices.ContainsFunc(d.units, func(u *policy.Unit) bool { return u.Job == &j.record.Job && d.limits.Holds(u) })
 	}
 	if withheld > 0 {
 		if e.Waiting == nil {
--- a/engine/limits.go
+++ b/engine/limits.go
@@ -244,7 +244,7 @@
 		if u.BeyondWeight {
 			beyond[u.Job.ID] = true
 		}
-		if d.limits.Withheld(u) {
+		if d.limits.Holds(u) {
 			total++
 			withheld[u.Job.Organisation]++
 			p.heldByLimit[u.Job.ID] = true
--- a/engine/speed.go
+++ b/engine/speed.go
@@ -75,7 +75,7 @@
 	r.group.job.rates[r.group.key.step] = rates[max(0, len(rates)-maxRates):]
 }
 
-// measureEnd compares the worker of a run that has ended. The members of a gang end together, so the end of one tells nothing of its worker.
+// measureEnd compares the worker of a run that has ended. The members of a gang end together, so the end of one shows nothing about its worker.
 func (p *Planner) measureEnd(r *run, reason EndReason) {
 	now := p.Clock.Now()
 	if reason == EndDone && r.group.size == 1 && r.rate.measuring && !r.rate.ended {
@@ -85,7 +85,7 @@
 }
 
 // compareRate compares the worker of a run whose rate is final with the other workers of its step, once for each step of a job. Runs of one step on
-// one worker are compared with the same others, so a further comparison would tell little more.
+// one worker are compared with the same others, so a further comparison would add little.
 func (p *Planner) compareRate(now time.Time, r *run) {
 	if !r.rate.listed || r.rate.ended {
 		return
--- a/ingress/transport.go
+++ b/ingress/transport.go
@@ -27,7 +27,7 @@
 	closingShare = 0.25
 	// closePollInterval is how often Shutdown looks whether all connections are closed.
 	closePollInterval = 10 * time.Millisecond
-	// maxStackSize bounds the stack of a panic in the log, in bytes. The first frames tell where it was.
+	// maxStackSize bounds the stack of a panic in the log, in bytes. The first frames show where it was.
 	maxStackSize = 2 << 10
 )
 
--- a/policy/limit.go
+++ b/policy/limit.go
@@ -21,8 +21,8 @@
 // Limits holds, during one pass over all services, what organisations may have at work and what they have. A nil Limits limits nothing.
 type Limits struct {
 	organisations map[string]*allowance
-	// withheld has the units that waited for room under a limit.
-	withheld map[*Unit]bool
+	// held has the units that waited for room under a limit.
+	held map[*Unit]bool
 }
 
 // allowance is what an organisation may still start.
@@ -42,7 +42,7 @@
 
 // NewLimits returns limits that bind no organisation yet.
 func NewLimits() *Limits {
-	return &Limits{organisations: map[string]*allowance{}, withheld: map[*Unit]bool{}}
+	return &Limits{organisations: map[string]*allowance{}, held: map[*Unit]bool{}}
 }
 
 // Set sets the limit of an organisation and what it uses at the beginning of the pass. An amount of 0 limits nothing.
@@ -53,8 +53,8 @@
 	l.organisations[organisation] = a
 }
 
-// Withheld reports whether the unit waited for room under its organisation's limit during the pass.
-func (l *Limits) Withheld(u *Unit) bool { return l != nil && l.withheld[u] }
+// Holds reports whether the unit waited for room under its organisation's limit during the pass.
+func (l *Limits) Holds(u *Unit) bool { return l != nil && l.held[u] }
 
 // of returns the allowance of an organisation, or nil if nothing limits it.
 func (l *Limits) of(organisation string) *allowance {
@@ -131,7 +131,7 @@
 	if u.passesReservation() && a.fits(u.need(), a.left.Add(a.reserved)) {
 		return true
 	}
-	f.Limits.withheld[u] = true
+	f.Limits.held[u] = true
 	return false
 }
 
--- a/policy/limit_test.go
+++ b/policy/limit_test.go
@@ -109,7 +109,7 @@
 	limits := limited(limit, used)
 	d = planWithin(start, limits, []*policy.Worker{w}, []*policy.Group{group}, urgent)
 	is.Equal(len(d.Preemptions), 0)
-	is.True(limits.Withheld(urgent))
+	is.True(limits.Holds(urgent))
 }
 
 // Guards against guaranteed work that waits because low-priority work of its own organisation uses up the limit: that gives way, and nothing of
@@ -250,9 +250,9 @@
 				}
 			}
 		}
-		if !slices.ContainsFunc(units, func(u *policy.Unit) bool { return u.Job.Priority == 0 && !limits.Withheld(u) }) {
+		if !slices.ContainsFunc(units, func(u *policy.Unit) bool { return u.Job.Priority == 0 && !limits.Holds(u) }) {
 			for _, g := range d.Preemptions {
-				if !slices.ContainsFunc(units, func(u *policy.Unit) bool { return u.Job.Organisation == g.Organisation && limits.Withheld(u) }) {
+				if !slices.ContainsFunc(units, func(u *policy.Unit) bool { return u.Job.Organisation == g.Organisation && limits.Holds(u) }) {
 					t.Errorf("seed %d: work of %s is preempted although only units beyond limits of others wait", seed, g.Organisation)
 				}
 			}
