--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -226,6 +226,25 @@
 	return found, s.revision, nil
 }
 
+const (
+	// maxPageItems and maxPageSize, in bytes of values, bound a page of a listing.
+	maxPageItems = 500
+	maxPageSize  = 1 << 20
+)
+
+// Page returns the first page of the items, which are in the order of their keys, after the given key, and whether there are more.
+func Page(items []engine.Item, after string) (page []engine.Item, more bool) {
+	begin := sort.Search(len(items), func(i int) bool { return items[i].Key > after })
+	size := 0
+	for i, item := range items[begin:] {
+		if i == maxPageItems || size >= maxPageSize {
+			return items[begin : begin+i], true
+		}
+		size += len(item.Value)
+	}
+	return items[begin:], false
+}
+
 func (s *Store) watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]engine.Item, int64, error) {
 	end := time.Now().Add(wait)
 	for {
