engine: bound the memory for jobs, by organisation

What callers saw: a caller that kept to all limits ended the planner, and each successor in turn: 40 callers with 20 jobs of 9,001 steps each took it to 775 MB of 96, and afterwards there was no planner for 60 s.

Cause: the planner accepted whatever could run at some time, and kept a job whole until four minutes or more after its end.

A job beyond a quarter of the process's memory is refused before it is stored, with 503 and the time in which as much becomes free. Half of the quarter is divided among the organisations by weight, equally without; the rest is lent. The last sixteenth is for small jobs. Of a job that has ended, and of which no worker can still begin a run, the planner keeps the state only. What is in the store already is kept: jobs without runs beyond the bound are left there, the least urgent of the organisation with the largest excess first, and read again when there is room.

--- a/engine/explain.go
+++ b/engine/explain.go
@@ -36,6 +36,8 @@
 	CourseUnderWay Course = "under-way"
 	// CourseNotDue means that no task can start yet: an earlier step or the time of an occurrence is waited for.
 	CourseNotDue Course = "not-due"
+	// CourseUnloaded means that the job is left in the store until the planner has memory for it.
+	CourseUnloaded Course = "unloaded"
 	// CourseEnded means that the job has reached its final state.
 	CourseEnded Course = "ended"
 )
@@ -136,6 +138,13 @@
 		id = request.Job.ID
 	}
 	// Submitting a job again has no effect, so one that is accepted already is explained as it is.
+	if state, stored := p.storedState(id); stored {
+		e := &Explanation{Job: id, State: state, Course: CourseUnloaded, RegistrationsAge: p.Clock.Since(p.registrationsKnownAt), ConfigurationVersion: p.Configuration().Version}
+		if state.Ended() {
+			e.Course = CourseEnded
+		}
+		return Result{Verdict: VerdictAccepted, State: state, Explanation: e}
+	}
 	j, accepted := p.jobs[id]
 	switch {
 	case accepted:
@@ -155,7 +164,11 @@
 		e.State = j.state()
 	} else {
 		j.beyondWeight = p.wouldBeBeyondWeight(request.Job)
-		if r, refused := p.refusal(request.Job); refused {
+		r, refused := p.refusal(request.Job)
+		if !refused {
+			r, refused = p.roomRefusal(request.Job)
+		}
+		if refused {
 			e.Course, e.Reason, e.RetryAfter = CourseRefused, r.Reason, r.RetryAfter
 			return Result{Verdict: VerdictAccepted, Explanation: e}
 		}
--- a/engine/jobs.go
+++ b/engine/jobs.go
@@ -79,6 +79,10 @@
 }
 
 func (p *Planner) submit(job workload.Job, result chan<- Result) {
+	if state, stored := p.storedState(job.ID); stored {
+		result <- Result{Verdict: VerdictAccepted, State: state}
+		return
+	}
 	j, known := p.jobs[job.ID]
 	if !known {
 		if r, unavailable := p.unavailable(); unavailable {
@@ -91,9 +95,18 @@
 			result <- r
 			return
 		}
+		if r, refused := p.roomRefusal(&job); refused {
+			p.Log.Event("job-without-room", "job", job.ID, "queue", job.Queue, "organisation", job.Organisation, "size", sizeOf(&job),
+				"room", p.memory.shares.Room(job.Organisation), "used", p.memory.shares.Used(), "limit", p.memory.limit, "retry-after", r.RetryAfter)
+			p.Metrics.Add(metrics.JobsWithoutRoom, 1)
+			result <- r
+			return
+		}
 		j = newJobState(workload.Record{Job: job, Progress: *workload.NewProgress(&job)}, p.Clock.Now())
 		p.waiters[j] = nil
 		p.jobs[job.ID], p.active[job.ID] = j, j
+		p.memory.add(job.Organisation, j.size)
+		p.unload()
 		p.countAgainstWeight(j)
 		p.recordChange(j)
 		p.planNeeded = true
@@ -135,6 +148,7 @@
 // withdraw removes a job that was certainly not stored and reports the reason to the callers that wait for it.
 func (p *Planner) withdraw(j *jobState, outcome Result) {
 	j.withdrawn = true
+	p.memory.release(j.record.Job.Organisation, j.size)
 	delete(p.jobs, j.id())
 	delete(p.active, j.id())
 	delete(p.dirty, j)
@@ -181,17 +195,45 @@
 func (p *Planner) Cancel(ctx context.Context, id string) Result {
 	result := make(chan Result, 1)
 	err := p.do(ctx, func() {
-		j, known := p.jobs[id]
-		if !known {
-			result <- Result{Verdict: VerdictAbsent}
+		if e, ended := p.ended[id]; ended {
+			result <- Result{Verdict: VerdictAccepted, State: e.state}
 			return
 		}
-		change := p.cancel(j)
-		p.whenStored(j, change, func() { result <- j.storedResult(j.state()) })
+		if u, unloaded := p.unloaded[id]; unloaded && !u.reading && p.memory.loadsInFlight < maxCancelsInFlight {
+			p.loadJob(id, func() { p.cancelLoaded(id, result) })
+			return
+		}
+		p.cancelLoaded(id, result)
 	})
 	return awaitResult(ctx, p.ctx, result, err)
 }
 
+// cancelLoaded cancels a job that is loaded, and sends the result once that is stored.
+func (p *Planner) cancelLoaded(id string, result chan<- Result) {
+	j, known := p.jobs[id]
+	if !known {
+		if _, unloaded := p.unloaded[id]; unloaded {
+			result <- Result{Verdict: VerdictUnavailable, Reason: "the job is not read from the store yet"}
+			return
+		}
+		result <- Result{Verdict: VerdictAbsent}
+		return
+	}
+	change := p.cancel(j)
+	p.whenStored(j, change, func() { result <- j.storedResult(j.state()) })
+}
+
+// storedState returns the state of a job that the store has and that is not loaded, and whether there is one.
+func (p *Planner) storedState(id string) (workload.State, bool) {
+	if e, ok := p.ended[id]; ok {
+		return e.state, true
+	}
+	if u, ok := p.unloaded[id]; ok {
+		return u.state, true
+	}
+	return "", false
+}
+
 // storedResult returns the result for a caller that waited until a state of the job was stored. A job that was withdrawn instead may still be
 // in the store, by another entry VM.
 func (j *jobState) storedResult(state workload.State) Result {
@@ -218,13 +260,21 @@
 func (p *Planner) State(ctx context.Context, id string) Result {
 	result := make(chan Result, 1)
 	err := p.do(ctx, func() {
+		if e, ended := p.ended[id]; ended {
+			result <- Result{Verdict: VerdictAccepted, State: e.state}
+			return
+		}
 		j, known := p.jobs[id]
 		if !p.holdsTerm() && (!known || !j.endStored()) {
 			result <- Result{Verdict: VerdictUnavailable, Reason: "the planner's lease is not renewed"}
 			return
 		}
 		if !known {
-			result <- Result{Verdict: VerdictAbsent}
+			r := Result{Verdict: VerdictAbsent}
+			if state, stored := p.storedState(id); stored {
+				r = Result{Verdict: VerdictAccepted, State: state}
+			}
+			result <- r
 			return
 		}
 		// A final state is reported only once it is stored, so that it never changes afterwards. Before that, the workers that keep
@@ -259,5 +309,10 @@
 			n++
 		}
 	}
+	for _, u := range p.unloaded {
+		if u.queue == queue && !u.begun {
+			n++
+		}
+	}
 	return n
 }
--- a/engine/limits.go
+++ b/engine/limits.go
@@ -208,15 +208,20 @@
 // countAgainstWeight records whether a job that was just accepted or adopted is beyond its organisation's weight. The times of acceptance are stored, so
 // a later planner finds the same but for jobs that it no longer has.
 func (p *Planner) countAgainstWeight(j *jobState) {
-	job := &j.record.Job
-	if o := p.Configuration().organisation(job.Organisation); o != nil && o.Weight > 0 {
-		// A time that is ahead, by the clock of another entry VM, would stop the allowance from growing until then.
-		at := job.Accepted
-		if now := p.TimeOfDay(); at.After(now) {
-			at = now
-		}
-		j.beyondWeight = !p.organisation(o.Name).owed.Take(at, o.Weight)
+	j.beyondWeight = p.takesBeyondWeight(j.record.Job.Organisation, j.record.Job.Accepted)
+}
+
+// takesBeyondWeight counts a job that was accepted at a time of day, and reports whether it is beyond its organisation's weight.
+func (p *Planner) takesBeyondWeight(organisation string, accepted time.Time) bool {
+	o := p.Configuration().organisation(organisation)
+	if o == nil || o.Weight <= 0 {
+		return false
+	}
+	// A time that is ahead, by the clock of another entry VM, would stop the allowance from growing until then.
+	if now := p.TimeOfDay(); accepted.After(now) {
+		accepted = now
 	}
+	return !p.organisation(o.Name).owed.Take(accepted, o.Weight)
 }
 
 // wouldBeBeyondWeight reports whether a job that were accepted now would be beyond its organisation's weight.
--- a/engine/load.go
+++ b/engine/load.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -40,18 +39,10 @@
 	if err := p.loadLeaseNote(ctx); err != nil {
 		return err
 	}
-	jobs, err := p.list(ctx, jobPrefix)
-	if err != nil {
+	if err := p.loadJobs(ctx); err != nil {
 		return err
 	}
-	for _, item := range jobs.items {
-		p.adoptJob(item)
-	}
-	for _, j := range slices.SortedFunc(maps.Values(p.jobs), func(a, b *jobState) int {
-		return cmp.Or(a.record.Job.Accepted.Compare(b.record.Job.Accepted), cmp.Compare(a.id(), b.id()))
-	}) {
-		p.countAgainstWeight(j)
-	}
+	p.countLoadedAgainstWeight()
 	markers, err := p.list(ctx, markerPrefix)
 	if err != nil {
 		return err
@@ -72,6 +63,45 @@
 	return nil
 }
 
+// loadJobs reads the jobs, and keeps what it needs of each.
+func (p *Planner) loadJobs(ctx context.Context) error {
+	jobs, err := p.list(ctx, jobPrefix)
+	if err != nil {
+		return err
+	}
+	for _, item := range jobs.items {
+		if j := p.adoptJob(item); j != nil {
+			p.reduceEndedJob(j)
+		}
+		p.unload()
+	}
+	return nil
+}
+
+// countLoadedAgainstWeight counts the jobs that were read against the weights of their organisations, in the order of their acceptance.
+func (p *Planner) countLoadedAgainstWeight() {
+	type counted struct {
+		id, organisation string
+		accepted         time.Time
+		// beyond is set to whether the job is beyond the weight.
+		beyond *bool
+	}
+	jobs := make([]counted, 0, len(p.jobs)+len(p.ended)+len(p.unloaded))
+	for id, j := range p.jobs {
+		jobs = append(jobs, counted{id, j.record.Job.Organisation, j.record.Job.Accepted, &j.beyondWeight})
+	}
+	for id, u := range p.unloaded {
+		jobs = append(jobs, counted{id, u.organisation, u.accepted, &u.beyondWeight})
+	}
+	for id, e := range p.ended {
+		jobs = append(jobs, counted{id, e.organisation, e.accepted, new(bool)})
+	}
+	slices.SortFunc(jobs, func(a, b counted) int { return cmp.Or(a.accepted.Compare(b.accepted), cmp.Compare(a.id, b.id)) })
+	for _, j := range jobs {
+		*j.beyond = p.takesBeyondWeight(j.organisation, j.accepted)
+	}
+}
+
 // listing is the content of a prefix as of a revision.
 type listing struct {
 	items    []Item
@@ -110,11 +140,18 @@
 	}
 	age := max(0, p.TimeOfDay().Sub(record.Job.Accepted))
 	j := newJobState(*record, p.Clock.Now().Add(-age))
+	if u, ok := p.unloaded[j.id()]; ok {
+		j.beyondWeight = u.beyondWeight
+		p.forgetUnloaded(j.id())
+	}
+	p.memory.add(j.record.Job.Organisation, j.size)
 	j.revision = item.Revision
 	j.begun = record.Progress.HasOutcome()
 	p.jobs[j.id()] = j
 	if !j.state().Ended() {
 		p.active[j.id()] = j
+	} else {
+		j.endedSince = p.Clock.Now().Add(-max(0, p.TimeOfDay().Sub(record.Progress.Ended)))
 	}
 	p.inheritRuns(j)
 	p.inheritLateStarts(j)
@@ -198,6 +235,10 @@
 		return
 	}
 	id := strings.TrimPrefix(item.Key, markerPrefix)
+	if _, ended := p.ended[id]; ended {
+		p.deleteMarker(item)
+		return
+	}
 	j, known := p.jobs[id]
 	if known {
 		p.applyMarker(j, m, item)
@@ -224,10 +265,13 @@
 			p.Clock.AfterFunc(watchRetryDelay, func() { p.post(func() { p.handleMarker(markerItem) }) })
 			return
 		}
+		_, counted := p.unloaded[id]
 		if j = p.adoptJob(record); j == nil {
 			return
 		}
-		p.countAgainstWeight(j)
+		if !counted {
+			p.countAgainstWeight(j)
+		}
 		p.Log.Event("job-adopted", "job", id, "queue", j.record.Job.Queue, "age", p.Clock.Since(j.accepted))
 	}
 	p.applyMarker(j, m, markerItem)
@@ -241,6 +285,7 @@
 		change = p.cancel(j)
 	}
 	p.whenStored(j, change, func() { p.deleteMarker(item) })
+	p.unload()
 }
 
 // deleteMarker deletes a marker that has been applied, unless another entry VM has written a newer one under its key.
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -63,6 +63,8 @@
 	Store     Store
 	Workers   Workers
 	Bounds    Bounds
+	// JobMemory bounds the memory for jobs in bytes; 0 means no bound.
+	JobMemory int64
 	// Term is the lease under which this process is the planner.
 	Term *Term
 	// Configuration returns the newest configuration; it is never nil.
@@ -93,9 +95,13 @@
 
 	started time.Time
 	jobs    map[string]*jobState
-	// active has the jobs that have not ended.
-	active  map[string]*jobState
-	workers map[string]*workerState
+	// active has the jobs that have not ended and are loaded.
+	active map[string]*jobState
+	// ended has the jobs of which only the state is kept, unloaded those that are left in the store. No job is in two of jobs, ended and unloaded.
+	ended    map[string]*endedJob
+	unloaded map[string]*unloadedJob
+	memory   jobMemory
+	workers  map[string]*workerState
 	// misdirected has the workers at whose address another server has refused a call since they last answered.
 	misdirected map[*workerState]bool
 	// speeds has what is known of the speed of each worker, by its ID.
@@ -178,6 +184,7 @@
 	p.outageEnd.Store(newOutageEnd(ctx))
 	p.started, p.lastRevision = p.Clock.Now(), p.Term.Fence()
 	p.jobs, p.active, p.workers = map[string]*jobState{}, map[string]*jobState{}, map[string]*workerState{}
+	p.ended, p.unloaded, p.memory = map[string]*endedJob{}, map[string]*unloadedJob{}, newJobMemory(p.JobMemory)
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker, p.fleets, p.orphanTasks = breaker.New(), map[string]*fleet{}, map[string]int{}
 	p.organisations, p.heldByLimit = map[string]*organisationState{}, map[string]bool{}
@@ -208,7 +215,8 @@
 		return errors.Wrap(err, "load state")
 	}
 	close(p.ready)
-	p.Log.Event("planner-ready", "fence", p.Term.Fence(), "jobs", len(p.jobs), "workers", len(p.workers),
+	p.Log.Event("planner-ready", "fence", p.Term.Fence(), "jobs", len(p.jobs), "ended", len(p.ended), "unloaded", len(p.unloaded),
+		"loaded-bytes", p.memory.loaded, "workers", len(p.workers),
 		"took", p.Clock.Since(p.started))
 	p.watches = append(p.watches, p.watch(ctx, markerPrefix, p.markersRevision, p.handleMarker), p.watch(ctx, p.RegistrationPrefix, p.registrationsRevision, p.handleRegistration))
 	ticker := p.Clock.NewTicker(tickInterval)
@@ -327,7 +335,7 @@
 	p.stopStalledGroups(now)
 	p.concludeProbes(now)
 	p.moveOffDrainingWorkers(now)
-	p.deleteExpiredJobs()
+	p.checkJobMemory(now)
 	p.reportIdleJobs(now)
 	p.syncSpeedNote(now)
 	p.scheduleAllContacts()
@@ -373,27 +381,17 @@
 	j.record.Progress.Ended = p.TimeOfDay()
 	p.recordChange(j)
 	delete(p.active, j.id())
+	j.endedSince = p.Clock.Now()
 	p.Log.Event("job-ended", "job", j.id(), "state", j.state(), "queue", j.record.Job.Queue,
 		"after", p.Clock.Since(j.accepted), "objective", j.record.Job.Objective)
 	p.Metrics.Add(metrics.Name("jobs-"+string(j.state())), 1)
 	p.Metrics.Observe(metrics.JobTime, p.Clock.Since(j.accepted))
 }
 
-// deleteExpiredJobs deletes the jobs that ended more than twice the retention time ago.
-func (p *Planner) deleteExpiredJobs() {
-	limit := p.TimeOfDay().Add(-2 * p.Bounds.Retention)
-	for id, j := range p.jobs {
-		if ended := j.record.Progress.Ended; !ended.IsZero() && ended.Before(limit) && len(j.groups) == 0 && !p.dirty[j] {
-			delete(p.jobs, id)
-			p.pendingDeletes = append(p.pendingDeletes, Item{Key: jobPrefix + id, Revision: j.revision})
-		}
-	}
-}
-
 // newJobState returns the in-memory state of a job that was accepted at the given time of the planner's clock.
 func newJobState(record workload.Record, accepted time.Time) *jobState {
 	j := &jobState{
-		record: record, accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, unresponsive: map[string]time.Time{}, stalls: map[groupKey]int{},
+		record: record, size: sizeOf(&record.Job), accepted: accepted, groups: map[groupKey]*group{}, avoid: map[string]time.Time{}, unresponsive: map[string]time.Time{}, stalls: map[groupKey]int{},
 		longestDone: map[int]time.Duration{}, rates: map[int][]*policy.Rate{}, compared: map[stepWorker]bool{},
 		preemptions: map[groupKey]preemptions{}, preemptionWithheld: map[groupKey]bool{}, failedOn: map[string]bool{}, doneOn: map[string]bool{}, endedAt: map[groupKey]time.Time{},
 	}
--- a/engine/rig_test.go
+++ b/engine/rig_test.go
@@ -47,6 +47,8 @@
 	// onConfiguration, if set, is called on a planner's control goroutine with the planner's name whenever it reads the
 	// configuration.
 	onConfiguration func(name string)
+	// jobMemory bounds the memory for jobs in bytes of planners that are started afterwards; 0 means no bound.
+	jobMemory int64
 	// timeOfDay, if set, is the time of day of the planner with the given name.
 	timeOfDay func(name string) time.Time
 	// wrapStore, if set, changes the calls to the store of the planner with the given name.
@@ -134,7 +136,8 @@
 		Bounds: engine.Bounds{
 			MaxLease: maxLease, StopGrace: stopGrace, GangTimeout: gangTimeout, Retention: 2 * time.Minute,
 		},
-		Term: term, Configuration: func() *engine.Configuration { return r.configurationFor(name) }, RegistrationPrefix: site.RegistrationPrefix, Metrics: &metrics.Set{},
+		JobMemory: r.jobMemory,
+		Term:      term, Configuration: func() *engine.Configuration { return r.configurationFor(name) }, RegistrationPrefix: site.RegistrationPrefix, Metrics: &metrics.Set{},
 		DecodeRegistration: func(key string, value []byte) (engine.Registration, error) {
 			if r.decodeRegistration != nil {
 				return r.decodeRegistration(value)
--- a/engine/state.go
+++ b/engine/state.go
@@ -10,6 +10,8 @@
 // jobState is the planner's in-memory state of a job.
 type jobState struct {
 	record workload.Record
+	// size is the number of bytes that the job is counted with in memory.
+	size int64
 	// revision is the last known revision of the job's key in the store; 0 means that the key does not exist yet.
 	revision int64
 	// firstChange and lastChange are the numbers of the oldest and the newest change that are not stored; 0 if all are
@@ -65,6 +67,8 @@
 	commitInFlight bool
 	// withdrawn is set when the job was rejected because it could not be stored.
 	withdrawn bool
+	// endedSince is when the job reached its final state, on the planner's clock; zero before that.
+	endedSince time.Time
 	// cancelledAt is when the job was cancelled; zero if it was not.
 	cancelledAt time.Time
 }
--- a/front/election.go
+++ b/front/election.go
@@ -202,12 +202,16 @@
 	return nil
 }
 
+// jobMemoryShare is the part of the process's memory that the planner's jobs may take.
+const jobMemoryShare = 0.25
+
 // runPlanner runs the planner until its term is over, and returns the reason for the end.
 func (v *VM) runPlanner(ctx context.Context, term *engine.Term) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &engine.Planner{
 		Clock: v.Clock, TimeOfDay: time.Now, Store: v.Store, Workers: v.Workers, Bounds: v.Settings.Bounds.engine(), Term: term,
+		JobMemory:     int64(jobMemoryShare * float64(v.Settings.Memory())),
 		Configuration: v.configuration.Load, DecodeRegistration: v.DecodeRegistration, RegistrationPrefix: v.RegistrationPrefix, Log: v.log, Metrics: &v.metrics,
 	}
 	select {
--- a/front/settings.go
+++ b/front/settings.go
@@ -43,6 +43,20 @@
 	} `toml:"log"`
 }
 
+const (
+	// defaultMemoryMB is assumed if the settings do not give the memory of the process.
+	defaultMemoryMB = 128
+	megabyte        = 1 << 20
+)
+
+// Memory returns the memory of the process in bytes, or a default if it is not known.
+func (s *Settings) Memory() int64 {
+	if s.MaxMemoryMB == 0 {
+		return defaultMemoryMB * megabyte
+	}
+	return int64(s.MaxMemoryMB) * megabyte
+}
+
 // Bounds are the time limits that the deployment sets.
 type Bounds struct {
 	// ShutdownGrace is the time between the request to stop and the forced termination of the process.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -89,7 +89,12 @@
 	RunFiguresInvalid Name = "run-figures-invalid"
 	UnitsWaiting      Name = "units-waiting-gauge"
 	JobsIdle          Name = "jobs-idle-gauge"
-	GroupsWithheld    Name = "groups-withheld-gauge"
+	// JobMemory is about how many bytes the planner's jobs take, JobsUnloaded how many jobs are left in the store for want of memory, and
+	// JobsWithoutRoom counts those that were refused for it.
+	JobMemory       Name = "job-memory-bytes-gauge"
+	JobsUnloaded    Name = "jobs-unloaded-gauge"
+	JobsWithoutRoom Name = "jobs-refused-without-room"
+	GroupsWithheld  Name = "groups-withheld-gauge"
 	// OrganisationsAtLimit is how many organisations have units that wait for their limits, UnitsOverLimit how many units do.
 	OrganisationsAtLimit Name = "organisations-at-limit-gauge"
 	UnitsOverLimit       Name = "units-over-limit-gauge"
--- a/workload/job.go
+++ b/workload/job.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unsafe"
 )
 
 // Resources is an amount of resources that a task needs or that a worker has.
@@ -108,6 +109,24 @@
 	Interval time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
+// Size returns about how many bytes the job takes in memory.
+func (j *Job) Size() int {
+	size := len(j.Payload) + j.StepsSize()
+	for i := range j.Steps {
+		size += len(j.Steps[i].Label) + len(j.Steps[i].DataRack)
+	}
+	return size
+}
+
+// StepsSize returns the part of Size that its steps take without their texts.
+func (j *Job) StepsSize() int {
+	size := len(j.Steps) * int(unsafe.Sizeof(Step{}))
+	for i := range j.Steps {
+		size += len(j.Steps[i].After) * int(unsafe.Sizeof(0))
+	}
+	return size
+}
+
 // Occurrences returns the number of occurrences.
 func (j *Job) Occurrences() int { return max(1, j.Repeat) }
 
