engine: drop payloads of ended jobs as soon as their ends are stored

What callers saw: a successor with 96 MB went to 91 MB when it took over 354 jobs with payloads of 200 KB, most of which had just ended.

Cause: an ended job was kept whole until no worker could begin a run of it any more, some 22 s, and jobs that have ended cannot be left in the store.

Change: what only starts and the record in the store need, the payload and the progress of the tasks, goes at once. The steps stay for as long as a worker may have a run.

Test that fails without it: TestPayloadsOfEndedJobsAreNotKept. The site's oracle takes the payload of a job's profile, if there is one.

--- a/engine/job_memory_test.go
+++ b/engine/job_memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -158,6 +159,37 @@
 	})
 }
 
+// Guards against payloads of ended jobs that a planner keeps, or that a successor with less memory takes over.
+func TestPayloadsOfEndedJobsAreNotKept(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		r.jobMemory = 64 << 20
+		p, stop := r.startWithWorkers(1)
+		const jobs, size = 30, 100 << 10
+		for i := range jobs {
+			job := newJob(fmt.Sprintf("j%d", i), 0, singleTaskStep(1))
+			job.Payload = strings.Repeat("x", size)
+			r.SetJobProfile(site.JobProfile{Job: job, Work: []time.Duration{5 * time.Second}})
+			r.Equal(p.Submit(context.Background(), job).Verdict, engine.VerdictAccepted)
+		}
+		time.Sleep(1200 * time.Millisecond)
+		r.True(p.Metrics.Get(metrics.JobMemory) > jobs*size/2)
+		for i := range jobs {
+			r.waitForState(p, fmt.Sprintf("j%d", i), workload.StateCompleted, time.Minute)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		r.True(p.Metrics.Get(metrics.JobMemory) < 2*size)
+		stop()
+		r.jobMemory = 1 << 20
+		b, stopB := r.startPlanner("b")
+		defer stopB()
+		time.Sleep(1200 * time.Millisecond)
+		r.True(b.Metrics.Get(metrics.JobMemory) < 2*size)
+		for i := range jobs {
+			r.waitForState(b, fmt.Sprintf("j%d", i), workload.StateCompleted, time.Second)
+		}
+	})
+}
+
 // Guards against a job that another entry VM stored while the planner has no room, and against one that cannot be read again.
 func TestMarkedJobsAreLeftInTheStoreWithoutRoom(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
--- a/engine/memory.go
+++ b/engine/memory.go
@@ -322,11 +322,12 @@
 	}
 }
 
-// reduceEndedJob keeps only the state of a job if it has ended and is not needed any more.
+// reduceEndedJob keeps only what is still needed of a job if it has ended: its steps while a worker may have or begin a run of it, and then its state.
 func (p *Planner) reduceEndedJob(j *jobState) {
 	if !j.endStored() || len(j.groups) > 0 || j.commitInFlight || len(j.onStored) > 0 {
 		return
 	}
+	p.trimEndedJob(j)
 	// A worker may have or begin a run of a job that has started until then.
 	if traceTime := max(lateStartAge, p.lateRunBound()); j.record.Progress.Started && p.Clock.Since(j.endedSince) < traceTime {
 		return
@@ -338,7 +339,19 @@
 	}
 	p.memory.release(job.Organisation, j.size-endedSize)
 	// Workers on which it failed may keep the job longer.
-	job.Payload, job.Steps, j.record.Progress.Tasks, j.readySince = "", nil, nil, nil
+	job.Steps = nil
+}
+
+// trimEndedJob drops what only starts and the record in the store need.
+func (p *Planner) trimEndedJob(j *jobState) {
+	job, progress := &j.record.Job, &j.record.Progress
+	if progress.Tasks == nil {
+		return
+	}
+	job.Payload, progress.Tasks, progress.GangFailures, j.readySince = "", nil, nil, nil
+	trimmed := jobSize + int64(job.Size())
+	p.memory.release(job.Organisation, j.size-trimmed)
+	j.size = trimmed
 }
 
 // deleteExpiredJobs deletes the jobs that ended more than twice the retention time ago.
--- a/standin/site/profile.go
+++ b/standin/site/profile.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -13,7 +14,7 @@
 // checkpointInterval is the work between two checkpoints of a run.
 const checkpointInterval = time.Second
 
-// JobProfile is what the tasks of a job do. Its Job is judged as the job that a caller submitted.
+// JobProfile is what the tasks of a job do. Its Job is judged as the job that a caller submitted; without a payload, that is the job's ID.
 type JobProfile struct {
 	Job workload.Job
 	// Work has the duration of a task by step.
@@ -217,7 +218,7 @@
 	if cancelled := s.cancelled[p.Job.ID]; !cancelled.IsZero() && received.After(cancelled.Add(s.CancelBound)) {
 		fault("UNASKED: %s starts after its job was shown as cancelled", o.Task)
 	}
-	if o.Payload != p.Job.ID {
+	if o.Payload != cmp.Or(p.Job.Payload, p.Job.ID) {
 		fault("UNASKED: %s starts with the payload %q", o.Task, o.Payload)
 	}
 	if _, ok := s.checkpoints[unit][o.Checkpoint]; o.Checkpoint != "" && !ok {
