engine: take back a request whose caller has given up

What callers saw: nothing directly. While a planner loads, or a pass takes long, requests wait for their turn. A caller gives up after 900 ms at the latest, and its request stayed, with a job of up to some megabytes, and was carried out later. What callers may hold together was counted until they gave up only.

Change: a request that has not had its turn is taken back when its caller gives up.

Test that fails without it: TestRequestIsTakenBackWhenItsCallerGivesUp.

--- a/engine/calls_test.go
+++ b/engine/calls_test.go
@@ -351,3 +351,36 @@
 		})
 	}
 }
+
+// Guards against requests whose callers have given up and that the planner holds, or carries out, once it comes to them.
+func TestRequestIsTakenBackWhenItsCallerGivesUp(t *testing.T) {
+	is := is.New(t)
+	p := &Planner{inbox: newInbox(), ctx: context.Background()}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(p.do(ctx, func() { t.Error("the request is carried out") }), errNotAccepted))
+	<-p.inbox.arrived
+	for _, f := range p.inbox.take(nil) {
+		f()
+	}
+	// One that is being carried out may have had an effect.
+	started, end := make(chan struct{}), make(chan struct{})
+	ctx, cancel = context.WithCancel(context.Background())
+	go func() {
+		<-p.inbox.arrived
+		for _, f := range p.inbox.take(nil) {
+			f()
+		}
+		close(end)
+	}()
+	go func() {
+		<-started
+		cancel()
+	}()
+	err := p.do(ctx, func() {
+		close(started)
+		<-ctx.Done()
+	})
+	is.True(err == nil || errors.Is(err, context.Canceled))
+	<-end
+}
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -261,13 +261,25 @@
 		return errNotAccepted
 	}
 	done := make(chan struct{})
-	if !p.inbox.put(func() { f(); close(done) }, maxQueuedEvents) {
+	// A caller that gives up before its turn takes f back, which may hold a large job.
+	var waiting atomic.Pointer[func()]
+	waiting.Store(&f)
+	event := func() {
+		if f := waiting.Swap(nil); f != nil {
+			(*f)()
+		}
+		close(done)
+	}
+	if !p.inbox.put(event, maxQueuedEvents) {
 		return errNotAccepted
 	}
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
+		if waiting.Swap(nil) != nil {
+			return errNotAccepted
+		}
 		return ctx.Err()
 	case <-p.ctx.Done():
 		return errStopped
@@ -276,7 +288,7 @@
 
 var (
 	errStopped = errors.New("the planner has stopped")
-	// errNotAccepted means that a request did not reach the control goroutine.
+	// errNotAccepted means that a request did not reach the control goroutine, and never will.
 	errNotAccepted = errors.New("the planner accepts no requests: it has stopped or is overloaded")
 )
 
