engine, platform: read jobs page by page at takeover

What callers saw: a planner was killed, and each VM that succeeded it went over its memory, so that on its machine each in turn would have ended.

Cause: a successor read all jobs into one list, with every page as text beside it, before it kept anything of the first.

Change: the items of a page are decoded and passed on one by one as they arrive, and the planner keeps what it needs of each before the next. A listing that breaks off goes on after the last item that was passed on.

--- a/engine/job_memory_test.go
+++ b/engine/job_memory_test.go
@@ -190,6 +190,45 @@
 	})
 }
 
+// Guards against jobs that are lost or read twice because the store stops answering in the middle of a listing.
+func TestListingOfJobsContinuesAfterFailure(t *testing.T) {
+	runInVirtualTime(t, func(r *rig) {
+		const jobs = 40
+		p, stop := r.startWithWorkers(1)
+		for i := range jobs {
+			r.mustSubmit(p, fmt.Sprintf("j%02d", i), 0, singleTaskStep(1), 5*time.Second)
+		}
+		stop()
+		failures := 0
+		r.wrapStore = func(_ string, s engine.Store) engine.Store {
+			scan := s.Scan
+			s.Scan = func(ctx context.Context, prefix, after string, each func(engine.Item)) (bool, error) {
+				passed, full := 0, false
+				more, err := scan(ctx, prefix, after, func(i engine.Item) {
+					// Each page breaks off after three items.
+					if passed++; passed > 3 {
+						full = true
+						return
+					}
+					each(i)
+				})
+				if full {
+					failures++
+					return false, &engine.ErrUnanswered{Cause: context.DeadlineExceeded}
+				}
+				return more, err
+			}
+			return s
+		}
+		b, stopB := r.startPlanner("b")
+		defer stopB()
+		r.True(failures >= jobs/3)
+		for i := range jobs {
+			r.waitForState(b, fmt.Sprintf("j%02d", i), workload.StateCompleted, 10*time.Minute)
+		}
+	})
+}
+
 // Guards against a job that another entry VM stored while the planner has no room, and against one that cannot be read again.
 func TestMarkedJobsAreLeftInTheStoreWithoutRoom(t *testing.T) {
 	runInVirtualTime(t, func(r *rig) {
--- a/engine/load.go
+++ b/engine/load.go
@@ -63,19 +63,36 @@
 	return nil
 }
 
-// loadJobs reads the jobs, and keeps what it needs of each.
+// loadJobs reads the jobs page by page, and keeps what it needs of each before it reads the next.
 func (p *Planner) loadJobs(ctx context.Context) error {
-	jobs, err := p.list(ctx, jobPrefix)
-	if err != nil {
-		return err
-	}
-	for _, item := range jobs.items {
-		if j := p.adoptJob(item); j != nil {
-			p.reduceEndedJob(j)
+	last := ""
+	for {
+		pageCtx, cancel := context.WithTimeout(ctx, loadTimeout)
+		more, err := p.Store.Scan(pageCtx, jobPrefix, last, func(item Item) {
+			last = item.Key
+			if j := p.adoptJob(item); j != nil {
+				p.reduceEndedJob(j)
+			}
+			p.unload()
+		})
+		cancel()
+		switch {
+		case err == nil && !more:
+			return nil
+		case err == nil:
+			continue
+		}
+		// The items of the page that have arrived are kept, so the next page begins after them.
+		p.Log.Event("list-failed", "prefix", jobPrefix, "after", last, "error", err)
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "list jobs")
+		case <-p.Clock.After(watchRetryDelay):
+		}
+		if err := p.Term.Err(); err != nil {
+			return err
 		}
-		p.unload()
 	}
-	return nil
 }
 
 // countLoadedAgainstWeight counts the jobs that were read against the weights of their organisations, in the order of their acceptance.
--- a/engine/random_faults_test.go
+++ b/engine/random_faults_test.go
@@ -790,6 +790,12 @@
 		}
 		return direct.List(ctx, prefix)
 	}
+	reached.Scan = func(ctx context.Context, prefix, after string, each func(engine.Item)) (bool, error) {
+		if err := reach(ctx); err != nil {
+			return false, err
+		}
+		return direct.Scan(ctx, prefix, after, each)
+	}
 	reached.Watch = func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]engine.Item, int64, error) {
 		if err := reach(ctx); err != nil {
 			return nil, 0, err
--- a/engine/store.go
+++ b/engine/store.go
@@ -52,6 +52,9 @@
 	Get    func(ctx context.Context, key string) (Item, error)
 	// List returns all items under the prefix, and the revision after which a watch reports all later changes.
 	List func(ctx context.Context, prefix string) ([]Item, int64, error)
+	// Scan passes the items under the prefix whose keys come after the given one to each, in the order of their keys, until the store ends the page.
+	// It reports whether there are more. After an error, the items that were passed are valid.
+	Scan func(ctx context.Context, prefix, after string, each func(Item)) (more bool, err error)
 	// Watch returns the changes after a revision, and the revision to continue from. It returns no changes if there are none
 	// during the wait.
 	Watch       func(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Item, int64, error)
--- a/jsonhttp/client.go
+++ b/jsonhttp/client.go
@@ -29,6 +29,8 @@
 	In any
 	// Out receives the decoded reply unless it is nil.
 	Out any
+	// Decode reads the body of a reply with status 200 as it arrives, in place of Out. Its error becomes that of the call.
+	Decode func(body io.Reader) error
 }
 
 // Do makes a call. The result delivered is false only if no connection was obtained for the request, so that no byte of it
@@ -55,7 +57,7 @@
 	if err != nil {
 		return false, err
 	}
-	status, reply, reusable, err := exchange(ctx, connection, request)
+	status, reply, reusable, err := exchange(ctx, connection, request, q.Decode)
 	c.pool.put(connection, reusable)
 	switch {
 	case err != nil:
@@ -78,8 +80,9 @@
 	return true, errors.Wrap(json.Unmarshal(reply, q.Out), "decode reply")
 }
 
-// exchange writes a request and reads its reply. It is aborted when ctx ends.
-func exchange(ctx context.Context, c *connection, request *http.Request) (status int, body []byte, reusable bool, err error) {
+// exchange writes a request and reads its reply, whose body it passes to decode if the status is 200 and decode is not nil. It is aborted when ctx
+// ends.
+func exchange(ctx context.Context, c *connection, request *http.Request, decode func(io.Reader) error) (status int, body []byte, reusable bool, err error) {
 	// A deadline in the past aborts the reads and writes of a cancelled call. The deadline of ctx is not set on the
 	// connection, because it may be a time of another clock.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
@@ -100,6 +103,11 @@
 		return 0, nil, false, errors.Wrap(err, "read reply")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if decode != nil && response.StatusCode == http.StatusOK {
+		if err := decode(response.Body); err != nil {
+			return 0, nil, false, errors.Wrap(err, "decode reply")
+		}
+	}
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxBodySize+1))
 	switch {
 	case err != nil:
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -62,7 +62,7 @@
 
 // Engine returns the store's calls as an engine.Store.
 func (s *Store) Engine() engine.Store {
-	return engine.Store{Commit: s.commit, Get: s.get, List: s.list, Watch: s.watch, GrantLease: s.grantLease, RenewLease: s.renewLease, RevokeLease: s.revokeLease}
+	return engine.Store{Commit: s.commit, Get: s.get, List: s.list, Scan: s.scan, Watch: s.watch, GrantLease: s.grantLease, RenewLease: s.renewLease, RevokeLease: s.revokeLease}
 }
 
 // enter waits for the latency of a call and returns with s.mu held and expired leases removed. If the store is silent, it waits
@@ -245,6 +245,18 @@
 	return items[begin:], false
 }
 
+func (s *Store) scan(ctx context.Context, prefix, after string, each func(engine.Item)) (bool, error) {
+	items, _, err := s.list(ctx, prefix)
+	if err != nil {
+		return false, err
+	}
+	page, more := Page(items, after)
+	for _, i := range page {
+		each(i)
+	}
+	return more, nil
+}
+
 func (s *Store) watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]engine.Item, int64, error) {
 	end := time.Now().Add(wait)
 	for {
