front: bound the jobs of other entry VMs that are being submitted

What callers saw: a crowd that sends to many entry VMs takes the planner over its memory, whatever each of them holds, and the next planner after it.

Cause: each entry VM bounds what its own callers hold, and passes their jobs on. The planner decoded all of them at once, and kept each until it was stored or given up.

Change: jobs of other entry VMs may take a twelfth of the process's memory, at least 8 MB, from their arrival until they are answered. Beyond it they are refused with 503. Large ones are decoded one at a time.

--- a/front/peers.go
+++ b/front/peers.go
@@ -12,6 +12,7 @@
 	"clementinepier/codec"
 	"clementinepier/engine"
 	"clementinepier/job"
+	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/workload"
 )
@@ -158,7 +159,7 @@
 // handlers returns the handlers of calls that other entry VMs make to this one as the planner.
 func (v *VM) handlers() map[peer.Kind]peer.Handler {
 	return map[peer.Kind]peer.Handler{
-		peer.KindSubmit: plannerHandler(v, func(ctx context.Context, p *engine.Planner, j workload.Job) engine.Result { return p.Submit(ctx, j) }),
+		peer.KindSubmit: v.handleSubmission,
 		peer.KindState:  plannerHandler(v, func(ctx context.Context, p *engine.Planner, id string) engine.Result { return p.State(ctx, id) }),
 		peer.KindEnd:    plannerHandler(v, func(ctx context.Context, p *engine.Planner, id string) engine.Result { return p.Cancel(ctx, id) }),
 		peer.KindWaiting: plannerHandler(v, func(ctx context.Context, p *engine.Planner, queue string) engine.Result {
@@ -181,12 +182,66 @@
 	}
 }
 
+const (
+	// submissionShare is the part of the process's memory that jobs from other entry VMs may take while they are decoded and stored.
+	// minSubmissionMemory, in bytes, fits the largest job.
+	submissionShare     = 1.0 / 12
+	minSubmissionMemory = 8 << 20
+	// largeSubmission is the size in bytes from which on jobs are decoded one at a time.
+	largeSubmission = 8 << 10
+)
+
+// handleSubmission passes a job from another entry VM to the planner, if there is memory for it until it is stored or refused.
+func (v *VM) handleSubmission(ctx context.Context, from peer.Identity, body []byte) (any, error) {
+	p, err := v.localPlanner()
+	if err != nil {
+		return nil, err
+	}
+	size := int64(len(body))
+	if !v.submissions.Reserve(size) {
+		return v.refuseSubmission(from, size), nil
+	}
+	defer v.submissions.Release(size)
+	submitted, err := v.decodeSubmission(body)
+	if err != nil {
+		return nil, err
+	}
+	decoded := int64(submitted.Size())
+	if !v.submissions.Reserve(decoded) {
+		return v.refuseSubmission(from, decoded), nil
+	}
+	defer v.submissions.Release(decoded)
+	ctx, cancel := context.WithTimeout(ctx, plannerCallTimeout)
+	defer cancel()
+	return p.Submit(ctx, submitted), nil
+}
+
+func (v *VM) decodeSubmission(body []byte) (workload.Job, error) {
+	if len(body) > largeSubmission {
+		v.decodingSubmission.Lock()
+		defer v.decodingSubmission.Unlock()
+	}
+	var submitted workload.Job
+	err := codec.Unmarshal(body, &submitted)
+	if err != nil {
+		err = &peer.ErrRefused{Code: job.CodeBadRequest, Detail: err.Error()}
+	}
+	return submitted, err
+}
+
+// refuseSubmission returns the result for a job that was not passed to the planner.
+func (v *VM) refuseSubmission(from peer.Identity, size int64) engine.Result {
+	v.log.Event("submission-without-room", "from", from.VM, "size", size, "limit", v.submissions.Limit)
+	v.metrics.Add(metrics.JobsWithoutRoom, 1)
+	return engine.Result{Verdict: engine.VerdictRefused, RetryAfter: unavailableRetryAfter, Reason: "too many jobs are being submitted"}
+}
+
 // plannerHandler decodes a call and passes it to the planner of this process; without one it rejects the call.
 func plannerHandler[In any](v *VM, f func(context.Context, *engine.Planner, In) engine.Result) peer.Handler {
 	return func(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
-		p := v.planner.Load()
-		if p == nil {
-			return nil, &peer.ErrRefused{Code: codeNotPlanner, Detail: "this entry VM is not the planner"}
+		p, err := v.localPlanner()
+		if err != nil {
+			return nil, err
 		}
 		var in In
 		if err := codec.Unmarshal(body, &in); err != nil {
@@ -197,3 +252,11 @@
 		return f(ctx, p, in), nil
 	}
 }
+
+// localPlanner returns the planner of this process, or the error that rejects a call for it.
+func (v *VM) localPlanner() (*engine.Planner, error) {
+	if p := v.planner.Load(); p != nil {
+		return p, nil
+	}
+	return nil, &peer.ErrRefused{Code: codeNotPlanner, Detail: "this entry VM is not the planner"}
+}
--- a/front/peers_test.go
+++ b/front/peers_test.go
@@ -8,10 +8,14 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
+	"clementinepier/codec"
 	"clementinepier/engine"
+	"clementinepier/job"
 	"clementinepier/metrics"
 	"clementinepier/peer"
+	"clementinepier/workload"
 )
 
 var secret = []byte("a secret of at least thirty-two bytes")
@@ -91,3 +95,29 @@
 	is.True(peer.IsErrRefused(forwardOnceLinked(t, v, 5*time.Second)))
 	is.True(!v.plannerUnresponsive.Load())
 }
+
+// Guards against jobs from other entry VMs that take more memory together than they may, and against a bound that stays reached.
+func TestSubmissionsOfOtherVMsAreBounded(t *testing.T) {
+	is := is.New(t)
+	v := &VM{Settings: &Settings{Name: "a"}, Clock: clockwork.NewRealClock()}
+	body, err := codec.Marshal(workload.Job{ID: "j", Steps: make([]workload.Step, 1000)})
+	is.NoErr(err)
+	from := peer.Identity{VM: "b"}
+	_, err = v.handleSubmission(context.Background(), from, body)
+	var refused *peer.ErrRefused
+	is.True(errors.As(err, &refused) && refused.Code == codeNotPlanner)
+
+	v.planner.Store(&engine.Planner{})
+	for _, limit := range []int64{int64(len(body)) - 1, int64(len(body)) + 1000} {
+		v.submissions.Limit = limit
+		result, err := v.handleSubmission(context.Background(), from, body)
+		is.NoErr(err)
+		is.Equal(result.(engine.Result).Verdict, engine.VerdictRefused)
+		is.True(result.(engine.Result).RetryAfter > 0)
+		is.True(v.submissions.Reserve(limit)) // Nothing is held any more.
+		v.submissions.Release(limit)
+	}
+	_, err = v.handleSubmission(context.Background(), from, []byte{0xff})
+	is.True(errors.As(err, &refused) && refused.Code == job.CodeBadRequest)
+	is.True(v.submissions.Reserve(v.submissions.Limit))
+}
--- a/front/vm.go
+++ b/front/vm.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"clementinepier/engine"
 	"clementinepier/eventlog"
 	"clementinepier/ingress"
+	"clementinepier/memory"
 	"clementinepier/metrics"
 	"clementinepier/peer"
 	"clementinepier/workload"
@@ -99,6 +101,10 @@
 	plannerUnresponsive atomic.Bool
 	// unresponsive passes the planner that left a call unanswered to probeUnresponsive.
 	unresponsive chan engine.Holder
+	// submissions bounds the jobs of calls from other entry VMs that are being served. decodingSubmission is locked while a large one is decoded, which
+	// takes several times its size.
+	submissions        memory.Gate
+	decodingSubmission sync.Mutex
 	// storeFailingSince is when calls to the store began to fail, in Unix nanoseconds; 0 while they succeed.
 	storeFailingSince atomic.Int64
 }
@@ -108,6 +114,7 @@
 	v.log = &eventlog.Log{Clock: v.Clock, Budget: v.Settings.Log.Budget}
 	v.bootID = newBootID()
 	v.recheck, v.unresponsive, v.stepDown = make(chan struct{}, 1), make(chan engine.Holder, 1), make(chan struct{}, 1)
+	v.submissions.Limit = max(minSubmissionMemory, int64(submissionShare*float64(v.Settings.Memory())))
 	v.metrics.Publish()
 	v.log.Event("started", "vm", v.Settings.Name, "failure-domain", v.Settings.FailureDomain, "boot", v.bootID,
 		"callers", v.Settings.CallersAddress, "store", v.Settings.StoreAddress)
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -106,3 +106,17 @@
 	is.Equal(s.Room("b"), int64(375))
 	is.Equal(s.Excess("a"), int64(5000))
 }
+
+// Guards against calls that hold more than the bound together, and a gate that stays closed after they have ended.
+func TestGateBoundsWhatIsHeld(t *testing.T) {
+	is := is.New(t)
+	g := &Gate{Limit: 10}
+	is.True(g.Reserve(6))
+	is.True(!g.Reserve(5))
+	is.True(g.Reserve(4))
+	g.Release(6)
+	is.True(g.Reserve(6))
+	is.True(!g.Reserve(1))
+	g.Release(10)
+	is.True(g.Reserve(10))
+}
