front: bound the calls to the store that callers cause

What callers saw: 60 callers that ask for states of jobs that nobody submitted made 18,000 calls a second to a store that answers 2,000. It refused renewals of the planner's lease among them, and 13 to 69 of 100 ordinary jobs got 503 (measured by the users).

Cause: each "no such job" of the planner is asked again of the store, since another entry VM may have stored the job. Nothing bounds these calls, nor the jobs that an entry VM writes to the store while no planner answers. A refusal beyond the store's limits was logged as a silent store.

Change: an entry VM reads 50 jobs a second at most for the callers of one organisation, and half as many after each second in which the store refused a call beyond its limits, growing again by 5 a second. It writes 1 MB of jobs a second without the planner, 8 MB at once. Beyond that callers get 503. A refusal beyond the limits still counts as a failure, as the store may turn one entry VM away, and is logged as store-limit-reached.

--- a/engine/store.go
+++ b/engine/store.go
@@ -81,6 +81,15 @@
 // Unwrap returns the cause.
 func (e *ErrNotDone) Unwrap() error { return e.Cause }
 
+// ErrThrottled is the cause of an ErrNotDone if the store refused the call because of its limits on calls. The store is not failing.
+type ErrThrottled struct{ Cause error }
+
+// Error implements error.
+func (e *ErrThrottled) Error() string { return "beyond the store's limits: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ErrThrottled) Unwrap() error { return e.Cause }
+
 // ErrUnanswered means that a call got no response: it may have been executed, or may still be.
 type ErrUnanswered struct{ Cause error }
 
@@ -113,6 +122,9 @@
 // IsErrNotDone reports whether err is or wraps an *ErrNotDone.
 func IsErrNotDone(err error) bool { return isKind[*ErrNotDone](err) }
 
+// IsErrThrottled reports whether err is or wraps an *ErrThrottled.
+func IsErrThrottled(err error) bool { return isKind[*ErrThrottled](err) }
+
 // IsErrConflict reports whether err is or wraps an *ErrConflict.
 func IsErrConflict(err error) bool { return isKind[*ErrConflict](err) }
 
--- a/front/receiver.go
+++ b/front/receiver.go
@@ -104,6 +104,8 @@
 	StoreAvailable func() bool
 	// Direct serves calls from the store without the planner.
 	Direct *engine.DirectClient
+	// StoreBudget bounds these calls.
+	StoreBudget *StoreBudget
 }
 
 // authorise finds the queue of a call and checks its key. It returns the rest of the path, or the reply to a rejected call.
@@ -184,7 +186,12 @@
 	defer cancel()
 	result := r.callPlannerOrStore(ctx, id, peer.KindSubmit, job,
 		func(ctx context.Context, p *engine.Planner) engine.Result { return p.Submit(ctx, job) },
-		func(ctx context.Context) engine.Result { return r.Direct.Submit(ctx, job) })
+		func(ctx context.Context) engine.Result {
+			if !r.StoreBudget.AllowSubmission(r.Clock.Now(), job.Size()) {
+				return r.withhold()
+			}
+			return r.Direct.Submit(ctx, job)
+		})
 	r.Metrics.Observe(metrics.AcceptTime, r.Clock.Since(from))
 	reply := r.reply(result)
 	if reply.Outcome != OutcomeDone {
@@ -209,7 +216,7 @@
 
 // State returns the state of a job, or the number of waiting jobs of a queue if the path has no job id.
 func (r *Receiver) State(ctx context.Context, c Call) Reply {
-	queue, _, id, refused := r.authorise(c)
+	queue, organisation, id, refused := r.authorise(c)
 	if refused != nil {
 		return *refused
 	}
@@ -223,6 +230,9 @@
 			}))
 	}
 	direct := func(ctx context.Context) engine.Result {
+		if !r.StoreBudget.AllowQuestion(r.Clock.Now(), organisation) {
+			return r.withhold()
+		}
 		ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, stateReadTimeout)
 		defer cancel()
 		return r.Direct.State(ctx, id)
@@ -240,13 +250,18 @@
 
 // Cancel ends a job.
 func (r *Receiver) Cancel(ctx context.Context, c Call) Reply {
-	_, _, id, refused := r.authorise(c)
+	_, organisation, id, refused := r.authorise(c)
 	if refused != nil {
 		return *refused
 	}
 	ctx, cancel := r.withReplyDeadline(ctx, c)
 	defer cancel()
-	direct := func(ctx context.Context) engine.Result { return r.Direct.Cancel(ctx, id) }
+	direct := func(ctx context.Context) engine.Result {
+		if !r.StoreBudget.AllowQuestion(r.Clock.Now(), organisation) {
+			return r.withhold()
+		}
+		return r.Direct.Cancel(ctx, id)
+	}
 	result := r.callPlannerOrStore(ctx, id, peer.KindEnd, id,
 		func(ctx context.Context, p *engine.Planner) engine.Result { return p.Cancel(ctx, id) }, direct)
 	if result.Verdict == engine.VerdictAbsent {
@@ -257,6 +272,12 @@
 	return reply
 }
 
+// withhold returns the result of a call that was not sent to the store.
+func (r *Receiver) withhold() engine.Result {
+	r.Metrics.Add(metrics.StoreCallsWithheld, 1)
+	return engine.Result{Verdict: engine.VerdictUnavailable, Reason: "callers ask too much of the store"}
+}
+
 // callPlannerOrStore serves a call through the planner, or from the store if the planner does not answer.
 func (r *Receiver) callPlannerOrStore(ctx context.Context, id string, kind peer.Kind, body any,
 	local func(context.Context, *engine.Planner) engine.Result, direct func(context.Context) engine.Result,
--- a/front/vm.go
+++ b/front/vm.go
@@ -101,12 +101,16 @@
 	plannerUnresponsive atomic.Bool
 	// unresponsive passes the planner that left a call unanswered to probeUnresponsive.
 	unresponsive chan engine.Holder
+	// storeBudget bounds the calls to the store that callers cause.
+	storeBudget StoreBudget
 	// submissions bounds the jobs of calls from other entry VMs that are being served. decodingSubmission is locked while a large one is decoded, which
 	// takes several times its size.
 	submissions        memory.Gate
 	decodingSubmission sync.Mutex
-	// storeFailingSince is when calls to the store began to fail, in Unix nanoseconds; 0 while they succeed.
+	// storeFailingSince is when calls to the store began to fail, in Unix nanoseconds; 0 while they succeed. storeSilent is set if one of them
+	// failed otherwise than by the store's limits on calls.
 	storeFailingSince atomic.Int64
+	storeSilent       atomic.Bool
 }
 
 // Run serves until ctx ends, and then shuts down gracefully.
@@ -206,7 +210,7 @@
 	return &Receiver{
 		Clock: v.Clock, TimeOfDay: time.Now, Log: v.log, Metrics: &v.metrics, Configuration: v.configuration.Load,
 		Planner: v.planner.Load, Forward: v.forward, OnPlannerFailure: v.recheckHolder, StoreAvailable: v.storeAvailable,
-		Direct: &engine.DirectClient{Store: v.Store},
+		Direct: &engine.DirectClient{Store: v.Store}, StoreBudget: &v.storeBudget,
 	}
 }
 
@@ -279,16 +283,24 @@
 
 // RecordStoreResult records whether a call to the store failed. Cancelled calls do not count.
 func (v *VM) RecordStoreResult(err error) {
-	if err == nil {
-		if from := v.storeFailingSince.Swap(0); from != 0 {
+	throttled := engine.IsErrThrottled(err)
+	switch {
+	case err == nil:
+		from := v.storeFailingSince.Swap(0)
+		if silent := v.storeSilent.Swap(false); silent && from != 0 {
 			v.log.Event("store-answers", "after", v.Clock.Now().Sub(time.Unix(0, from)))
 		}
 		return
-	}
-	if errors.Is(err, context.Canceled) {
+	case errors.Is(err, context.Canceled):
 		return
+	case throttled:
+		v.metrics.Add(metrics.StoreCallsThrottled, 1)
+		if v.storeBudget.RecordThrottled(v.Clock.Now()) {
+			v.log.Event("store-limit-reached", "error", err)
+		}
 	}
-	if v.storeFailingSince.CompareAndSwap(0, v.Clock.Now().UnixNano()) {
+	v.storeFailingSince.CompareAndSwap(0, v.Clock.Now().UnixNano())
+	if !throttled && v.storeSilent.CompareAndSwap(false, true) {
 		v.log.Event("store-silent", "error", err)
 	}
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -54,6 +54,8 @@
 	StoreWatches         Name = "store-watches"
 	VMLists              Name = "vm-lists"
 	StoreErrors          Name = "store-errors"
+	StoreCallsThrottled  Name = "store-calls-throttled"
+	StoreCallsWithheld   Name = "store-calls-withheld"
 	ConfigApplied        Name = "config-documents-applied"
 	ConfigRejected       Name = "config-parts-rejected"
 	ConfigRevision       Name = "config-revision-gauge"
