front: a fifth of the memory for jobs

With a quarter for jobs, a quarter for callers and a twelfth for jobs from other entry VMs, a planner under all three crowds at once has 58% of its memory in use beside its own state, and the garbage collector lets the heap grow beyond its limit of 75% for moments: 83 to 88 MB of 96 in jobs_of_9001_steps_while_the_store_is_silent_by_turns.

--- a/front/election.go
+++ b/front/election.go
@@ -203,7 +203,7 @@
 }
 
 // jobMemoryShare is the part of the process's memory that the planner's jobs may take.
-const jobMemoryShare = 0.25
+const jobMemoryShare = 0.2
 
 // runPlanner runs the planner until its term is over, and returns the reason for the end.
 func (v *VM) runPlanner(ctx context.Context, term *engine.Term) error {
