policy: bound the units that a pass considers

What callers saw: callers with jobs of 9,001 steps that could all start kept a planner over 400 workers from serving: it counted as stalled and gave up its term, and so did its successors.

Cause: a pass compares each unit that waits with each worker, so its duration grows with what callers submit: 0.75 s for 54,000 units over 1,100 workers, 1.5 s for urgent ones, as long as a planner may stand still.

Change: a pass considers units up to a product with the workers of ten million. Beyond it each organisation has an equal part, and each job an equal part of that; guaranteed units are considered in any case.

--- a/engine/schedule.go
+++ b/engine/schedule.go
@@ -53,7 +53,7 @@
 		byService[u.Job.Service] = append(byService[u.Job.Service], u)
 	}
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
-		waiting := byService[service]
+		waiting := policy.Considered(byService[service], len(p.cachedFleet(service).workers))
 		mayPreempt := limits != nil || slices.ContainsFunc(waiting, func(u *policy.Unit) bool { return u.Job.Priority == 0 })
 		f := p.currentFleet(service, now, conf, guaranteed, mayPreempt)
 		f.Limits = limits
