engine: bound the check whether a new job could run

What callers saw: nothing directly; found while the pass was bounded. A job of 20,000 steps that only the last worker could run is compared with all workers for each step before it is accepted or refused, on the goroutine that makes all decisions.

Change: steps are checked up to a product with the workers of two million; the rest of a job of very many steps counts as possible.

--- a/engine/fleet.go
+++ b/engine/fleet.go
@@ -21,6 +21,10 @@
 	speedsAt time.Time
 }
 
+// maxStepChecks bounds the steps of a new job that are compared with the workers, times the workers. The rest of a job of very many steps counts as
+// possible, so that it does not keep the control goroutine from other work.
+const maxStepChecks = 2 << 20
+
 // invalidateFleets clears the cached fleets, after a change of a worker's registration.
 func (p *Planner) invalidateFleets() { clear(p.fleets) }
 
@@ -62,7 +66,8 @@
 	if len(workers) == 0 {
 		return -1
 	}
-	return slices.IndexFunc(job.Steps, func(s workload.Step) bool { return !policy.Feasible(&s, workers) })
+	steps := job.Steps[:min(len(job.Steps), max(1, maxStepChecks/len(workers)))]
+	return slices.IndexFunc(steps, func(s workload.Step) bool { return !policy.Feasible(&s, workers) })
 }
 
 func (p *Planner) newFleet(service string) *fleet {
