engine: begin to unload jobs at the bound again

Found while reading the change: after jobs that cannot be unloaded had taken more than the bound, others were unloaded only from there on, for the rest of the term. The higher mark holds until the next check now, a second at most.

Test that fails without it: TestUnloadingBeginsAtTheBoundAgain.

--- a/engine/memory.go
+++ b/engine/memory.go
@@ -60,7 +60,8 @@
 	checkedAt   time.Time
 	// loadsInFlight is the number of reads of unloaded jobs.
 	loadsInFlight int
-	// unloadFrom is the number of bytes from which on jobs are unloaded: the bound, or more if the rest cannot be unloaded.
+	// unloadFrom is the number of bytes from which on jobs are unloaded: the bound, or for a short time more if the rest cannot be unloaded, so that not
+	// each further job searches for others.
 	unloadFrom int64
 }
 
@@ -310,6 +311,7 @@
 	m.released, m.checkedAt = 0, now
 	p.reduceEndedJobs()
 	p.deleteExpiredJobs()
+	m.unloadFrom = m.limit
 	p.unload()
 	p.Metrics.SetGauge(metrics.JobMemory, m.loaded)
 	p.Metrics.SetGauge(metrics.JobsUnloaded, int64(len(p.unloaded)))
--- a/engine/memory_test.go
+++ b/engine/memory_test.go
@@ -7,6 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"clementinepier/metrics"
 	"clementinepier/workload"
 )
 
@@ -109,3 +113,16 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapAlloc)
 }
+
+// Guards against a planner that unloads nothing any more because it once had jobs that could not be unloaded.
+func TestUnloadingBeginsAtTheBoundAgain(t *testing.T) {
+	is := is.New(t)
+	p := &Planner{Clock: clockwork.NewFakeClock(), TimeOfDay: time.Now, Metrics: &metrics.Set{}, Configuration: func() *Configuration { return &Configuration{} }}
+	p.memory = newJobMemory(1000)
+	p.memory.loaded = 5000
+	p.unload()
+	is.True(p.memory.unloadFrom > 5000)
+	p.memory.loaded = 100
+	p.checkJobMemory(p.Clock.Now())
+	is.Equal(p.memory.unloadFrom, int64(1000))
+}
