--- a/review/rig3/plays.go
+++ b/review/rig3/plays.go
@@ -113,7 +113,7 @@
 				}
 			}
 			if a.task == b.task && to.After(from) {
-				return fmt.Sprintf("TWICE: %s and %s are at work at the same time for %d ms", a, b, to.Sub(from).Milliseconds())
+				return fmt.Sprintf("TWICE: %s and %s are at work at the same time for %d ms; they end %s and %s", a, b, to.Sub(from).Milliseconds(), a.how, b.how)
 			}
 		}
 	}
@@ -162,15 +162,24 @@
 	}
 }
 
-// crashAndArrive lets the worker crash and start again under its id, and then the orders arrive.
-func (t *delayedOrders) crashAndArrive(down time.Duration) error {
+// cutTime is how long a worker is cut off from the store.
+const cutTime = 5 * time.Second
+
+// cutAndArrive cuts the worker off from the store, not from the entry VMs. It crashes behind the cut and starts again under its id, and then
+// the orders arrive.
+func (t *delayedOrders) cutAndArrive() error {
+	cut := time.Now()
+	t.worker.setCut(true)
+	time.Sleep(300 * time.Millisecond)
 	t.worker.crash()
-	time.Sleep(down)
+	time.Sleep(time.Second)
 	if err := t.worker.restart(); err != nil {
 		return err
 	}
-	time.Sleep(firstEntry / 2)
+	time.Sleep(500 * time.Millisecond)
 	t.arrive()
+	time.Sleep(time.Until(cut.Add(cutTime)))
+	t.worker.setCut(false)
 	return nil
 }
 
@@ -194,7 +203,7 @@
 	if trouble {
 		t.set(i.fleet, id)
 	}
-	if err := i.submit(batchPrefix+id, keyA, job(step{count: 1, gpu: 8, workMs: 8000, estimateMs: 8000})); err != nil {
+	if err := i.submit(batchPrefix+id, keyA, job(step{count: 1, gpu: 8, workMs: 2400, estimateMs: 2400})); err != nil {
 		return "", err
 	}
 	if trouble {
@@ -213,11 +222,11 @@
 		if _, err := i.awaitRuns(id, 1, 20*time.Second, func(s span) bool { return present(s) && !t.isTo(s.worker) }); err != nil {
 			return "", err
 		}
-		if err := t.crashAndArrive(time.Second); err != nil {
+		if err := t.cutAndArrive(); err != nil {
 			return "", err
 		}
 	}
-	time.Sleep(11 * time.Second)
+	time.Sleep(10 * time.Second)
 	i.call(i.entries[0], "GET", batchPrefix+id, keyA, nil)
 	i.call(i.entries[1], "GET", batchPrefix+id, keyA, nil)
 	return overlap(i.fleet.spansOf(id)), nil
@@ -244,7 +253,7 @@
 		return "", err
 	}
 	if trouble {
-		if err := t.crashAndArrive(1500 * time.Millisecond); err != nil {
+		if err := t.cutAndArrive(); err != nil {
 			return "", err
 		}
 	}
@@ -364,7 +373,7 @@
 		return "", err
 	}
 	if trouble {
-		time.Sleep(time.Until(cut.Add(5 * time.Second)))
+		time.Sleep(time.Until(cut.Add(cutTime)))
 		w.setCut(false)
 	}
 	time.Sleep(3 * time.Second)
--- a/review/rig3/worker.go
+++ b/review/rig3/worker.go
@@ -22,8 +22,6 @@
 	stopTime = 300 * time.Millisecond
 	// maxHold is the longest lease, MaxHoldMs of the settings.
 	maxHold = 10 * time.Second
-	// firstEntry is how long after its start a worker writes its first entry, less than a heartbeat.
-	firstEntry = 700 * time.Millisecond
 	// maxListed is how many ends are listed at a time.
 	maxListed = 500
 )
@@ -135,7 +133,7 @@
 	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	server := w.server
 	if !w.cut {
-		w.lastBeat = time.Now().Add(firstEntry - heartbeat)
+		w.beat()
 	}
 	w.mu.Unlock()
 	w.site.rec.add("worker %s starts its life %d at %s, kind %s", w.id, w.born, w.address, w.kind)
