--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -24,6 +24,7 @@
 	"lasting-tasks-and-guarantee": playGuarantee,
 	"lasting-task-and-rack":       playRack,
 	"worker-of-another-kind":      playKind,
+	"late-order-and-two-restarts": playTwoRestarts,
 }
 
 // maxPlay bounds a play, below the 120 s that a script may take.
--- a/review/rig3/plays.go
+++ b/review/rig3/plays.go
@@ -165,15 +165,19 @@
 // cutTime is how long a worker is cut off from the store.
 const cutTime = 5 * time.Second
 
-// cutAndArrive cuts the worker off from the store, not from the entry VMs. It crashes behind the cut and starts again under its id, and then
-// the orders arrive.
-func (t *delayedOrders) cutAndArrive() error {
-	cut := time.Now()
+// cutAndRestart cuts the worker off from the store, not from the entry VMs. It crashes behind the cut and starts again under its id.
+func (t *delayedOrders) cutAndRestart() error {
 	t.worker.setCut(true)
 	time.Sleep(300 * time.Millisecond)
 	t.worker.crash()
 	time.Sleep(time.Second)
-	if err := t.worker.restart(); err != nil {
+	return t.worker.restart()
+}
+
+// cutAndArrive is cutAndRestart; then the orders arrive, and the cut ends.
+func (t *delayedOrders) cutAndArrive() error {
+	cut := time.Now()
+	if err := t.cutAndRestart(); err != nil {
 		return err
 	}
 	time.Sleep(500 * time.Millisecond)
@@ -384,3 +388,46 @@
 	}
 	return "", nil
 }
+
+// playTwoRestarts plays orders to start an ordinary task that get no answer, and which arrive once the worker has started again twice.
+func playTwoRestarts(i *installation, trouble bool) (string, error) {
+	if err := i.open(); err != nil {
+		return "", err
+	}
+	const id, others = "7a11c04be2d9f350", "5c0e7a21d94b36f8"
+	t := &delayedOrders{}
+	if trouble {
+		t.set(i.fleet, id)
+	}
+	// The orders that are held up are a small share of all.
+	if err := i.submit(batchPrefix+others, keyA, job(step{count: 60, workMs: 2000, estimateMs: 2000, rack: rackOf(2)})); err != nil {
+		return "", err
+	}
+	if err := i.submit(batchPrefix+id, keyA, job(step{count: 1, gpu: 8, workMs: 3000, estimateMs: 3000, rack: rackOf(0)})); err != nil {
+		return "", err
+	}
+	if trouble {
+		select {
+		case <-t.first:
+		case <-time.After(5 * time.Second):
+			return "", fmt.Errorf("no worker got an order for job %s", id)
+		}
+		time.Sleep(2500 * time.Millisecond)
+		if err := t.cutAndRestart(); err != nil {
+			return "", err
+		}
+	}
+	if _, err := i.awaitRuns(id, 1, 20*time.Second, func(s span) bool { return present(s) && !t.isTo(s.worker) }); err != nil {
+		return "", err
+	}
+	if trouble {
+		t.worker.setCut(false)
+		time.Sleep(100 * time.Millisecond)
+		if err := t.cutAndArrive(); err != nil {
+			return "", err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	i.call(i.entries[0], "GET", batchPrefix+id, keyA, nil)
+	return overlap(i.fleet.spansOf(id)), nil
+}
