--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/clementinepier ] && [ -x target/review3 ] || exit 2
-exec target/review3 lasting-tasks-and-guarantee review/13
+exec target/review3 late-order-of-lasting-task review/13
