--- /dev/null
+++ b/engine/late_order_test.go
@@ -0,0 +1,131 @@
+package engine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"clementinepier/standin/site"
+	"clementinepier/workload"
+)
+
+// workerRestart is how a worker crashes and starts again behind a cut from the store, and when it carries out an order of before.
+type workerRestart struct {
+	// down is how long the worker is down, and arrival how long after its new start it carries the order out.
+	down, arrival time.Duration
+}
+
+func (c workerRestart) String() string {
+	return fmt.Sprintf("down for %s, order %s later", c.down, c.arrival)
+}
+
+// workerRestarts has the times of the restarts that the tests play.
+var workerRestarts = []workerRestart{
+	{down: 3 * time.Second, arrival: 500 * time.Millisecond},
+	{down: 3 * time.Second, arrival: time.Second},
+}
+
+const (
+	// firstOrder and bothOrders are the times within which a planner sends the first order to start a run, and the second one if that got no
+	// response.
+	firstOrder = 20 * time.Millisecond
+	bothOrders = 100 * time.Millisecond
+)
+
+// eachWorkerRestart runs a test in virtual time for each of workerRestarts.
+func eachWorkerRestart(t *testing.T, f func(r *rig, c workerRestart)) {
+	t.Helper()
+	for _, c := range workerRestarts {
+		t.Run(c.String(), func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) { f(r, c) })
+		})
+	}
+}
+
+// holdUpOrders makes r1-w0 carry out the orders to start a run that it gets for the given time after the delay, in whatever incarnation, and drain
+// afterwards if drains is set. It returns a function that restarts the worker so that the first order comes to the new incarnation.
+func (r *rig) holdUpOrders(during, delay time.Duration, drains bool, submit func()) func(c workerRestart) {
+	r.t.Helper()
+	r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.KeepsLateOrders = delay, true })
+	submit()
+	held := time.Now()
+	time.Sleep(during)
+	r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.Registration.Draining = 0, drains })
+	if drains {
+		r.Register(r.Worker("r1-w0"))
+	}
+	return func(c workerRestart) {
+		r.t.Helper()
+		started := held.Add(delay - c.arrival)
+		r.True(time.Until(started) > c.down)
+		time.Sleep(time.Until(started.Add(-c.down)))
+		r.Set("r1-w0", func(w *site.Worker) { w.Dead, w.RefusesConnections = true, true })
+		time.Sleep(c.down)
+		r.Set("r1-w0", func(w *site.Worker) {
+			w.Restart()
+			w.Registration.Draining = false
+		})
+		time.Sleep(c.arrival + 100*time.Millisecond)
+	}
+}
+
+// Guards against not asking a worker to which a lost planner may have sent an order, since it does not list the run: it restarts behind a cut from
+// the store and carries the order out, while the task runs elsewhere.
+func TestLateOrderOfLostPlannerIsRefusedAfterRestart(t *testing.T) {
+	eachWorkerRestart(t, func(r *rig, c workerRestart) {
+		p, stop := r.startWithWorkers(1)
+		defer func() { stop() }()
+		r.rest(30 * time.Second)
+		restart := r.holdUpOrders(firstOrder, 8*time.Second, true, func() {
+			r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second)
+			// The planner is lost before it can record that the order got no response.
+			r.Store.SetRefusing(true)
+		})
+		stop()
+		r.Store.SetRefusing(false)
+		r.AddWorkers("r2", 1)
+		p, stop = r.startPlanner("b")
+		time.Sleep(2 * time.Second)
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+		restart(c)
+		r.Equal(r.Worker("r1-w0").Starts, 0)
+		r.waitForState(p, "j1", workload.StateCompleted, time.Minute)
+	})
+}
+
+// Guards against not asking a worker any more once its next incarnation refuses an order: the one after that knows nothing of the refusal.
+func TestLateOrderIsRefusedAfterSecondRestart(t *testing.T) {
+	eachWorkerRestart(t, func(r *rig, c workerRestart) {
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.rest(30 * time.Second)
+		r.AddWorkers("r2", 1)
+		restart := r.holdUpOrders(bothOrders, 8*time.Second, true, func() { r.mustSubmit(p, "j1", 1, singleTaskStep(8), 20*time.Second) })
+		time.Sleep(2 * time.Second)
+		r.Set("r1-w0", (*site.Worker).Restart)
+		r.Register(r.Worker("r1-w0"))
+		time.Sleep(500 * time.Millisecond)
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+		restart(c)
+		r.Equal(r.Worker("r1-w0").Starts, 0)
+		r.waitForState(p, "j1", workload.StateCompleted, time.Minute)
+	})
+}
+
+// Guards against not asking a worker that may carry out an unanswered order of a task that lasts, which has gone on elsewhere.
+func TestLateOrderOfLastingTaskIsRefusedAfterRestart(t *testing.T) {
+	eachWorkerRestart(t, func(r *rig, c workerRestart) {
+		step := singleTaskStep(8)
+		step.LongRunning = true
+		p, stop := r.startWithWorkers(1)
+		defer stop()
+		r.rest(30 * time.Second)
+		restart := r.holdUpOrders(bothOrders, 8*time.Second, true, func() { r.mustSubmit(p, "j1", 1, step, time.Hour) })
+		r.AddWorkers("r2", 1)
+		time.Sleep(3 * time.Second)
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+		restart(c)
+		r.Equal(r.Worker("r1-w0").Starts, 0)
+		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
+	})
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -219,6 +219,10 @@
 		s.mu.Unlock()
 		return nil, &engine.ErrRefused{Reason: engine.RefusedIncarnation}
 	}
+	if w != nil && w.Dead && w.RefusesConnections {
+		s.mu.Unlock()
+		return nil, errNoAnswer
+	}
 	if w == nil || w.Silent || w.Dead {
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -786,7 +790,7 @@
 	w.Registration.Incarnation = max(w.Registration.Incarnation+1, time.Now().UnixMilli())
 	w.start, w.fence, w.leaseEnd, w.endCount, w.ends, w.endTimes = time.Now(), 0, time.Time{}, 0, nil, nil
 	w.lastEnded = map[string]int{}
-	w.Dead, w.Silent = false, false
+	w.Dead, w.RefusesConnections, w.Silent = false, false, false
 }
 
 // Set calls f with the worker while holding the lock.
--- a/standin/site/worker.go
+++ b/standin/site/worker.go
@@ -53,6 +53,8 @@
 	Silent bool
 	// Dead makes every call time out and the worker's runs no longer count.
 	Dead bool
+	// RefusesConnections makes calls to a dead worker fail at once instead: its process has ended, and its machine runs.
+	RefusesConnections bool
 	// Replaced means that another worker now has this address; calls are refused with RefusedIncarnation.
 	Replaced bool
 	// Misdirected makes another server refuse calls at this address with RefusedIncarnation. The worker's runs continue.
