engine: poll a silent worker that may carry out a start late without long pauses

Callers saw a task start again after it was done, or run twice, if its worker was back soon or carried the order out soon after it was back (late orders 20 to 200 ms after the start of a worker that was down for 50 ms to 2.5 s). A run that was done needs no next run for this: the worker carries the first order out once more.

Change: a failed poll of such a worker is repeated after 10 ms, times the number of such workers that do not answer, so that all of them take at most 100 polls a second. A worker that answers, if only with a refusal, and has confirmed the token is polled as before.

TestTaskWithOrphanRunIsNotPlaced needs a late start that is carried out. Its restart came 100 ms before the start, which is refused now, so it comes 5 ms before; the checks are the same.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -17,6 +17,9 @@
 	pollTimeout = 700 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
+	// restartPollDelay is the pause after a failed poll of a worker whose next incarnation may carry out a start late, times the number of such
+	// workers that do not answer, so that they take at most 100 polls a second.
+	restartPollDelay = 10 * time.Millisecond
 	// renewInterval is how often a lease is renewed while the ended runs that a worker lists cannot be stored.
 	renewInterval = time.Second
 	// stopMargin is added to the time that a stop takes, to cover the transmission of the responses.
@@ -144,8 +147,13 @@
 }
 
 func (p *Planner) scheduleAllContacts() {
+	now := p.Clock.Now()
+	p.silentHolders = 0
 	for _, w := range p.workers {
 		p.scheduleContact(w)
+		if !w.failingSince.IsZero() && w.mayStartAny(now) {
+			p.silentHolders++
+		}
 	}
 }
 
@@ -374,7 +382,7 @@
 		return
 	}
 	if err != nil {
-		w.nextPoll = now.Add(pollRetryDelay)
+		w.nextPoll = now.Add(p.retryDelay(w, err))
 		p.handlePollError(w, sent, err)
 		return
 	}
@@ -408,6 +416,17 @@
 	}
 }
 
+// retryDelay returns the pause after a poll of a worker that failed with the given error. The next incarnation of a worker that may carry out a
+// start late refuses the start only once it has answered.
+// Load pattern: a worker crashes, is back after some 100 ms, and carries out at once what it was sent before.
+func (p *Planner) retryDelay(w *workerState, err error) time.Duration {
+	var refused *ErrRefused
+	if !w.mayStartAny(p.Clock.Now()) || w.fenced && errors.As(err, &refused) {
+		return pollRetryDelay
+	}
+	return min(pollRetryDelay, restartPollDelay*time.Duration(max(1, p.silentHolders)))
+}
+
 // handlePollError applies that a poll got no response, or was refused.
 func (p *Planner) handlePollError(w *workerState, sent time.Time, err error) {
 	var refused *ErrRefused
--- a/engine/late_order_test.go
+++ b/engine/late_order_test.go
@@ -19,10 +19,16 @@
 	return fmt.Sprintf("down for %s, order %s later", c.down, c.arrival)
 }
 
-// workerRestarts has the times of the restarts that the tests play.
+// workerRestarts has times around the delays with which a worker that does not answer is polled again.
 var workerRestarts = []workerRestart{
+	{down: 50 * time.Millisecond, arrival: 20 * time.Millisecond},
+	{down: 100 * time.Millisecond, arrival: 20 * time.Millisecond},
+	{down: 245 * time.Millisecond, arrival: 20 * time.Millisecond},
+	{down: 300 * time.Millisecond, arrival: 100 * time.Millisecond},
+	{down: 1010 * time.Millisecond, arrival: 20 * time.Millisecond},
+	{down: 1110 * time.Millisecond, arrival: 200 * time.Millisecond},
+	{down: 2430 * time.Millisecond, arrival: 20 * time.Millisecond},
 	{down: 3 * time.Second, arrival: 500 * time.Millisecond},
-	{down: 3 * time.Second, arrival: time.Second},
 }
 
 const (
@@ -129,3 +135,26 @@
 		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
 	})
 }
+
+// Guards against not asking a worker whose run was done after the second order to start it: its next incarnation carries out the first one.
+func TestLateOrderIsRefusedAfterRunWasDone(t *testing.T) {
+	for size, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
+		t.Run(size, func(t *testing.T) {
+			eachWorkerRestart(t, func(r *rig, c workerRestart) { r.restartAfterDone(step, c) })
+		})
+	}
+}
+
+// restartAfterDone restarts r1-w0 after j1 is done there, before the worker carries out an order to start it that got no response.
+func (r *rig) restartAfterDone(step workload.Step, c workerRestart) {
+	r.t.Helper()
+	p, stop := r.startWithWorkers(step.Tasks)
+	defer stop()
+	r.rest(30 * time.Second)
+	restart := r.holdUpOrders(firstOrder, 8*time.Second, false, func() { r.mustSubmit(p, "j1", 1, step, time.Second) })
+	r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+	starts := r.Worker("r1-w0").Starts
+	restart(c)
+	r.Equal(r.Worker("r1-w0").Starts, starts)
+	r.Equal(p.State(r.t.Context(), "j1").State, workload.StateCompleted)
+}
--- a/engine/restart_test.go
+++ b/engine/restart_test.go
@@ -396,7 +396,8 @@
 				// The job finds no worker after its first run has ended.
 				r.Set("r1-w0", func(w *site.Worker) { w.StartDelay, w.Registration.Draining = 0, true })
 				r.Register(r.Worker("r1-w0"))
-				time.Sleep(5800 * time.Millisecond)
+				// The start is carried out 5 ms after the restart, before the worker is polled again.
+				time.Sleep(5897 * time.Millisecond)
 				r.Set("r1-w0", func(w *site.Worker) {
 					w.Restart()
 					w.DropStops, w.Registration.Draining = true, false
