engine: ask the workers that earlier planners may have sent starts to

Callers saw a task start again after it was done, when the planner had changed in between: the first order to start it got no response, the second one did, the run was done, and the worker started again within 12 s of the first order.

Cause: a successor took over the unanswered starts of jobs that had not ended, and assumed one for each inherited run that ended otherwise than done. A run that was done, before or after the change, left it nothing, so the worker was not polled.

Change: a successor polls every worker that a job's record names, in its tasks or its unanswered starts, until the last time of an order that was sent before the successor began. It is a reason to ask only: no task waits for it, no lease is counted for it, and nothing more is stored. It holds for two changes of the planner in a row as well.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -151,7 +151,7 @@
 	p.silentHolders = 0
 	for _, w := range p.workers {
 		p.scheduleContact(w)
-		if !w.failingSince.IsZero() && w.mayStartAny(now) {
+		if !w.failingSince.IsZero() && p.mayCarryOutStart(w, now) {
 			p.silentHolders++
 		}
 	}
@@ -209,7 +209,7 @@
 	now := p.Clock.Now()
 	// A worker that may carry out a start late is asked although it has no runs, whatever has become of the run: a restart breaks the poll
 	// off, and only an incarnation that knows the present fencing token refuses the start.
-	mayStart := w.mayStartAny(now)
+	mayStart := p.mayCarryOutStart(w, now)
 	if p.suspended {
 		return len(w.runs) > 0 || mayStart
 	}
@@ -256,7 +256,7 @@
 		// The lease of a worker that does not respond is not extended, so that its runs end in bounded time.
 		request.Until, w.leaseRenewedAt = p.grantLease(w, p.Bounds.MaxLease), now
 		request.Wait = pollWait
-	case len(w.runs) == 0 && w.mayStartAny(now):
+	case len(w.runs) == 0 && p.mayCarryOutStart(w, now):
 		request.Wait = pollWait
 	}
 	if len(w.orphans) > 0 || !w.failingSince.IsZero() || unstored || w.moreEnds || p.hasUnconfirmedStops(w) {
@@ -421,7 +421,7 @@
 // Load pattern: a worker crashes, is back after some 100 ms, and carries out at once what it was sent before.
 func (p *Planner) retryDelay(w *workerState, err error) time.Duration {
 	var refused *ErrRefused
-	if !w.mayStartAny(p.Clock.Now()) || w.fenced && errors.As(err, &refused) {
+	if !p.mayCarryOutStart(w, p.Clock.Now()) || w.fenced && errors.As(err, &refused) {
 		return pollRetryDelay
 	}
 	return min(pollRetryDelay, restartPollDelay*time.Duration(max(1, p.silentHolders)))
@@ -604,7 +604,7 @@
 			p.setOrphans(w, nil)
 		}
 		if len(w.runs) == 0 {
-			if w.forgettable(now) {
+			if p.forgettable(w, now) {
 				p.forgottenFence = max(p.forgottenFence, w.fence)
 				delete(p.misdirected, w)
 				delete(p.workers, id)
@@ -624,7 +624,7 @@
 }
 
 // forgettable reports whether nothing that the planner knows of a worker without runs is needed any more.
-func (w *workerState) forgettable(now time.Time) bool {
-	return !w.registered && w.unverified == nil && w.outdated == nil && !w.polling && !w.mayStartAny(now) && now.After(w.leasesEndBy) &&
+func (p *Planner) forgettable(w *workerState, now time.Time) bool {
+	return !w.registered && w.unverified == nil && w.outdated == nil && !w.polling && !p.mayCarryOutStart(w, now) && now.After(w.leasesEndBy) &&
 		now.Sub(w.unregisteredAt) > impossibleRetryAfter
 }
--- a/engine/late_order_test.go
+++ b/engine/late_order_test.go
@@ -140,19 +140,35 @@
 func TestLateOrderIsRefusedAfterRunWasDone(t *testing.T) {
 	for size, step := range map[string]workload.Step{"task": singleTaskStep(8), "gang": gangStep(2, 8)} {
 		t.Run(size, func(t *testing.T) {
-			eachWorkerRestart(t, func(r *rig, c workerRestart) { r.restartAfterDone(step, c) })
+			eachWorkerRestart(t, func(r *rig, c workerRestart) { r.restartAfterDone(step, c, 0) })
 		})
 	}
 }
 
-// restartAfterDone restarts r1-w0 after j1 is done there, before the worker carries out an order to start it that got no response.
-func (r *rig) restartAfterDone(step workload.Step, c workerRestart) {
+// Guards against a successor that does not ask the worker of a run that was done under an earlier planner, although that may have got no
+// response to an order to start it.
+func TestLateOrderOfEarlierPlannerIsRefusedAfterRunWasDone(t *testing.T) {
+	for changes := 1; changes <= 2; changes++ {
+		t.Run(fmt.Sprintf("%d changes of the planner", changes), func(t *testing.T) {
+			eachWorkerRestart(t, func(r *rig, c workerRestart) { r.restartAfterDone(singleTaskStep(8), c, changes) })
+		})
+	}
+}
+
+// restartAfterDone restarts r1-w0 after j1 is done there, before the worker carries out an order to start it that got no response. The planner
+// changes in between as often as given.
+func (r *rig) restartAfterDone(step workload.Step, c workerRestart, changes int) {
 	r.t.Helper()
 	p, stop := r.startWithWorkers(step.Tasks)
-	defer stop()
+	defer func() { stop() }()
 	r.rest(30 * time.Second)
 	restart := r.holdUpOrders(firstOrder, 8*time.Second, false, func() { r.mustSubmit(p, "j1", 1, step, time.Second) })
 	r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
+	for i := range changes {
+		time.Sleep(500 * time.Millisecond)
+		stop()
+		p, stop = r.startPlanner(fmt.Sprintf("successor-%d", i+1))
+	}
 	starts := r.Worker("r1-w0").Starts
 	restart(c)
 	r.Equal(r.Worker("r1-w0").Starts, starts)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -102,6 +102,8 @@
 	unloaded map[string]*unloadedJob
 	memory   jobMemory
 	workers  map[string]*workerState
+	// orderedBefore has the IDs of the workers to which earlier planners may have sent starts that can still be carried out.
+	orderedBefore map[string]bool
 	// misdirected has the workers at whose address another server has refused a call since they last answered.
 	misdirected map[*workerState]bool
 	// speeds has what is known of the speed of each worker, by its ID.
@@ -190,7 +192,7 @@
 	p.dirty, p.waiters = map[*jobState]bool{}, map[*jobState][]chan<- Result{}
 	p.breaker, p.fleets, p.orphanTasks = breaker.New(), map[string]*fleet{}, map[string]int{}
 	p.organisations, p.heldByLimit = map[string]*organisationState{}, map[string]bool{}
-	p.misdirected, p.speeds = map[*workerState]bool{}, map[string]*workerSpeed{}
+	p.misdirected, p.speeds, p.orderedBefore = map[*workerState]bool{}, map[string]*workerSpeed{}, map[string]bool{}
 	p.leaseNote, p.speedNote = leaseNoteState{named: map[string]bool{}}, speedNoteState{}
 	// A job may fail by its own fault, so any success shows that the worker does not fail everything it starts.
 	p.breaker.FailureThreshold, p.breaker.InitialQuarantine, p.breaker.AnySuccessEndsQuarantine = failuresToQuarantine, firstQuarantine, true
