engine: notice the restart of a machine that resets no connection

Change: a poll of a worker that may carry out a start late waits 0.5 s at most, and counts as overdue 0.2 s after its wait, so that the next one is sent beside it. Both times grow with the number of such workers (10 ms each), so that a site with many of them is polled as before.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -18,8 +18,11 @@
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
 	// restartPollDelay is the pause after a failed poll of a worker whose next incarnation may carry out a start late, times the number of such
-	// workers that do not answer, so that they take at most 100 polls a second.
+	// workers that do not answer, so that they take at most 100 polls a second. It is the least pause between polls of all that answer as well.
 	restartPollDelay = 10 * time.Millisecond
+	// restartPollWait is how long such a worker waits for a run to end before it responds to a poll, unless there are many of them. A machine that has
+	// lost power resets no connection, and may be back within 1.5 s.
+	restartPollWait = 500 * time.Millisecond
 	// renewInterval is how often a lease is renewed while the ended runs that a worker lists cannot be stored.
 	renewInterval = time.Second
 	// stopMargin is added to the time that a stop takes, to cover the transmission of the responses.
@@ -148,10 +151,14 @@
 
 func (p *Planner) scheduleAllContacts() {
 	now := p.Clock.Now()
-	p.silentHolders = 0
+	p.startHolders, p.silentHolders = 0, 0
 	for _, w := range p.workers {
 		p.scheduleContact(w)
-		if !w.failingSince.IsZero() && p.mayCarryOutStart(w, now) {
+		if !p.mayCarryOutStart(w, now) {
+			continue
+		}
+		p.startHolders++
+		if !w.failingSince.IsZero() {
 			p.silentHolders++
 		}
 	}
@@ -267,9 +274,13 @@
 	return request
 }
 
-// maxPollWait bounds the wait of a poll so that the worker lists its runs as soon as its late starts can no longer be carried out.
+// maxPollWait bounds the wait of a poll so that the worker lists its runs as soon as its late starts can no longer be carried out, and that a restart
+// which breaks off no poll is noticed before.
 func (p *Planner) maxPollWait(w *workerState, now time.Time) time.Duration {
 	wait := pollWait
+	if p.mayCarryOutStart(w, now) {
+		wait = min(wait, max(restartPollWait, restartPollDelay*time.Duration(p.startHolders)))
+	}
 	for _, s := range w.lateStarts {
 		if until, _ := p.lateRunEnd(w, s); now.Before(until) {
 			wait = min(wait, max(0, s.sent.Add(maxOrderDelay).Sub(now)))
@@ -307,6 +318,10 @@
 func (p *Planner) poll(w *workerState, now time.Time) {
 	request := p.pollRequest(w, now)
 	w.polling, w.pollOverdueAt = true, time.Time{}
+	if p.mayCarryOutStart(w, now) {
+		// Its next incarnation is not kept from answering by a poll that the one before has left without a response.
+		w.pollOverdueAt = now.Add(request.Wait + max(restartAnswerTime, restartPollDelay*time.Duration(p.silentHolders)))
+	}
 	w.polls++
 	number := w.polls
 	target, identifiedAt := Target{ID: w.id(), Address: w.registration.Address}, w.identifiedAt
--- a/engine/late_order_test.go
+++ b/engine/late_order_test.go
@@ -13,10 +13,16 @@
 type workerRestart struct {
 	// down is how long the worker is down, and arrival how long after its new start it carries the order out.
 	down, arrival time.Duration
+	// silent makes calls to the worker that is down time out instead of being refused.
+	silent bool
 }
 
 func (c workerRestart) String() string {
-	return fmt.Sprintf("down for %s, order %s later", c.down, c.arrival)
+	s := fmt.Sprintf("down for %s, order %s later", c.down, c.arrival)
+	if c.silent {
+		s += ", silent"
+	}
+	return s
 }
 
 // workerRestarts has times around the delays with which a worker that does not answer is polled again.
@@ -29,6 +35,10 @@
 	{down: 1110 * time.Millisecond, arrival: 200 * time.Millisecond},
 	{down: 2430 * time.Millisecond, arrival: 20 * time.Millisecond},
 	{down: 3 * time.Second, arrival: 500 * time.Millisecond},
+	{down: 300 * time.Millisecond, arrival: 900 * time.Millisecond, silent: true},
+	{down: 1500 * time.Millisecond, arrival: 400 * time.Millisecond, silent: true},
+	{down: 2800 * time.Millisecond, arrival: 400 * time.Millisecond, silent: true},
+	{down: 3 * time.Second, arrival: 400 * time.Millisecond, silent: true},
 }
 
 const (
@@ -65,7 +75,7 @@
 		started := held.Add(delay - c.arrival)
 		r.True(time.Until(started) > c.down)
 		time.Sleep(time.Until(started.Add(-c.down)))
-		r.Set("r1-w0", func(w *site.Worker) { w.Dead, w.RefusesConnections = true, true })
+		r.Set("r1-w0", func(w *site.Worker) { w.Dead, w.RefusesConnections = true, !c.silent })
 		time.Sleep(c.down)
 		r.Set("r1-w0", func(w *site.Worker) {
 			w.Restart()
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -298,8 +298,8 @@
 			r.phase, r.confirmedAt = runRunning, p.Clock.Now()
 		}
 		w.nextPoll = p.Clock.Now()
-		if w.pollOverdueAt.IsZero() && !r.ended {
-			w.pollOverdueAt = p.Clock.Now().Add(p.Bounds.StopGrace + stopMargin)
+		if overdue := p.Clock.Now().Add(p.Bounds.StopGrace + stopMargin); !r.ended && (w.pollOverdueAt.IsZero() || overdue.Before(w.pollOverdueAt)) {
+			w.pollOverdueAt = overdue
 		}
 	case errors.As(err, &refused) && refused.Reason == RefusedIncarnation:
 		p.Log.Event("stop-refused", "task", r.name, "run", r.number, "worker", w.id(), "reason", refused.Reason)
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -161,8 +161,8 @@
 	// nextPlanAt is when planning may run next; planScheduled is set while a timer for it runs.
 	nextPlanAt    time.Time
 	planScheduled bool
-	// silentHolders is how many workers that may carry out a start late did not answer as of the last tick.
-	silentHolders int
+	// startHolders is how many workers may carry out a start late as of the last tick, and silentHolders how many of them did not answer.
+	startHolders, silentHolders int
 	// contactQueue has the workers to contact at the end of the pass.
 	contactQueue []*workerState
 	// spareContactQueue is the queue of the previous pass, whose memory is reused.
--- a/engine/state.go
+++ b/engine/state.go
@@ -236,8 +236,8 @@
 	// polls numbers the polls. When the response to a poll seems lost, the next one is sent while the earlier is still in
 	// flight.
 	polls int
-	// pollOverdueAt is when the response to the poll in flight counts as lost, because a stopped run should have ended by
-	// then; zero while no stop was confirmed during the poll.
+	// pollOverdueAt is when the response to the poll in flight counts as lost, because a stopped run should have ended by then, or the worker may carry
+	// out a start late and its next incarnation has to be asked; zero in other cases.
 	pollOverdueAt time.Time
 	// contactScheduled is set while the worker is in the contact queue, and contactTimerSet while a timer will add it.
 	contactScheduled, contactTimerSet bool
