engine: log that a silent worker may start late, and when its next incarnation is fenced

The logs of a task that ran twice didn't show whether its worker was asked at the time, and how long its next incarnation was without the fencing token. `worker-lost` has `may-start-late` now, and `restart-fenced` the time from the first sign of a restart to the response.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -75,7 +75,8 @@
 	}
 	if w.failingSince.IsZero() {
 		w.failingSince = p.Clock.Now()
-		p.Log.Event("worker-lost", "worker", w.id(), "runs", len(w.runs), "listed", w.registered, "answered", w.lastAnswer)
+		p.Log.Event("worker-lost", "worker", w.id(), "runs", len(w.runs), "listed", w.registered, "answered", w.lastAnswer,
+			"may-start-late", p.mayCarryOutStart(w, p.Clock.Now()))
 	}
 }
 
--- a/engine/restart.go
+++ b/engine/restart.go
@@ -190,6 +190,10 @@
 // recordFenced records that the worker refuses orders of earlier planners, and those that were meant for earlier incarnations. No lease
 // that such an order has given can last longer than the longest lease from now.
 func (p *Planner) recordFenced(w *workerState) {
+	if !w.restartSuspectedAt.IsZero() {
+		p.Log.Event("restart-fenced", "worker", w.id(), "born", w.incarnation, "fence", w.fence, "after-sign", p.Clock.Since(w.restartSuspectedAt),
+			"may-start-late", p.mayCarryOutStart(w, p.Clock.Now()))
+	}
 	w.fenced, w.restartSuspectedAt = true, time.Time{}
 	if bound := p.Clock.Now().Add(p.leaseBound(p.Bounds.MaxLease)); bound.Before(w.leasesEndBy) {
 		w.leasesEndBy = bound
