--- a/engine/contact.go
+++ b/engine/contact.go
@@ -17,12 +17,6 @@
 	pollTimeout = 700 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 250 * time.Millisecond
-	// restartPollDelay is the pause after a failed poll of a worker whose next incarnation may carry out a start late, times the number of such
-	// workers that do not answer, so that they take at most 200 polls a second. It is the least pause between polls of all that answer as well.
-	restartPollDelay = 5 * time.Millisecond
-	// restartPollWait is how long such a worker waits for a run to end before it responds to a poll, unless there are many of them. A machine that has
-	// lost power resets no connection, and may be back within 1.5 s.
-	restartPollWait = 500 * time.Millisecond
 	// renewInterval is how often a lease is renewed while the ended runs that a worker lists cannot be stored.
 	renewInterval = time.Second
 	// stopMargin is added to the time that a stop takes, to cover the transmission of the responses.
@@ -151,17 +145,9 @@
 }
 
 func (p *Planner) scheduleAllContacts() {
-	now := p.Clock.Now()
-	p.startHolders, p.silentHolders = 0, 0
+	p.countStartHolders()
 	for _, w := range p.workers {
 		p.scheduleContact(w)
-		if !p.mayCarryOutStart(w, now) {
-			continue
-		}
-		p.startHolders++
-		if !w.failingSince.IsZero() {
-			p.silentHolders++
-		}
 	}
 }
 
@@ -280,7 +266,7 @@
 func (p *Planner) maxPollWait(w *workerState, now time.Time) time.Duration {
 	wait := pollWait
 	if p.mayCarryOutStart(w, now) {
-		wait = min(wait, max(restartPollWait, restartPollDelay*time.Duration(p.startHolders)))
+		wait = min(wait, p.restartPollWait())
 	}
 	for _, s := range w.lateStarts {
 		if until, _ := p.lateRunEnd(w, s); now.Before(until) {
@@ -320,8 +306,8 @@
 	request := p.pollRequest(w, now)
 	w.polling, w.pollOverdueAt = true, time.Time{}
 	if p.mayCarryOutStart(w, now) {
-		// Its next incarnation is not kept from answering by a poll that the one before has left without a response.
-		w.pollOverdueAt = now.Add(request.Wait + max(restartAnswerTime, restartPollDelay*time.Duration(p.silentHolders)))
+		// A poll that the worker has left without a response keeps the next one from a new incarnation no longer than this.
+		w.pollOverdueAt = now.Add(request.Wait + p.restartPollTimeout())
 	}
 	w.polls++
 	number := w.polls
@@ -437,17 +423,6 @@
 	}
 }
 
-// retryDelay returns the pause after a poll of a worker that failed with the given error. The next incarnation of a worker that may carry out a
-// start late refuses the start only once it has answered.
-// Load pattern: a worker crashes, is back after some 100 ms, and carries out at once what it was sent before.
-func (p *Planner) retryDelay(w *workerState, err error) time.Duration {
-	var refused *ErrRefused
-	if !p.mayCarryOutStart(w, p.Clock.Now()) || w.fenced && errors.As(err, &refused) {
-		return pollRetryDelay
-	}
-	return min(pollRetryDelay, restartPollDelay*time.Duration(max(1, p.silentHolders)))
-}
-
 // handlePollError applies that a poll got no response, or was refused.
 func (p *Planner) handlePollError(w *workerState, sent time.Time, err error) {
 	var refused *ErrRefused
--- a/engine/late_start.go
+++ b/engine/late_start.go
@@ -163,12 +163,6 @@
 	return false
 }
 
-// mayCarryOutStart reports whether the worker, or a later incarnation of it, may still carry out a start order that got no response, or that an
-// earlier planner may have sent.
-func (p *Planner) mayCarryOutStart(w *workerState, now time.Time) bool {
-	return w.mayStartAny(now) || p.orderedBefore[w.id()] && now.Sub(p.started) < maxOrderDelay
-}
-
 // holdsLateStart reports whether the worker may have, or begin, a run from a start order that got no response.
 func (p *Planner) holdsLateStart(w *workerState, now time.Time) bool {
 	for _, s := range w.lateStarts {
--- a/engine/load.go
+++ b/engine/load.go
@@ -228,27 +228,6 @@
 	}
 }
 
-// inheritOrderedWorkers records the workers to which earlier planners may have sent a start of the job that can still be carried out, also if the run
-// has ended or the job has: an earlier planner may have been lost before it could record that a start got no response.
-func (p *Planner) inheritOrderedWorkers(j *jobState) {
-	if p.Clock.Since(p.started) >= maxOrderDelay || j.state().Ended() && p.Clock.Since(j.endedSince) >= p.lateRunBound() {
-		return
-	}
-	progress := &j.record.Progress
-	for _, steps := range progress.Tasks {
-		for _, tasks := range steps {
-			for i := range tasks {
-				if tasks[i].Worker != "" {
-					p.orderedBefore[tasks[i].Worker] = true
-				}
-			}
-		}
-	}
-	for _, s := range progress.LateStarts {
-		p.orderedBefore[s.Worker] = true
-	}
-}
-
 // workerByID returns the worker with an ID and creates it if necessary. The worker need not be registered any more.
 func (p *Planner) workerByID(id string) *workerState {
 	w, ok := p.workers[id]
