engine: raise the fencing token for a silent worker that may carry out a start late

The token was raised only once a response had shown the restart, which also cost a round trip in each other case.

Change: a worker that doesn't answer and may carry out a start late is polled with a token above that of each start order that this planner has sent to it, so that the next incarnation refuses the order from the first poll on, whether a response arrives or not. The present incarnation, if it is still there, obeys the higher token as well. An order of a predecessor has a lower token in any case.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -303,6 +303,7 @@
 
 // poll renews the worker's lease and queries its runs.
 func (p *Planner) poll(w *workerState, now time.Time) {
+	p.raiseFenceOfSilent(w, now)
 	request := p.pollRequest(w, now)
 	w.polling, w.pollOverdueAt = true, time.Time{}
 	if p.mayCarryOutStart(w, now) {
--- a/engine/late_order_test.go
+++ b/engine/late_order_test.go
@@ -15,6 +15,8 @@
 	down, arrival time.Duration
 	// silent makes calls to the worker that is down time out instead of being refused.
 	silent bool
+	// deaf loses all answers of the new incarnation until it has carried the order out.
+	deaf bool
 }
 
 func (c workerRestart) String() string {
@@ -22,6 +24,9 @@
 	if c.silent {
 		s += ", silent"
 	}
+	if c.deaf {
+		s += ", deaf"
+	}
 	return s
 }
 
@@ -39,6 +44,8 @@
 	{down: 1500 * time.Millisecond, arrival: 400 * time.Millisecond, silent: true},
 	{down: 2800 * time.Millisecond, arrival: 400 * time.Millisecond, silent: true},
 	{down: 3 * time.Second, arrival: 400 * time.Millisecond, silent: true},
+	{down: 300 * time.Millisecond, arrival: 100 * time.Millisecond, deaf: true},
+	{down: 3 * time.Second, arrival: time.Second, silent: true, deaf: true},
 }
 
 const (
@@ -79,9 +86,10 @@
 		time.Sleep(c.down)
 		r.Set("r1-w0", func(w *site.Worker) {
 			w.Restart()
-			w.Registration.Draining = false
+			w.Registration.Draining, w.LoseAnswers = false, c.deaf
 		})
 		time.Sleep(c.arrival + 100*time.Millisecond)
+		r.Set("r1-w0", func(w *site.Worker) { w.LoseAnswers = false })
 	}
 }
 
@@ -172,7 +180,7 @@
 	p, stop := r.startWithWorkers(step.Tasks)
 	defer func() { stop() }()
 	r.rest(30 * time.Second)
-	restart := r.holdUpOrders(firstOrder, 8*time.Second, false, func() { r.mustSubmit(p, "j1", 1, step, time.Second) })
+	restart := r.holdUpOrders(firstOrder, 9*time.Second, false, func() { r.mustSubmit(p, "j1", 1, step, time.Second) })
 	r.waitForState(p, "j1", workload.StateCompleted, 3*time.Second)
 	for i := range changes {
 		time.Sleep(500 * time.Millisecond)
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -81,7 +81,7 @@
 		Task: r.name, Run: r.number, Payload: r.group.job.record.Job.Payload, Until: p.grantLease(w, min(initialLease, p.Bounds.MaxLease)),
 		Fence: w.fence, Checkpoint: task.Checkpoint,
 	}
-	r.phase, r.startInFlight = runOrdered, true
+	r.phase, r.startInFlight, w.startFence = runOrdered, true, max(w.startFence, w.fence)
 	r.startAttempts++
 	sent := p.Clock.Now()
 	r.startSentAt = sent
--- a/engine/restart_poll.go
+++ b/engine/restart_poll.go
@@ -71,6 +71,29 @@
 	return min(pollRetryDelay, restartPollDelay*time.Duration(max(1, p.silentHolders)))
 }
 
+// raiseFenceOfSilent raises the fencing token for a worker that does not answer and may carry out a start late. Its next incarnation refuses the start from
+// the first poll on that it carries out, also if no response arrives. Load pattern: responses of a worker are lost, and it restarts.
+func (p *Planner) raiseFenceOfSilent(w *workerState, now time.Time) {
+	if w.failingSince.IsZero() || w.fence > w.startFence || !p.mayCarryOutStart(w, now) || w.hasStartInFlight() {
+		return
+	}
+	before := w.fence
+	p.raiseFence(w)
+	if w.fence > before {
+		p.Log.Event("silent-worker-fenced", "worker", w.id(), "born", w.incarnation, "fence", w.fence, "before", before, "starts", w.startFence)
+	}
+}
+
+// hasStartInFlight reports whether an order to start a run is in flight, which the worker would refuse if it learnt of a higher token before.
+func (w *workerState) hasStartInFlight() bool {
+	for _, r := range w.runs {
+		if r.startInFlight {
+			return true
+		}
+	}
+	return false
+}
+
 // restartPollWait bounds the wait of a poll of a worker that may carry out a start late.
 func (p *Planner) restartPollWait() time.Duration {
 	return max(minRestartPollWait, restartPollDelay*time.Duration(p.startHolders))
--- a/engine/state.go
+++ b/engine/state.go
@@ -203,6 +203,8 @@
 	entryMissingSince time.Time
 	// fence is the fencing token of orders to the present incarnation; see raiseFence.
 	fence int64
+	// startFence is the highest fencing token of a start order that was sent to the worker by this planner.
+	startFence int64
 	// fenced is set once the present incarnation has responded to a poll with that token. It then refuses orders of earlier
 	// planners, and those that were meant for earlier incarnations.
 	fenced bool
