--- a/engine/restart_poll.go
+++ b/engine/restart_poll.go
@@ -43,7 +43,7 @@
 // mayCarryOutStart reports whether the worker, or a later incarnation of it, may still carry out a start order that got no response, or that an
 // earlier planner may have sent.
 func (p *Planner) mayCarryOutStart(w *workerState, now time.Time) bool {
-	return w.mayStartAny(now) || p.orderedBefore[w.id()] && now.Sub(p.started) < maxOrderDelay
+	return w.mayStartAny(now) || now.Sub(p.started) < maxOrderDelay && p.orderedBefore[w.id()]
 }
 
 // countStartHolders counts the workers that may carry out a start late.
