--- a/engine/contact.go
+++ b/engine/contact.go
@@ -200,23 +200,22 @@
 	if w.unverified != nil || w.outdated != nil && !w.registered {
 		return true
 	}
-	now := p.Clock.Now()
-	// A worker that may carry out a start late is asked although it has no runs, whatever has become of the run: a restart breaks the poll
-	// off, and only an incarnation that knows the present fencing token refuses the start.
-	mayStart := p.mayCarryOutStart(w, now)
+	if p.restartPollDue(w) {
+		return true
+	}
 	if p.suspended {
-		return len(w.runs) > 0 || mayStart
+		return len(w.runs) > 0
 	}
 	if w.unstoredEnds > 0 {
-		// The worker lists the same ends again until they are acknowledged, so it is polled only to renew its lease or to notice a restart.
-		return len(w.runs) > 0 && now.Sub(w.leaseRenewedAt) > renewInterval || mayStart && now.Sub(w.identifiedSentAt) >= immediatePollInterval
+		// The worker lists the same ends again until they are acknowledged, so it is polled only to renew its lease.
+		return len(w.runs) > 0 && p.Clock.Since(w.leaseRenewedAt) > renewInterval
 	}
 	if !w.fenced || !w.failingSince.IsZero() {
 		// A worker gets no runs until it has answered, also when none is left on it.
-		return w.registered || len(w.runs) > 0 || mayStart
+		return w.registered || len(w.runs) > 0
 	}
-	if w.lastEnd > w.acknowledgedEnd || len(w.orphans) > 0 || mayStart || p.holdsLateStart(w, now) {
-		// It is asked until it has answered after the latest time at which it may have carried the start out.
+	if w.lastEnd > w.acknowledgedEnd || len(w.orphans) > 0 || p.holdsLateStart(w, p.Clock.Now()) {
+		// A worker that may have carried out a start late is asked until it has answered after the latest time of that.
 		return true
 	}
 	for _, r := range w.runs {
--- a/engine/restart_poll.go
+++ b/engine/restart_poll.go
@@ -46,6 +46,13 @@
 	return w.mayStartAny(now) || now.Sub(p.started) < maxOrderDelay && p.orderedBefore[w.id()]
 }
 
+// restartPollDue reports whether the worker is to be polled because it may carry out a start late, whatever has become of the run, and also without
+// the term. While ends that it lists are being stored, it responds at once.
+func (p *Planner) restartPollDue(w *workerState) bool {
+	now := p.Clock.Now()
+	return p.mayCarryOutStart(w, now) && (w.unstoredEnds == 0 || now.Sub(w.identifiedSentAt) >= immediatePollInterval)
+}
+
 // countStartHolders counts the workers that may carry out a start late.
 func (p *Planner) countStartHolders() {
 	now := p.Clock.Now()
