engine: polls that notice restarts grow no longer with the load

Callers of a service with 1,100 workers saw, after a change of the planner under high load, orders without a response and waits of up to 2.6 s for a start (95 of 100), 1.3 s before. The polls for workers that may carry out a start late brought it: a successor polls every worker that has had a task, repeated each poll that had no response 0.2 s after its wait, polled workers whose ends were being stored every 100 ms, and workers that went down together again after 5 ms until the next tick. A busy planner handles responses late, so the polls made it busier.

Change: the three pauses grow by 5 ms for each worker that may carry out a start late, which are counted from the takeover on, and a worker counts as silent as soon as it stops answering. The polls add at most 200 a second. With fewer than 40 such workers nothing changes but the last.

TestSuccessorDoesNotPollManyWorkersMoreOftenUnderLoad, bounds from the 200 a second: before 5,100, 12,600 and 11,100 polls, over the bounds of 2,500, 2,500 and 7,300; after it 1,800, 1,500 and 6,046.

--- a/engine/contact.go
+++ b/engine/contact.go
@@ -69,8 +69,11 @@
 	}
 	if w.failingSince.IsZero() {
 		w.failingSince = p.Clock.Now()
-		p.Log.Event("worker-lost", "worker", w.id(), "runs", len(w.runs), "listed", w.registered, "answered", w.lastAnswer,
-			"may-start-late", p.mayCarryOutStart(w, p.Clock.Now()))
+		mayStartLate := p.mayCarryOutStart(w, w.failingSince)
+		if mayStartLate {
+			p.silentHolders++
+		}
+		p.Log.Event("worker-lost", "worker", w.id(), "runs", len(w.runs), "listed", w.registered, "answered", w.lastAnswer, "may-start-late", mayStartLate)
 	}
 }
 
@@ -265,7 +268,7 @@
 func (p *Planner) maxPollWait(w *workerState, now time.Time) time.Duration {
 	wait := pollWait
 	if p.mayCarryOutStart(w, now) {
-		wait = min(wait, p.restartPollWait())
+		wait = min(wait, p.restartPollInterval(minRestartPollWait))
 	}
 	for _, s := range w.lateStarts {
 		if until, _ := p.lateRunEnd(w, s); now.Before(until) {
@@ -307,7 +310,7 @@
 	w.polling, w.pollOverdueAt = true, time.Time{}
 	if p.mayCarryOutStart(w, now) {
 		// A poll that the worker has left without a response keeps the next one from a new incarnation no longer than this.
-		w.pollOverdueAt = now.Add(request.Wait + p.restartPollTimeout())
+		w.pollOverdueAt = now.Add(request.Wait + p.restartPollTimeout(w))
 	}
 	w.polls++
 	number := w.polls
--- a/engine/late_order_test.go
+++ b/engine/late_order_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"clementinepier/metrics"
 	"clementinepier/standin/site"
 	"clementinepier/workload"
 )
@@ -207,3 +208,49 @@
 		r.Equal(r.WorkersRunning("j1"), []string{"r2-w0"})
 	})
 }
+
+// Guards against polls that grow with the load of a planner which has taken over many workers: their responses arrive late, their ends are not stored
+// yet, or they all go down at once, and it polls them all the more often.
+func TestSuccessorDoesNotPollManyWorkersMoreOftenUnderLoad(t *testing.T) {
+	const (
+		workers, watched = 300, 5 * time.Second
+		// pollsForRestarts bounds the polls a second that are sent to notice restarts. The others to a worker are one to learn its incarnation, one
+		// every 2 s, and one for its end, or one every 250 ms while it is down.
+		pollsForRestarts = 200
+	)
+	for name, c := range map[string]struct {
+		load       func(r *rig)
+		otherPolls int64
+	}{
+		"responses arrive late": {
+			load: func(r *rig) {
+				r.setAll(func(w *site.Worker) { w.AnswerDelays = []time.Duration{300 * time.Millisecond} })
+			},
+			otherPolls: 5,
+		},
+		"ends are not stored": {load: func(r *rig) { r.Store.SetRefusing(true) }, otherPolls: 5},
+		"workers are down": {
+			load:       func(r *rig) { r.setAll(func(w *site.Worker) { w.Dead, w.RefusesConnections = true, true }) },
+			otherPolls: 21,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInVirtualTime(t, func(r *rig) {
+				p, stop := r.startWithWorkers(workers)
+				defer func() { stop() }()
+				step := singleTaskStep(8)
+				step.Tasks = workers
+				r.mustSubmit(p, "j1", 1, step, 4*time.Second)
+				time.Sleep(2 * time.Second)
+				stop()
+				p, stop = r.startPlanner("b")
+				c.load(r)
+				time.Sleep(watched)
+				polls := p.Metrics.Get(metrics.Polls)
+				r.Store.SetRefusing(false)
+				t.Log("polls:", polls)
+				r.True(polls <= pollsForRestarts*int64(watched/time.Second)+c.otherPolls*workers)
+			})
+		})
+	}
+}
--- a/engine/planner.go
+++ b/engine/planner.go
@@ -161,7 +161,8 @@
 	// nextPlanAt is when planning may run next; planScheduled is set while a timer for it runs.
 	nextPlanAt    time.Time
 	planScheduled bool
-	// startHolders is how many workers may carry out a start late as of the last tick, and silentHolders how many of them did not answer.
+	// startHolders is how many workers may carry out a start late, and silentHolders how many of them do not answer. Both are counted at each tick, and
+	// grow in between.
 	startHolders, silentHolders int
 	// contactQueue has the workers to contact at the end of the pass.
 	contactQueue []*workerState
--- a/engine/restart_poll.go
+++ b/engine/restart_poll.go
@@ -38,6 +38,7 @@
 	for _, s := range progress.LateStarts {
 		p.orderedBefore[s.Worker] = true
 	}
+	p.startHolders = max(p.startHolders, len(p.orderedBefore))
 }
 
 // mayCarryOutStart reports whether the worker, or a later incarnation of it, may still carry out a start order that got no response, or that an
@@ -47,10 +48,10 @@
 }
 
 // restartPollDue reports whether the worker is to be polled because it may carry out a start late, whatever has become of the run, and also without
-// the term. While ends that it lists are being stored, it responds at once.
+// the term. While ends that it lists are being stored, it responds at once, and is polled less often.
 func (p *Planner) restartPollDue(w *workerState) bool {
 	now := p.Clock.Now()
-	return p.mayCarryOutStart(w, now) && (w.unstoredEnds == 0 || now.Sub(w.identifiedSentAt) >= immediatePollInterval)
+	return p.mayCarryOutStart(w, now) && (w.unstoredEnds == 0 || now.Sub(w.identifiedSentAt) >= p.restartPollInterval(immediatePollInterval))
 }
 
 // countStartHolders counts the workers that may carry out a start late.
@@ -101,13 +102,18 @@
 	return false
 }
 
-// restartPollWait bounds the wait of a poll of a worker that may carry out a start late.
-func (p *Planner) restartPollWait() time.Duration {
-	return max(minRestartPollWait, restartPollDelay*time.Duration(p.startHolders))
+// restartPollInterval returns the pause between polls of a worker that may carry out a start late, at least the given one. With many such workers it is
+// longer, so that these polls do not add to the load of a planner whose polls are answered late because of it.
+// Load pattern: a planner takes over 1,000 workers that all have had a task, and stores the ends that they list.
+func (p *Planner) restartPollInterval(least time.Duration) time.Duration {
+	return max(least, restartPollDelay*time.Duration(p.startHolders))
 }
 
 // restartPollTimeout returns how long after its wait a poll of a worker that may carry out a start late counts as overdue. The next one is sent beside
 // it.
-func (p *Planner) restartPollTimeout() time.Duration {
+func (p *Planner) restartPollTimeout(w *workerState) time.Duration {
+	if w.failingSince.IsZero() {
+		return p.restartPollInterval(restartAnswerTime)
+	}
 	return max(restartAnswerTime, restartPollDelay*time.Duration(p.silentHolders))
 }
