--- a/engine/restart_poll.go
+++ b/engine/restart_poll.go
@@ -102,8 +102,8 @@
 	return false
 }
 
-// restartPollInterval returns the pause between polls of a worker that may carry out a start late, at least the given one. With many such workers it is
-// longer, so that these polls do not add to the load of a planner whose polls are answered late because of it.
+// restartPollInterval returns how long polls of workers that may carry out a start late wait, are waited for, or pause: the given time, or longer if there
+// are many such workers. Otherwise the polls would add to the load of a planner that gets responses late because of its load.
 // Load pattern: a planner takes over 1,000 workers that all have had a task, and stores the ends that they list.
 func (p *Planner) restartPollInterval(least time.Duration) time.Duration {
 	return max(least, restartPollDelay*time.Duration(p.startHolders))
