--- a/engine/restart_poll.go
+++ b/engine/restart_poll.go
@@ -12,7 +12,8 @@
 
 const (
 	// restartPollDelay is the pause after a failed poll of a worker that may carry out a start late, times the number of such workers that do not
-	// answer. It bounds the polls that are sent beyond those of other workers to 200 a second.
+	// answer; and what the other intervals of the polls of such workers grow by for each of them. Polls of each of these kinds come to at most 200 a
+	// second beyond those that other workers get.
 	restartPollDelay = 5 * time.Millisecond
 	// minRestartPollWait is how long such a worker waits for a run to end before it responds to a poll, unless there are many of them. A machine that
 	// has lost power resets no connection, and may be back within 1.5 s.
